--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+SITE ?= luzon
+TOOLS := $(or $(PAPAYAPASS_TOOLS),$(HOME)/.cache/papayapass-tools)
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+PROTOC_GEN_GO_VERSION := v1.36.12
+MODULES := shared papayapass standin
+
+.PHONY: build demo test fuzz lint format bench capacity generate clean
+
+build:
+	go build -o bin/papayapass ./papayapass/cmd/papayapass
+	go build -o bin/standin ./standin/cmd/standin
+
+demo: build
+	bin/standin demo --site $(SITE)
+
+test:
+	go test -race $(foreach m,$(MODULES),./$(m)/...)
+	cd papayapass && go test -race -tags mutation -run Mutation ./internal/...
+
+$(GOLANGCI):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS)/build go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/build/golangci-lint $@
+
+lint: $(GOLANGCI)
+	$(foreach m,$(MODULES),(cd $(m) && $(GOLANGCI) run --config ../.golangci.yml ./...) &&) true
+
+format: $(GOLANGCI)
+	$(foreach m,$(MODULES),(cd $(m) && $(GOLANGCI) fmt --config ../.golangci.yml ./...) &&) true
+
+bench: build
+	cd papayapass && go test -run '^$$' -bench . -benchmem ./internal/...
+	bin/standin bench
+
+generate:
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	cd papayapass && PATH="$(TOOLS):$$PATH" protoc -I proto --go_out=. --go_opt=module=papayapass.dev/papayapass proto/wire.proto
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/papayapass/internal/archiver/archiver.go
@@ -0,0 +1,162 @@
+// Package archiver keeps the table of a cell in the platform's object API.
+package archiver
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/coordinator"
+	"papayapass.dev/papayapass/internal/mutator"
+	"papayapass.dev/papayapass/internal/wirepb"
+	"papayapass.dev/shared/storer"
+)
+
+// callTimeout bounds one call to the platform.
+const callTimeout = 500 * time.Millisecond
+
+// writeAttempts bounds the writes of one table when others have written.
+const writeAttempts = 3
+
+// objectPrefix is the part of the object's name before the cell's.
+const objectPrefix = "papayapass/cells/"
+
+// Platform is the part of the object API that an archiver uses.
+type Platform interface {
+	// Get reads an object.
+	Get(ctx context.Context, name string) (storer.Object, error)
+	// Put replaces a version of an object.
+	Put(ctx context.Context, name string, ifVersion uint64, value []byte) (uint64, error)
+}
+
+// Archiver reads and writes the table of one cell. It is used by one thread.
+type Archiver struct {
+	platform Platform
+	name     string
+	writer   string
+	writes   atomic.Uint64
+	version  uint64
+}
+
+// NewArchiver returns an archiver of a cell. The writer's name must differ from
+// that of each other start of each other node.
+func NewArchiver(platform Platform, cell, writer string) *Archiver {
+	return &Archiver{platform: platform, name: objectPrefix + cell, writer: writer}
+}
+
+// Read returns the table that is written down, or nil when there is none.
+func (a *Archiver) Read(ctx context.Context) (*assigner.Table, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := a.platform.Get(ctx, a.name)
+	if errors.Is(err, storer.ErrNotFound) {
+		a.version = 0
+		return nil, nil //nolint:nilnil // no table is a regular state of the platform
+	}
+	if err != nil {
+		return nil, err
+	}
+	t, err := decode(object.Value())
+	if err != nil {
+		return nil, err
+	}
+	a.version = object.Version()
+	return t, nil
+}
+
+// Write writes a table down. An answer that was lost is resolved by reading
+// back: the table carries a mark of its write.
+func (a *Archiver) Write(ctx context.Context, t *assigner.Table) coordinator.StoreResult {
+	t, value, err := a.prepare(t)
+	if err != nil {
+		return coordinator.StoreUnknown
+	}
+	for range writeAttempts {
+		version, err := a.put(ctx, value)
+		if err == nil {
+			a.version = version
+			return coordinator.StoreDone
+		}
+		if mutator.Active(mutator.TrustLostWrite) && errors.Is(err, storer.ErrUnavailable) {
+			return coordinator.StoreUnknown
+		}
+		stored, err := a.Read(ctx)
+		if err != nil {
+			return coordinator.StoreUnknown
+		}
+		if stored == nil {
+			continue
+		}
+		if stored.WriteID() == t.WriteID() {
+			return coordinator.StoreDone
+		}
+		if supersedes(stored, t) {
+			return coordinator.StoreSuperseded
+		}
+	}
+	return coordinator.StoreUnknown
+}
+
+// Create writes the first table of a cell down. StoreSuperseded means that
+// another node was first.
+func (a *Archiver) Create(ctx context.Context, t *assigner.Table) coordinator.StoreResult {
+	t, value, err := a.prepare(t)
+	if err != nil {
+		return coordinator.StoreUnknown
+	}
+	a.version = 0
+	version, err := a.put(ctx, value)
+	if err == nil {
+		a.version = version
+		return coordinator.StoreDone
+	}
+	stored, err := a.Read(ctx)
+	if err != nil || stored == nil {
+		return coordinator.StoreUnknown
+	}
+	if stored.WriteID() == t.WriteID() {
+		return coordinator.StoreDone
+	}
+	return coordinator.StoreSuperseded
+}
+
+// prepare marks a copy of a table with the next write and encodes it.
+func (a *Archiver) prepare(t *assigner.Table) (*assigner.Table, []byte, error) {
+	t = t.Clone()
+	t.SetWriteID(a.writer + "-" + strconv.FormatUint(a.writes.Add(1), 10))
+	value, err := encode(t)
+	return t, value, err
+}
+
+// supersedes says whether a stored table is the work of a coordinator that
+// another table's maker has to give way to.
+func supersedes(stored, t *assigner.Table) bool {
+	if stored.Epoch() != t.Epoch() {
+		return stored.Epoch() > t.Epoch()
+	}
+	return stored.Coordinator() != t.Coordinator()
+}
+
+func (a *Archiver) put(ctx context.Context, value []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return a.platform.Put(ctx, a.name, a.version, value)
+}
+
+func encode(t *assigner.Table) ([]byte, error) {
+	return protojson.Marshal(assigner.Encode(t))
+}
+
+func decode(value []byte) (*assigner.Table, error) {
+	var m wirepb.Table
+	options := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err := options.Unmarshal(value, &m); err != nil {
+		return nil, errors.Wrap(err, "decode the cell's object")
+	}
+	return assigner.Decode(&m), nil
+}
--- /dev/null
+++ b/papayapass/internal/assigner/member.go
@@ -0,0 +1,190 @@
+package assigner
+
+import "papayapass.dev/papayapass/internal/wirepb"
+
+// NodeID names a node, and the backend server instance that it stands beside.
+type NodeID string
+
+// ServerState is what a node says of the backend server beside it.
+type ServerState int
+
+// States of a backend server.
+const (
+	ServerAbsent ServerState = iota
+	ServerUp
+	ServerDraining
+)
+
+// Server describes a backend server as its node announced it.
+type Server struct {
+	state        ServerState
+	pool         string
+	slots        uint32
+	allowance    uint32
+	checksTokens bool
+	divided      bool
+}
+
+// NewServer returns the description of a backend server that is up.
+func NewServer(pool string, slots, allowance uint32, divided, checksTokens bool) Server {
+	return Server{
+		state: ServerUp, pool: pool, slots: slots, allowance: allowance,
+		divided: divided, checksTokens: checksTokens,
+	}
+}
+
+// WithState returns a copy in another state.
+func (s Server) WithState(state ServerState) Server {
+	s.state = state
+	return s
+}
+
+// State returns the state.
+func (s Server) State() ServerState { return s.state }
+
+// Pool returns the name of the pool.
+func (s Server) Pool() string { return s.pool }
+
+// Slots returns how many requests the backend server runs at once.
+func (s Server) Slots() uint32 { return s.slots }
+
+// Allowance returns how many requests its node gives it at once for now.
+func (s Server) Allowance() uint32 { return s.allowance }
+
+// ChecksTokens says whether the backend server refuses older fencing tokens.
+func (s Server) ChecksTokens() bool { return s.checksTokens }
+
+// Divided says whether each key of the pool has one owner.
+func (s Server) Divided() bool { return s.divided }
+
+// Member is a node of the cell.
+type Member struct {
+	id            NodeID
+	address       string
+	statusAddress string
+	zone          string
+	incarnation   uint64
+	lost          bool
+	server        Server
+}
+
+// NewMember returns a member without a backend server.
+func NewMember(id NodeID, address, statusAddress, zone string, incarnation uint64) Member {
+	return Member{id: id, address: address, statusAddress: statusAddress, zone: zone, incarnation: incarnation}
+}
+
+// ID returns the node's name.
+func (m Member) ID() NodeID { return m.id }
+
+// Address returns the IP address and port for peers.
+func (m Member) Address() string { return m.address }
+
+// StatusAddress returns the IP address and port of the status page.
+func (m Member) StatusAddress() string { return m.statusAddress }
+
+// Zone returns the availability zone.
+func (m Member) Zone() string { return m.zone }
+
+// Incarnation returns the number of the node's start.
+func (m Member) Incarnation() uint64 { return m.incarnation }
+
+// Lost says whether the coordinator has given the node up for now.
+func (m Member) Lost() bool { return m.lost }
+
+// Server returns the backend server beside the node.
+func (m Member) Server() Server { return m.server }
+
+// WithServer returns a copy with another backend server.
+func (m Member) WithServer(s Server) Member {
+	m.server = s
+	return m
+}
+
+// WithLost returns a copy that is lost or not.
+func (m Member) WithLost(lost bool) Member {
+	m.lost = lost
+	return m
+}
+
+// Restriction is what operators have taken out of service.
+type Restriction struct {
+	zones   map[string]struct{}
+	servers map[NodeID]struct{}
+}
+
+// NewRestriction returns the restriction to all but some zones and servers.
+func NewRestriction(zones, servers []string) Restriction {
+	r := Restriction{
+		zones:   make(map[string]struct{}, len(zones)),
+		servers: make(map[NodeID]struct{}, len(servers)),
+	}
+	for _, z := range zones {
+		r.zones[z] = struct{}{}
+	}
+	for _, s := range servers {
+		r.servers[NodeID(s)] = struct{}{}
+	}
+	return r
+}
+
+// Excludes says whether operators have taken a member out of service.
+func (r Restriction) Excludes(m Member) bool {
+	if _, ok := r.zones[m.zone]; ok {
+		return true
+	}
+	_, ok := r.servers[m.id]
+	return ok
+}
+
+// Eligible says whether a member may get new work.
+func (r Restriction) Eligible(m Member) bool {
+	return m.server.state == ServerUp && !m.lost && !r.Excludes(m)
+}
+
+// EncodeServer returns the message of a server.
+func EncodeServer(s Server) *wirepb.Server {
+	return &wirepb.Server{
+		State:        wirepb.ServerState(s.state),
+		Pool:         s.pool,
+		Slots:        s.slots,
+		Allowance:    s.allowance,
+		ChecksTokens: s.checksTokens,
+		Divided:      s.divided,
+	}
+}
+
+// DecodeServer returns the server of a message.
+func DecodeServer(m *wirepb.Server) Server {
+	return Server{
+		state:        ServerState(m.GetState()),
+		pool:         m.GetPool(),
+		slots:        m.GetSlots(),
+		allowance:    m.GetAllowance(),
+		checksTokens: m.GetChecksTokens(),
+		divided:      m.GetDivided(),
+	}
+}
+
+func encodeMember(m Member) *wirepb.Member {
+	return &wirepb.Member{
+		Node:          string(m.id),
+		Address:       m.address,
+		StatusAddress: m.statusAddress,
+		Zone:          m.zone,
+		Incarnation:   m.incarnation,
+		Lost:          m.lost,
+		Server:        EncodeServer(m.server),
+	}
+}
+
+func decodeMember(m *wirepb.Member) Member {
+	return Member{
+		id:            NodeID(m.GetNode()),
+		address:       m.GetAddress(),
+		statusAddress: m.GetStatusAddress(),
+		zone:          m.GetZone(),
+		incarnation:   m.GetIncarnation(),
+		lost:          m.GetLost(),
+		server:        DecodeServer(m.GetServer()),
+	}
+}
--- /dev/null
+++ b/papayapass/internal/assigner/planner.go
@@ -0,0 +1,370 @@
+package assigner
+
+import (
+	"slices"
+	"sort"
+)
+
+// SlicesPerPool is the number of slices that a divided pool starts with.
+const SlicesPerPool = 128
+
+// Loads gives the load of slices, in requests a second.
+type Loads interface {
+	// Load returns the load of the slice of a pool that begins at start.
+	Load(pool string, start uint64) float64
+}
+
+// Planner changes a table towards one in which each slice has an owner that may
+// serve it, a standby in another zone, and each server its share of the load.
+type Planner struct {
+	table       *Table
+	restriction Restriction
+	loads       Loads
+	epoch       Epoch
+	sequence    *uint32
+	changed     bool
+}
+
+// NewPlanner returns a planner that changes a clone of a table. Tokens are taken
+// from the epoch's sequence.
+func NewPlanner(table *Table, r Restriction, loads Loads, epoch Epoch, sequence *uint32) *Planner {
+	return &Planner{table: table, restriction: r, loads: loads, epoch: epoch, sequence: sequence}
+}
+
+// Changed says whether the table differs from the one given.
+func (p *Planner) Changed() bool { return p.changed }
+
+func (p *Planner) token() Token {
+	*p.sequence++
+	return NewToken(p.epoch, *p.sequence)
+}
+
+// share is a member's part of a pool's load.
+type share struct {
+	member Member
+	load   float64
+	count  int
+}
+
+// ratio is the load for each slot.
+func (s share) ratio() float64 { return s.load / float64(max(1, s.member.server.slots)) }
+
+// baseLoad is what a slice without known load counts for, in requests a second.
+const baseLoad = 1.0
+
+func (p *Planner) load(pool string, s Slice) float64 {
+	return baseLoad + p.loads.Load(pool, s.start)
+}
+
+// shares returns the parts of the members that may serve a pool. A slice on its
+// way counts for its target.
+func (p *Planner) shares(pool Pool) []share {
+	var out []share
+	index := make(map[NodeID]int)
+	for _, m := range p.table.members {
+		if m.server.pool == pool.name && m.server.divided && p.restriction.Eligible(m) {
+			index[m.id] = len(out)
+			out = append(out, share{member: m})
+		}
+	}
+	for _, s := range pool.slices {
+		holder := s.owner
+		if s.next != "" {
+			holder = s.next
+		}
+		if i, ok := index[holder]; ok {
+			out[i].load += p.load(pool.name, s)
+			out[i].count++
+		}
+	}
+	return out
+}
+
+// AddPools gives slices to divided pools that have a server and no slices yet.
+func (p *Planner) AddPools() {
+	for _, m := range p.table.members {
+		if !m.server.divided || !p.restriction.Eligible(m) {
+			continue
+		}
+		if _, ok := p.table.Pool(m.server.pool); ok {
+			continue
+		}
+		p.table.pools = append(p.table.pools, Pool{name: m.server.pool, slices: divide(SlicesPerPool)})
+		sort.Slice(p.table.pools, func(i, j int) bool { return p.table.pools[i].name < p.table.pools[j].name })
+		p.changed = true
+	}
+}
+
+// Assign gives slices without an owner to their standby, or else to the server
+// with the least load. Slices for which held returns true stay as they are.
+func (p *Planner) Assign(held func(pool string, start uint64) bool) {
+	for pi := range p.table.pools {
+		pool := &p.table.pools[pi]
+		shares := p.shares(*pool)
+		for i := range pool.slices {
+			s := &pool.slices[i]
+			if s.owner != "" || held(pool.name, s.start) {
+				continue
+			}
+			target, ok := pick(shares, s.standby)
+			if !ok {
+				continue
+			}
+			shares[target].load += p.load(pool.name, *s)
+			s.owner, s.standby = shares[target].member.id, ""
+			s.next, s.nextToken = "", 0
+			s.token = p.token()
+			p.changed = true
+		}
+	}
+}
+
+// pick returns the index of the preferred member, or of the least loaded one.
+func pick(shares []share, preferred NodeID) (int, bool) {
+	best := -1
+	for i, s := range shares {
+		if s.member.id == preferred {
+			return i, true
+		}
+		if best < 0 || s.ratio() < shares[best].ratio() {
+			best = i
+		}
+	}
+	return best, best >= 0
+}
+
+// Vacate takes the slices of a member away, so that Assign gives them out.
+func (p *Planner) Vacate(id NodeID) {
+	for pi := range p.table.pools {
+		pool := &p.table.pools[pi]
+		for i := range pool.slices {
+			s := &pool.slices[i]
+			if s.owner == id {
+				s.owner, s.next, s.nextToken = "", "", 0
+				p.changed = true
+			}
+			if s.next == id {
+				s.next, s.nextToken = "", 0
+				p.changed = true
+			}
+		}
+	}
+}
+
+// Hold writes down who holds a slice under which token.
+func (p *Planner) Hold(pool string, start uint64, owner NodeID, token Token) {
+	s := p.slice(pool, start)
+	if s == nil || s.owner == owner && s.token == token {
+		return
+	}
+	s.owner, s.token = owner, token
+	s.next, s.nextToken = "", 0
+	p.changed = true
+}
+
+// Complete puts an agreed move into force after the owner released the slice
+// under the given token.
+func (p *Planner) Complete(pool string, start uint64, owner NodeID, token Token) {
+	s := p.slice(pool, start)
+	if s == nil || s.owner != owner || s.token != token || s.next == "" {
+		return
+	}
+	s.owner, s.token = s.next, s.nextToken
+	s.next, s.nextToken = "", 0
+	if s.standby == s.owner {
+		s.standby = ""
+	}
+	p.changed = true
+}
+
+// GiveUp takes a slice away from an owner that released it under the given
+// token without a move being agreed.
+func (p *Planner) GiveUp(pool string, start uint64, owner NodeID, token Token) {
+	s := p.slice(pool, start)
+	if s == nil || s.owner != owner || s.token != token || s.next != "" {
+		return
+	}
+	s.owner = ""
+	p.changed = true
+}
+
+func (p *Planner) slice(pool string, start uint64) *Slice {
+	for pi := range p.table.pools {
+		candidate := &p.table.pools[pi]
+		if candidate.name != pool {
+			continue
+		}
+		if i := candidate.Find(start); i >= 0 && candidate.slices[i].start == start {
+			return &candidate.slices[i]
+		}
+	}
+	return nil
+}
+
+// Evacuate plans moves of slices whose owners may get no new work: leaving, or
+// taken out by operators. At most limit moves are on their way to one target.
+func (p *Planner) Evacuate(limit int) {
+	for pi := range p.table.pools {
+		pool := &p.table.pools[pi]
+		shares := p.shares(*pool)
+		incoming := incomingMoves(*pool)
+		for i := range pool.slices {
+			s := &pool.slices[i]
+			owner, ok := p.table.Member(s.owner)
+			if s.owner == "" || s.next != "" || !ok || p.restriction.Eligible(owner) || owner.lost {
+				continue
+			}
+			target, ok := pick(withRoom(shares, incoming, limit), "")
+			if !ok {
+				continue
+			}
+			p.plan(pool.name, s, shares, incoming, withRoom(shares, incoming, limit)[target].member.id)
+		}
+	}
+}
+
+// plan writes a move down and counts it.
+func (p *Planner) plan(pool string, s *Slice, shares []share, incoming map[NodeID]int, target NodeID) {
+	for i := range shares {
+		if shares[i].member.id == target {
+			shares[i].load += p.load(pool, *s)
+		}
+	}
+	incoming[target]++
+	s.next, s.nextToken = target, p.token()
+	p.changed = true
+}
+
+func incomingMoves(pool Pool) map[NodeID]int {
+	out := make(map[NodeID]int)
+	for _, s := range pool.slices {
+		if s.next != "" {
+			out[s.next]++
+		}
+	}
+	return out
+}
+
+func withRoom(shares []share, incoming map[NodeID]int, limit int) []share {
+	return slices.DeleteFunc(slices.Clone(shares), func(s share) bool {
+		return incoming[s.member.id] >= limit
+	})
+}
+
+// balanceSlack is the ratio of the largest to the mean load below which no
+// slice is moved.
+const balanceSlack = 1.05
+
+// Balance plans at most budget moves from the most to the least loaded servers
+// and returns how many it planned.
+func (p *Planner) Balance(budget int) int {
+	planned := 0
+	for pi := range p.table.pools {
+		pool := &p.table.pools[pi]
+		incoming := incomingMoves(*pool)
+		for planned < budget {
+			if !p.balanceOnce(pool, incoming) {
+				break
+			}
+			planned++
+		}
+	}
+	return planned
+}
+
+func (p *Planner) balanceOnce(pool *Pool, incoming map[NodeID]int) bool {
+	shares := p.shares(*pool)
+	if len(shares) < 2 {
+		return false
+	}
+	sort.Slice(shares, func(i, j int) bool { return shares[i].ratio() < shares[j].ratio() })
+	low, high := shares[0], shares[len(shares)-1]
+	if high.ratio() <= meanRatio(shares)*balanceSlack {
+		return false
+	}
+	best := p.bestMove(*pool, low, high)
+	if best < 0 {
+		return false
+	}
+	p.plan(pool.name, &pool.slices[best], shares, incoming, low.member.id)
+	return true
+}
+
+// bestMove returns the slice of the high member whose move to the low one
+// leaves the smaller maximum, or -1 when none lowers it.
+func (p *Planner) bestMove(pool Pool, low, high share) int {
+	best, bestMax := -1, high.ratio()
+	for i, s := range pool.slices {
+		if s.owner != high.member.id || s.next != "" {
+			continue
+		}
+		load := p.load(pool.name, s)
+		lowAfter, highAfter := low, high
+		lowAfter.load += load
+		highAfter.load -= load
+		if after := max(lowAfter.ratio(), highAfter.ratio()); after < bestMax {
+			best, bestMax = i, after
+		}
+	}
+	return best
+}
+
+func meanRatio(shares []share) float64 {
+	load, slots := 0.0, 0.0
+	for _, s := range shares {
+		load += s.load
+		slots += float64(max(1, s.member.server.slots))
+	}
+	return load / slots
+}
+
+// SetStandbys gives each owned slice a standby that may serve it, in another
+// zone where there is one, spread evenly.
+func (p *Planner) SetStandbys() {
+	for pi := range p.table.pools {
+		pool := &p.table.pools[pi]
+		shares := p.shares(*pool)
+		counts := make(map[NodeID]int, len(shares))
+		for _, s := range pool.slices {
+			counts[s.standby]++
+		}
+		for i := range pool.slices {
+			s := &pool.slices[i]
+			if s.owner == "" || p.standbyFits(*s) {
+				continue
+			}
+			standby := p.chooseStandby(*s, shares, counts)
+			if standby == s.standby {
+				continue
+			}
+			counts[standby]++
+			s.standby = standby
+			p.changed = true
+		}
+	}
+}
+
+func (p *Planner) standbyFits(s Slice) bool {
+	m, ok := p.table.Member(s.standby)
+	return ok && s.standby != s.owner && p.restriction.Eligible(m)
+}
+
+func (p *Planner) chooseStandby(s Slice, shares []share, counts map[NodeID]int) NodeID {
+	owner, _ := p.table.Member(s.owner)
+	best := NodeID("")
+	bestRank := 0
+	for _, candidate := range shares {
+		id := candidate.member.id
+		if id == s.owner || id == s.next {
+			continue
+		}
+		rank := counts[id]
+		if candidate.member.zone == owner.zone {
+			rank += len(counts) * SlicesPerPool
+		}
+		if best == "" || rank < bestRank {
+			best, bestRank = id, rank
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/papayapass/internal/commander/commander.go
@@ -0,0 +1,202 @@
+// Package commander is the command line of papayapass.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"papayapass.dev/papayapass/internal/configurer"
+	"papayapass.dev/papayapass/internal/editor"
+	"papayapass.dev/papayapass/internal/explainer"
+	"papayapass.dev/papayapass/internal/parser"
+	"papayapass.dev/papayapass/internal/runner"
+	"papayapass.dev/shared/storer"
+)
+
+// Version is the version of this program.
+const Version = "0.1.0"
+
+// Exit codes, as the help page exit-codes lists them.
+const (
+	exitDone      = 0
+	exitFailed    = 1
+	exitUsage     = 2
+	exitConflict  = 3
+	exitPending   = 4
+	exitUncertain = 5
+)
+
+var (
+	errUsage   = errors.New("usage")
+	errPending = errors.New("accepted, but not in force on every node")
+)
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	root := newRoot()
+	root.SetArgs(args)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "papayapass:", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var mistakes configurer.Mistakes
+	var problems parser.Problems
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.Is(err, editor.ErrConflict):
+		return exitConflict
+	case errors.Is(err, editor.ErrUncertain):
+		return exitUncertain
+	case errors.Is(err, errPending):
+		return exitPending
+	case errors.Is(err, errUsage), errors.As(err, &mistakes), errors.As(err, &problems):
+		return exitUsage
+	default:
+		return exitFailed
+	}
+}
+
+// target says where an operator's command goes.
+type target struct {
+	platform string
+	node     string
+	author   string
+}
+
+func newRoot() *cobra.Command {
+	t := &target{}
+	root := &cobra.Command{
+		Use:           "papayapass",
+		Short:         "Route each request to the one backend server that owns its key",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&t.platform, "platform", envOr("PAPAYAPASS_PLATFORM_ADDRESS", "127.0.0.1:7000"), "address of the platform's object API")
+	flags.StringVar(&t.node, "node", envOr("PAPAYAPASS_LISTEN_STATUS", "127.0.0.1:7003"), "status address of any node")
+	flags.StringVar(&t.author, "author", defaultAuthor(), "name to sign changes with")
+	root.AddCommand(
+		newRunCommand(), newSettingsCommand(), newRulesCommand(t), newZoneCommand(t),
+		newServerCommand(t), newStatusCommand(t), newOwnerCommand(t), newVersionCommand(),
+	)
+	root.SetHelpCommand(newHelpCommand(root))
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
+	return root
+}
+
+func envOr(name, fallback string) string {
+	if value := os.Getenv(name); value != "" {
+		return value
+	}
+	return fallback
+}
+
+func defaultAuthor() string {
+	u, err := user.Current()
+	if err != nil {
+		return "operator"
+	}
+	return u.Username
+}
+
+func (t *target) editor() *editor.Editor {
+	return editor.NewEditor(storer.NewClient(t.platform), t.author)
+}
+
+func newRunCommand() *cobra.Command {
+	var settings string
+	var overrides []string
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run a node beside a backend server",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := configurer.Load(settings, overrides)
+			if err != nil {
+				return err
+			}
+			return runner.Run(cmd.Context(), s)
+		},
+	}
+	cmd.Flags().StringVar(&settings, "settings", "", "settings file")
+	cmd.Flags().StringArrayVar(&overrides, "set", nil, "setting as name=value, goes before file and environment")
+	return cmd
+}
+
+func newSettingsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "settings",
+		Short: "List all settings of a node",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return writeSettings(cmd.OutOrStdout())
+		},
+	}
+}
+
+func writeSettings(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SETTING\tDEFAULT\tUNIT\tMEANING")
+	for _, o := range configurer.Options() {
+		initial := o.Default()
+		if o.Required() {
+			initial = "(required)"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", o.Name(), initial, o.Unit(), o.Help())
+	}
+	return w.Flush()
+}
+
+func newVersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			fmt.Fprintln(cmd.OutOrStdout(), "papayapass", Version)
+		},
+	}
+}
+
+func newHelpCommand(root *cobra.Command) *cobra.Command {
+	return &cobra.Command{
+		Use:       "help [TOPIC or COMMAND]",
+		Short:     "Help on a topic or a command",
+		ValidArgs: explainer.Topics(),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return root.Help()
+			}
+			if found, _, err := root.Find(args); err == nil && found != root {
+				return found.Help()
+			}
+			page, err := explainer.Page(args[0])
+			if err != nil {
+				return errors.Mark(err, errUsage)
+			}
+			fmt.Fprint(cmd.OutOrStdout(), page)
+			return nil
+		},
+	}
+}
+
+// inForceWithin is how long an accepted configuration may take to be in force
+// everywhere.
+const inForceWithin = 4 * time.Second
--- /dev/null
+++ b/papayapass/internal/commander/service.go
@@ -0,0 +1,45 @@
+package commander
+
+import (
+	"github.com/spf13/cobra"
+
+	"papayapass.dev/papayapass/internal/editor"
+)
+
+// editOf returns the edit that takes a named thing out or back in.
+type editOf func(name string, out bool) editor.Edit
+
+func newZoneCommand(t *target) *cobra.Command {
+	return newServiceCommand(t, "zone", "Take an availability zone out of service or back in", editor.SetZone)
+}
+
+func newServerCommand(t *target) *cobra.Command {
+	return newServiceCommand(t, "server", "Take a backend server out of service or back in", editor.SetServer)
+}
+
+func newServiceCommand(t *target, kind, short string, edit editOf) *cobra.Command {
+	cmd := &cobra.Command{Use: kind, Short: short}
+	cmd.AddCommand(
+		newToggle(t, "out NAME", "Give it no new work, and hand its keys over", edit, true),
+		newToggle(t, "in NAME", "Give it work again", edit, false),
+	)
+	return cmd
+}
+
+func newToggle(t *target, use, short string, edit editOf, out bool) *cobra.Command {
+	var wait bool
+	cmd := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			version, err := t.editor().Change(cmd.Context(), edit(args[0], out))
+			if err != nil {
+				return err
+			}
+			return report(cmd.Context(), cmd.OutOrStdout(), t, version, wait)
+		},
+	}
+	cmd.Flags().BoolVar(&wait, "wait", false, "wait until each node knows")
+	return cmd
+}
--- /dev/null
+++ b/papayapass/internal/commander/status.go
@@ -0,0 +1,152 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"papayapass.dev/papayapass/internal/reporter"
+)
+
+const statusTimeout = 2 * time.Second
+
+func fetch(address, path string, into any) error {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, statusTimeout)
+	if err != nil {
+		return errors.Wrapf(err, "ask node %s", address)
+	}
+	if status != fasthttp.StatusOK {
+		return errors.Newf("node %s answered %d: %s", address, status, body)
+	}
+	return errors.Wrap(json.Unmarshal(body, into), "decode the node's answer")
+}
+
+// fetchCoordinator returns the status of the coordinator of a node's cell.
+func fetchCoordinator(address string) (reporter.Status, error) {
+	var s reporter.Status
+	if err := fetch(address, reporter.StatusPath, &s); err != nil || s.Coordinates {
+		return s, err
+	}
+	for _, n := range s.Nodes {
+		if n.Node == s.Coordinator && n.StatusAddress != "" {
+			var c reporter.Status
+			if err := fetch(n.StatusAddress, reporter.StatusPath, &c); err == nil && c.Coordinates {
+				return c, nil
+			}
+		}
+	}
+	return s, nil
+}
+
+func newStatusCommand(t *target) *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show nodes, zones, backend servers, owners and the configuration",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := fetchCoordinator(t.node)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(s)
+			}
+			return writeStatus(cmd.OutOrStdout(), s)
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
+func writeStatus(out io.Writer, s reporter.Status) error {
+	fmt.Fprintf(out, "cell %s  coordinator %s  epoch %d  table %d  configuration %d\n",
+		s.Cell, s.Coordinator, s.Epoch, s.TableVersion, s.ConfigurationVersion)
+	if s.PlatformDown {
+		fmt.Fprintln(out, "the platform does not answer; service goes on, changes of the configuration do not")
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NODE\tZONE\tPOOL\tSTATE\tALLOWANCE\tSLICES\tCONFIGURATION\tSILENCE")
+	for _, n := range s.Nodes {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d/%d\t%d\t%d\t%dms\n", n.Node, n.Zone, n.Pool, stateOf(n),
+			n.Allowance, n.Slots, n.Slices, n.ConfigurationVersion, n.SilenceMillis)
+	}
+	for _, p := range s.Pools {
+		fmt.Fprintf(w, "pool %s\t\t\t\t\t%d\t%d without owner\t%d moving\n", p.Pool, p.Slices, p.Unowned, p.Moving)
+	}
+	return w.Flush()
+}
+
+func stateOf(n reporter.NodeStatus) string {
+	switch {
+	case n.Lost:
+		return "lost"
+	case n.Out:
+		return "out"
+	default:
+		return n.Server
+	}
+}
+
+func newOwnerCommand(t *target) *cobra.Command {
+	return &cobra.Command{
+		Use:   "owner POOL KEY",
+		Short: "Show which backend server owns a key",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var o reporter.Owner
+			query := "?pool=" + url.QueryEscape(args[0]) + "&key=" + url.QueryEscape(args[1])
+			if err := fetch(t.node, reporter.OwnerPath+query, &o); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "owner %s  standby %s  token %d\n", o.Owner, o.Standby, o.Token)
+			return nil
+		},
+	}
+}
+
+// waitPoll is the time between two looks at the nodes' configuration versions.
+const waitPoll = 100 * time.Millisecond
+
+// waitInForce waits until each node has a version of the configuration in
+// force, and names those that have not.
+func waitInForce(ctx context.Context, out io.Writer, address string, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, inForceWithin)
+	defer cancel()
+	tick := time.NewTicker(waitPoll)
+	defer tick.Stop()
+	for {
+		s, err := fetchCoordinator(address)
+		if err != nil {
+			return err
+		}
+		late := laggards(s, version)
+		if len(late) == 0 && s.Coordinates {
+			fmt.Fprintf(out, "configuration %d is in force on %d nodes\n", version, len(s.Nodes))
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(errPending, "configuration %d, waiting for %v", version, late)
+		case <-tick.C:
+		}
+	}
+}
+
+func laggards(s reporter.Status, version uint64) []string {
+	var out []string
+	for _, n := range s.Nodes {
+		if !n.Lost && n.ConfigurationVersion < version {
+			out = append(out, n.Node)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/papayapass/internal/configurer/settings.go
@@ -0,0 +1,198 @@
+package configurer
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Settings is the checked value of each option.
+type Settings struct {
+	values map[string]string
+}
+
+// Mistake is an error in the settings, and where it stands.
+type Mistake struct {
+	where string
+	key   string
+	want  string
+}
+
+// Error returns the mistake as one line.
+func (m Mistake) Error() string { return fmt.Sprintf("%s: %s: %s", m.where, m.key, m.want) }
+
+// Mistakes is all errors in the settings.
+type Mistakes []Mistake
+
+// Error returns the mistakes, one a line.
+func (ms Mistakes) Error() string {
+	lines := make([]string, 0, len(ms))
+	for _, m := range ms {
+		lines = append(lines, m.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// loader collects values and mistakes. Later sources go before earlier ones.
+type loader struct {
+	options  map[string]Option
+	values   map[string]string
+	mistakes Mistakes
+}
+
+// Load reads a settings file. Environment variables go before the file, and
+// overrides, each name=value, before both.
+func Load(file string, overrides []string) (*Settings, error) {
+	l := &loader{options: make(map[string]Option), values: make(map[string]string)}
+	for _, o := range Options() {
+		l.options[o.name] = o
+		l.values[o.name] = o.initial
+	}
+	if err := l.readFile(file); err != nil {
+		return nil, err
+	}
+	l.readEnvironment()
+	l.readOverrides(overrides)
+	l.checkRequired(file)
+	if len(l.mistakes) > 0 {
+		return nil, l.mistakes
+	}
+	return &Settings{values: l.values}, nil
+}
+
+func (l *loader) set(where, key, value string) {
+	o, ok := l.options[key]
+	if !ok {
+		l.mistakes = append(l.mistakes, Mistake{where: where, key: key, want: "there is no such setting; 'papayapass settings' lists them"})
+		return
+	}
+	if err := o.validate(value); err != nil {
+		l.mistakes = append(l.mistakes, Mistake{where: where, key: key, want: fmt.Sprintf("%s, not %q", err, value)})
+		return
+	}
+	l.values[key] = value
+}
+
+func (l *loader) readFile(file string) error {
+	if file == "" {
+		return nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	var p unstable.Parser
+	p.Reset(text)
+	table := ""
+	for p.NextExpression() {
+		node := p.Expression()
+		switch node.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			table = keyOf(node) + "."
+		case unstable.KeyValue:
+			key := table + keyOf(node)
+			value := node.Value()
+			l.set(l.position(file, &p, text, node), key, valueOf(value))
+		default:
+		}
+	}
+	if err := p.Error(); err != nil {
+		l.mistakes = append(l.mistakes, Mistake{where: file, key: "syntax", want: err.Error()})
+	}
+	return nil
+}
+
+// position returns file and line of the key of a node.
+func (l *loader) position(file string, p *unstable.Parser, text []byte, node *unstable.Node) string {
+	keys := node.Key()
+	keys.Next()
+	offset := int(p.Range(keys.Node().Data).Offset)
+	return file + ":" + strconv.Itoa(1+strings.Count(string(text[:offset]), "\n"))
+}
+
+func keyOf(node *unstable.Node) string {
+	var parts []string
+	for keys := node.Key(); keys.Next(); {
+		parts = append(parts, string(keys.Node().Data))
+	}
+	return strings.Join(parts, ".")
+}
+
+// valueOf returns a value as text; lists become text split by commas.
+func valueOf(node *unstable.Node) string {
+	if node.Kind != unstable.Array {
+		return string(node.Data)
+	}
+	var parts []string
+	for children := node.Children(); children.Next(); {
+		parts = append(parts, valueOf(children.Node()))
+	}
+	return strings.Join(parts, ",")
+}
+
+func (l *loader) readEnvironment() {
+	for _, o := range Options() {
+		if value, ok := os.LookupEnv(o.Environment()); ok {
+			l.set("environment "+o.Environment(), o.name, value)
+		}
+	}
+}
+
+func (l *loader) readOverrides(overrides []string) {
+	for _, o := range overrides {
+		key, value, ok := strings.Cut(o, "=")
+		if !ok {
+			l.mistakes = append(l.mistakes, Mistake{where: "flag --set", key: o, want: "want name=value"})
+			continue
+		}
+		l.set("flag --set", key, value)
+	}
+}
+
+func (l *loader) checkRequired(file string) {
+	for _, o := range Options() {
+		if o.required && l.values[o.name] == "" {
+			l.mistakes = append(l.mistakes, Mistake{where: file, key: o.name, want: "is missing: " + o.help + " (" + o.unit + ")"})
+		}
+	}
+}
+
+// Text returns the value of an option.
+func (s *Settings) Text(name string) string { return s.values[name] }
+
+// List returns the parts of an option that is a list.
+func (s *Settings) List(name string) []string { return SplitList(s.values[name]) }
+
+// Integer returns the value of an option that is a whole number.
+func (s *Settings) Integer(name string) int {
+	n, _ := strconv.Atoi(s.values[name]) // checked by the validator
+	return n
+}
+
+// Duration returns the value of an option that is a duration.
+func (s *Settings) Duration(name string) time.Duration {
+	d, _ := time.ParseDuration(s.values[name]) // checked by the validator
+	return d
+}
+
+// Share returns the value of an option that is a share.
+func (s *Settings) Share(name string) float64 {
+	f, _ := strconv.ParseFloat(s.values[name], 64) // checked by the validator
+	return f
+}
+
+// Networks returns the value of an option that is a list of networks.
+func (s *Settings) Networks(name string) []*net.IPNet {
+	var out []*net.IPNet
+	for _, text := range s.List(name) {
+		_, n, _ := net.ParseCIDR(text) // checked by the validator
+		out = append(out, n)
+	}
+	return out
+}
--- /dev/null
+++ b/papayapass/internal/coordinator/candidacy.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/holder"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// ClaimTimeout is how long a candidate waits for a majority.
+const ClaimTimeout = holder.LoyaltyTerm
+
+// Candidacy collects the answers to a claim.
+type Candidacy struct {
+	self    holder.Identity
+	epoch   assigner.Epoch
+	table   *assigner.Table
+	claimed timer.Instant
+	replies map[assigner.NodeID]*wirepb.ClaimReply
+}
+
+// NewCandidacy returns a claim to an epoch, on the newest table known.
+func NewCandidacy(self holder.Identity, epoch assigner.Epoch, table *assigner.Table, now timer.Instant) *Candidacy {
+	return &Candidacy{
+		self: self, epoch: epoch, table: table, claimed: now,
+		replies: make(map[assigner.NodeID]*wirepb.ClaimReply),
+	}
+}
+
+// Claim returns the message for the voters.
+func (c *Candidacy) Claim() *wirepb.Claim {
+	return &wirepb.Claim{
+		Epoch:         uint64(c.epoch),
+		Candidate:     string(c.self.ID()),
+		Address:       c.self.Address(),
+		Stamp:         uint64(c.claimed),
+		VotersVersion: c.table.VotersVersion(),
+		Cell:          c.self.Cell(),
+	}
+}
+
+// Epoch returns the epoch claimed.
+func (c *Candidacy) Epoch() assigner.Epoch { return c.epoch }
+
+// Expired says whether the claim has waited long enough.
+func (c *Candidacy) Expired(now timer.Instant) bool { return now.Sub(c.claimed) >= ClaimTimeout }
+
+// Reply takes a voter's answer and says whether a majority has joined.
+func (c *Candidacy) Reply(r *wirepb.ClaimReply) bool {
+	if assigner.Epoch(r.GetEpoch()) != c.epoch || !r.GetJoined() {
+		return false
+	}
+	c.replies[assigner.NodeID(r.GetNode())] = r
+	joined := 0
+	for _, v := range c.table.Voters() {
+		if answer, ok := c.replies[v]; ok && !answer.GetQuiet() {
+			joined++
+		}
+	}
+	return joined > len(c.table.Voters())/2
+}
+
+// newestTable returns the newest table among the joined voters.
+func (c *Candidacy) newestTable() *assigner.Table {
+	newest := c.table
+	for _, r := range c.replies {
+		if r.GetTable() == nil {
+			continue
+		}
+		if t := assigner.Decode(r.GetTable()); t.Newer(newest) {
+			newest = t
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/papayapass/internal/coordinator/peer.go
@@ -0,0 +1,99 @@
+package coordinator
+
+import (
+	"time"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// peer is what a coordinator knows of a node of its cell.
+type peer struct {
+	incarnation   uint64
+	echo          timer.Instant
+	leaseEnd      timer.Instant
+	heard         timer.Instant
+	tableVersion  uint64
+	votersVersion uint64
+	configuration uint64
+	leaving       bool
+}
+
+// confirm notes what a voter confirmed as of a stamp of this coordinator.
+func (p *peer) confirm(stamp timer.Instant) { p.echo = max(p.echo, stamp) }
+
+// renew notes that the node may hold a lease until an instant.
+func (p *peer) renew(until timer.Instant) { p.leaseEnd = max(p.leaseEnd, until) }
+
+type loadKey struct {
+	pool  string
+	start uint64
+}
+
+// loadTable keeps the reported load of slices, smoothed.
+type loadTable map[loadKey]float64
+
+const loadSmoothing = 0.5
+
+// Load returns the load of a slice, in requests a second.
+func (t loadTable) Load(pool string, start uint64) float64 {
+	return t[loadKey{pool: pool, start: start}]
+}
+
+const milli = 1000.0
+
+func (t loadTable) take(reports []*wirepb.SliceLoad) {
+	for _, r := range reports {
+		key := loadKey{pool: r.GetPool(), start: r.GetStart()}
+		rate := float64(r.GetRateMilli()) / milli
+		old, ok := t[key]
+		if !ok {
+			old = rate
+		}
+		t[key] = old + loadSmoothing*(rate-old)
+	}
+}
+
+// moveBudget limits the moves that only balance load, so that ownership does
+// not churn.
+type moveBudget struct {
+	left float64
+	last timer.Instant
+}
+
+// Limits of moves.
+const (
+	balanceMovesPerMinute = 24
+	balanceMovesBurst     = 16
+	evacuationsPerTarget  = 8
+)
+
+func (b *moveBudget) refill(now timer.Instant) int {
+	elapsed := now.Sub(b.last)
+	b.last = now
+	b.left = min(balanceMovesBurst, b.left+float64(elapsed)*balanceMovesPerMinute/float64(time.Minute))
+	return int(b.left)
+}
+
+func (b *moveBudget) spend(moves int) { b.left -= float64(moves) }
+
+// PeerStatus is what the status page tells of a node.
+type PeerStatus struct {
+	id            assigner.NodeID
+	configuration uint64
+	tableVersion  uint64
+	silence       time.Duration
+}
+
+// ID returns the node's name.
+func (s PeerStatus) ID() assigner.NodeID { return s.id }
+
+// Configuration returns the version of the configuration in force there.
+func (s PeerStatus) Configuration() uint64 { return s.configuration }
+
+// TableVersion returns the version of the table in force there.
+func (s PeerStatus) TableVersion() uint64 { return s.tableVersion }
+
+// Silence returns the time since the node's last heartbeat.
+func (s PeerStatus) Silence() time.Duration { return s.silence }
--- /dev/null
+++ b/papayapass/internal/coordinator/plan.go
@@ -0,0 +1,191 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/mutator"
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+// hastyLoss is the silence after which the planted fault KeepLeaseOnLoss gives
+// a node up.
+const hastyLoss = 300 * time.Millisecond
+
+// loseMembers gives up nodes whose lease has run out, and gives their slices to
+// the standbys at once: those are agreed beforehand, so no write is waited for.
+func (c *Coordinator) loseMembers(now timer.Instant) {
+	var lost []assigner.Member
+	for _, m := range c.table.Members() {
+		if !m.Lost() && m.ID() != c.self.ID() && c.expired(m.ID(), now) {
+			lost = append(lost, m)
+		}
+	}
+	if len(lost) == 0 || !c.ready {
+		return
+	}
+	t := c.table.Clone()
+	planner := c.planner(t)
+	for _, m := range lost {
+		t.SetMember(m.WithLost(true))
+		planner.Vacate(m.ID())
+	}
+	planner.Assign(c.held)
+	planner.SetStandbys()
+	c.publish(t)
+}
+
+func (c *Coordinator) expired(id assigner.NodeID, now timer.Instant) bool {
+	p := c.peer(id)
+	if mutator.Active(mutator.KeepLeaseOnLoss) && now.Sub(p.heard) > hastyLoss {
+		return true
+	}
+	return !now.Before(p.leaseEnd)
+}
+
+// plan assigns what has no owner, moves slices off servers that may get no new
+// work, and balances load within the budget.
+func (c *Coordinator) plan(now timer.Instant) {
+	if c.draft != nil || !c.ready {
+		return
+	}
+	t := c.table.Clone()
+	planner := c.planner(t)
+	planner.AddPools()
+	planner.Assign(c.held)
+	planner.Evacuate(evacuationsPerTarget)
+	urgent := planner.Changed()
+	if !now.Before(c.quietUntil) && !c.storeDown {
+		c.budget.spend(planner.Balance(c.budget.refill(now)))
+	}
+	planner.SetStandbys()
+	if !planner.Changed() {
+		return
+	}
+	if c.storeDown {
+		if urgent {
+			c.publish(t)
+		}
+		return
+	}
+	c.propose(t)
+}
+
+// propose writes a changed table down; it comes into force when that is done.
+func (c *Coordinator) propose(t *assigner.Table) {
+	c.stamp(t)
+	c.draft = t
+}
+
+// changeVoters adds or removes one voter at a time, once a majority knows the
+// voters of now: two majorities of neighbouring steps always share a voter.
+func (c *Coordinator) changeVoters(now timer.Instant) {
+	if c.draft != nil || c.storeDown || !c.votersSettled() {
+		return
+	}
+	voters := c.nextVoters(now)
+	if voters == nil {
+		return
+	}
+	t := c.table.Clone()
+	t.SetVoters(c.epoch, voters)
+	for _, m := range c.table.Members() {
+		if c.forgotten(m, now) && !slices.Contains(voters, m.ID()) {
+			t.RemoveMember(m.ID())
+			delete(c.peers, m.ID())
+		}
+	}
+	c.propose(t)
+}
+
+func (c *Coordinator) votersSettled() bool {
+	acknowledged := 0
+	for _, v := range c.table.Voters() {
+		if v == c.self.ID() || c.peer(v).votersVersion == c.table.VotersVersion() {
+			acknowledged++
+		}
+	}
+	return acknowledged > len(c.table.Voters())/2
+}
+
+// nextVoters returns the voters after the next step, or nil for no step.
+func (c *Coordinator) nextVoters(now timer.Instant) []assigner.NodeID {
+	voters := c.table.Voters()
+	for _, m := range c.table.Members() {
+		if c.table.IsVoter(m.ID()) && c.forgotten(m, now) {
+			return slices.DeleteFunc(slices.Clone(voters), func(id assigner.NodeID) bool { return id == m.ID() })
+		}
+	}
+	if len(voters) >= MaxVoters {
+		return nil
+	}
+	for _, m := range c.table.Members() {
+		if !c.table.IsVoter(m.ID()) && !m.Lost() {
+			return append(slices.Clone(voters), m.ID())
+		}
+	}
+	return nil
+}
+
+func (c *Coordinator) forgotten(m assigner.Member, now timer.Instant) bool {
+	p := c.peer(m.ID())
+	if p.leaving && m.Lost() {
+		return true
+	}
+	return m.Lost() && now.Sub(p.heard) >= VoterRetention
+}
+
+// write asks for a write when the stored table is behind.
+func (c *Coordinator) write(now timer.Instant) {
+	if c.writing || now.Before(c.nextWrite) {
+		return
+	}
+	t := c.table
+	if c.draft != nil {
+		t = c.draft
+	}
+	if t.Version() <= c.storedVersion {
+		return
+	}
+	c.writing = true
+	c.actions = append(c.actions, Store{table: t})
+}
+
+// StoreResult is the end of a write to the platform.
+type StoreResult int
+
+// Ends of a write.
+const (
+	// StoreDone means that the table is written down.
+	StoreDone StoreResult = iota
+	// StoreUnknown means that the platform did not answer, also not to the
+	// reading back.
+	StoreUnknown
+	// StoreSuperseded means that a coordinator of a later epoch has written.
+	StoreSuperseded
+)
+
+// Stored takes the result of the write of a table.
+func (c *Coordinator) Stored(t *assigner.Table, result StoreResult, now timer.Instant) {
+	c.writing = false
+	switch result {
+	case StoreDone:
+		c.storeDown = false
+		c.storedVersion = max(c.storedVersion, t.Version())
+		c.adoptDraft(t)
+	case StoreUnknown:
+		c.storeDown = true
+		c.draft = nil
+		c.nextWrite = now.Add(storeRetryInterval)
+	case StoreSuperseded:
+		c.resign("a later epoch is written down")
+	}
+}
+
+// adoptDraft puts a written draft into force unless the table has moved on.
+func (c *Coordinator) adoptDraft(t *assigner.Table) {
+	if c.draft == t {
+		c.install(t)
+	}
+}
--- /dev/null
+++ b/papayapass/internal/executor/backend.go
@@ -0,0 +1,153 @@
+// Package executor runs requests on the backend server beside the node.
+package executor
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"papayapass.dev/papayapass/internal/limiter"
+	"papayapass.dev/papayapass/internal/wirepb"
+	"papayapass.dev/shared/announcer"
+)
+
+// Limits of answers and connections.
+const (
+	maxAnswerBytes  = 4 << 20
+	idleConnection  = 30 * time.Second
+	cancelTimeout   = 200 * time.Millisecond
+	nodeConnections = 2
+)
+
+// backend is the HTTP side of one start of a backend server.
+type backend struct {
+	announcement announcer.Announcement
+	client       *fasthttp.HostClient
+	control      *fasthttp.HostClient
+	limiter      *limiter.Limiter
+}
+
+func newBackend(a announcer.Announcement, l *limiter.Limiter) *backend {
+	return &backend{
+		announcement: a,
+		limiter:      l,
+		client:       newClient(a.Address, max(1, a.Connections-nodeConnections)),
+		control:      newClient(a.Address, nodeConnections),
+	}
+}
+
+// newClient returns a client that sends each request once. The library's own
+// retries repeat PUT and GET when a connection ends without an answer.
+func newClient(address string, connections int) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                          address,
+		Dial:                          dial,
+		MaxConns:                      connections,
+		MaxIdleConnDuration:           idleConnection,
+		MaxResponseBodySize:           maxAnswerBytes,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    neverRetry,
+		NoDefaultUserAgentHeader:      true,
+		DisableHeaderNamesNormalizing: false,
+		DisablePathNormalizing:        true,
+	}
+}
+
+func neverRetry(_ *fasthttp.Request, _ int, _ error) (bool, bool) { return false, false }
+
+// order is what a node tells the backend server about a call.
+type order struct {
+	callID string
+	slice  uint64
+	token  uint64
+	limit  time.Duration
+}
+
+// call runs a request and says what came of it.
+func (b *backend) call(req *wirepb.Request, o order) (*wirepb.Answer, limiter.Result) {
+	out, in := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(in)
+	b.fill(out, req, o)
+	if err := b.client.DoTimeout(out, in, o.limit); err != nil {
+		return b.failure(req, err)
+	}
+	if reason := in.Header.Peek(announcer.HeaderNotRun); len(reason) > 0 {
+		return refusal(req, reason)
+	}
+	return &wirepb.Answer{
+		Call:    req.GetCall(),
+		Outcome: wirepb.Outcome_OUTCOME_ANSWERED,
+		Status:  uint32(in.StatusCode()),
+		Headers: responseHeaders(&in.Header),
+		Body:    bytes.Clone(in.Body()),
+	}, limiter.ResultOK
+}
+
+func (b *backend) fill(out *fasthttp.Request, req *wirepb.Request, o order) {
+	out.Header.SetMethodBytes(req.GetMethod())
+	out.SetRequestURIBytes(req.GetUri())
+	out.UseHostHeader = true
+	for _, h := range req.GetHeaders() {
+		out.Header.AddBytesKV(h.GetName(), h.GetValue())
+	}
+	out.Header.Set(announcer.HeaderCall, o.callID)
+	out.Header.Set(announcer.HeaderDeadline, strconv.FormatInt(max(1, o.limit.Milliseconds()), 10))
+	if req.GetKeyed() {
+		out.Header.Set(announcer.HeaderToken, strconv.FormatUint(o.token, 10))
+		out.Header.Set(announcer.HeaderSlice, strconv.FormatUint(o.slice, 16))
+	}
+	if req.GetTraceParent() != "" {
+		out.Header.Set("Traceparent", req.GetTraceParent())
+	}
+	out.SetBodyRaw(req.GetBody())
+}
+
+// failure says what is known of a call without a whole answer.
+func (b *backend) failure(req *wirepb.Request, err error) (*wirepb.Answer, limiter.Result) {
+	switch {
+	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrDialTimeout):
+		return refuse(req, wirepb.Reason_REASON_NO_SERVER), limiter.ResultFailed
+	case errors.Is(err, fasthttp.ErrNoFreeConns):
+		return refuse(req, wirepb.Reason_REASON_OVERLOADED), limiter.ResultIgnored
+	case errors.Is(err, fasthttp.ErrTimeout):
+		return unknown(req, wirepb.Reason_REASON_DEADLINE), limiter.ResultIgnored
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return unknown(req, wirepb.Reason_REASON_TOO_LARGE), limiter.ResultIgnored
+	default:
+		return unknown(req, wirepb.Reason_REASON_LOST_CONNECTION), limiter.ResultFailed
+	}
+}
+
+// refusal takes a backend server's own word that it ran nothing.
+func refusal(req *wirepb.Request, reason []byte) (*wirepb.Answer, limiter.Result) {
+	switch string(reason) {
+	case announcer.NotRunFenced:
+		return refuse(req, wirepb.Reason_REASON_NOT_OWNER), limiter.ResultIgnored
+	case announcer.NotRunDraining:
+		return refuse(req, wirepb.Reason_REASON_DRAINING), limiter.ResultIgnored
+	default:
+		return refuse(req, wirepb.Reason_REASON_OVERLOADED), limiter.ResultShed
+	}
+}
+
+// cancel tells the backend server that nobody waits for a call any more.
+func (b *backend) cancel(callID string) {
+	out, in := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(in)
+	out.SetRequestURI("http://" + b.announcement.Address + announcer.CancelPath + callID)
+	out.Header.SetMethod(fasthttp.MethodPost)
+	_ = b.control.DoTimeout(out, in, cancelTimeout) // the deadline ends the call as well
+}
+
+func refuse(req *wirepb.Request, reason wirepb.Reason) *wirepb.Answer {
+	return &wirepb.Answer{Call: req.GetCall(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Reason: reason}
+}
+
+func unknown(req *wirepb.Request, reason wirepb.Reason) *wirepb.Answer {
+	return &wirepb.Answer{Call: req.GetCall(), Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Reason: reason}
+}
--- /dev/null
+++ b/papayapass/internal/executor/dialer.go
@@ -0,0 +1,40 @@
+package executor
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// dialTimeout bounds the opening of a connection to the backend server.
+const dialTimeout = 500 * time.Millisecond
+
+// errDial marks failures to connect: nothing reached the backend server.
+var errDial = errors.New("cannot connect to the backend server")
+
+// dial opens a connection whose end is never taken for the end of a body.
+func dial(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "connect to the backend server"), errDial)
+	}
+	return wholeConn{Conn: conn}, nil
+}
+
+// wholeConn reports the end of a connection as an error. Without it a body that
+// is delimited by the connection's end looks complete when the backend server
+// dies in the middle.
+type wholeConn struct {
+	net.Conn
+}
+
+// Read reads from the connection.
+func (c wholeConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF { //nolint:errorlint // net.Conn returns it unwrapped
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- /dev/null
+++ b/papayapass/internal/executor/executor.go
@@ -0,0 +1,214 @@
+package executor
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/gater"
+	"papayapass.dev/papayapass/internal/keeper"
+	"papayapass.dev/papayapass/internal/limiter"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+	"papayapass.dev/shared/announcer"
+)
+
+// Times of calls and announcements.
+const (
+	// AnnouncementTerm is how long an announcement counts.
+	AnnouncementTerm = 1500 * time.Millisecond
+	// leaseGuard is the time before the lease's end at which a backend server
+	// that checks no fencing tokens must have ended a call.
+	leaseGuard = 20 * time.Millisecond
+)
+
+// Ownership tells which slices the node may serve now.
+type Ownership interface {
+	// View returns the newest view.
+	View() *keeper.View
+	// Now returns the current instant.
+	Now() timer.Instant
+	// Gates returns the gates that requests pass.
+	Gates() *gater.Gater
+}
+
+// Executor runs requests on the backend server beside the node, within what the
+// node owns and what the backend server can bear.
+type Executor struct {
+	ownership   Ownership
+	clock       timer.Clock
+	maxWait     time.Duration
+	incarnation string
+	backend     atomic.Pointer[backend]
+	announced   atomic.Int64
+	leaving     atomic.Bool
+	running     atomic.Int64
+}
+
+// NewExecutor returns an executor without a backend server. No request waits
+// longer than maxWait for it.
+func NewExecutor(o Ownership, clock timer.Clock, maxWait time.Duration, incarnation uint64) *Executor {
+	return &Executor{
+		ownership: o, clock: clock, maxWait: maxWait,
+		incarnation: strconv.FormatUint(incarnation, 16) + "-",
+	}
+}
+
+// Announce takes an announcement. A backend server that has started anew, or
+// says that it is cold, gets the ramp of a cold one.
+func (e *Executor) Announce(a announcer.Announcement) {
+	e.announced.Store(int64(e.clock.Now()))
+	old := e.backend.Load()
+	if old != nil && old.announcement.Instance == a.Instance && old.announcement.Address == a.Address {
+		if a.Cold && !old.announcement.Cold {
+			old.limiter.Chill()
+		}
+		next := *old
+		next.announcement = a
+		e.backend.Store(&next)
+		return
+	}
+	e.backend.Store(newBackend(a, limiter.NewLimiter(e.clock, a.Slots, a.Cold || old != nil, e.maxWait)))
+}
+
+// Server returns what the node tells its cell of the backend server.
+func (e *Executor) Server() assigner.Server {
+	b := e.backend.Load()
+	if b == nil || e.clock.Now().Sub(timer.Instant(e.announced.Load())) > AnnouncementTerm {
+		return assigner.Server{}
+	}
+	a := b.announcement
+	s := assigner.NewServer(a.Pool, uint32(a.Slots), coarse(b.limiter.Usage().Limit(), a.Slots), a.Divided, a.ChecksTokens)
+	if a.Draining || e.leaving.Load() {
+		s = s.WithState(assigner.ServerDraining)
+	}
+	return s
+}
+
+// coarseSteps is the number of steps in which a node tells its cell of the
+// allowance, so that a ramp does not change the cell's table all the time.
+const coarseSteps = 4
+
+func coarse(limit, slots int) uint32 {
+	steps := (limit*coarseSteps + slots - 1) / slots
+	return uint32(max(1, steps*slots/coarseSteps))
+}
+
+// Leave makes the executor say that its backend server is leaving.
+func (e *Executor) Leave() { e.leaving.Store(true) }
+
+// Running returns the number of requests in progress, waiting ones included.
+func (e *Executor) Running() int { return int(e.running.Load()) }
+
+// Usage returns the state of the limiter; it says false without a backend
+// server.
+func (e *Executor) Usage() (limiter.Usage, bool) {
+	b := e.backend.Load()
+	if b == nil {
+		return limiter.Usage{}, false
+	}
+	return b.limiter.Usage(), true
+}
+
+// Serve runs a request. The context ends when nobody waits for the answer.
+func (e *Executor) Serve(ctx context.Context, req *wirepb.Request) *wirepb.Answer {
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	b := e.backend.Load()
+	if b == nil || b.announcement.Pool != req.GetPool() {
+		return refuse(req, wirepb.Reason_REASON_NO_SERVER)
+	}
+	if !req.GetKeyed() {
+		return e.run(ctx, b, req, assigner.Slice{})
+	}
+	s, ok := e.owned(req)
+	if !ok {
+		return e.notOwner(req, s)
+	}
+	key := gater.NewKey(req.GetPool(), s.Start())
+	if !e.ownership.Gates().Enter(key, s.Token()) {
+		return e.notOwner(req, s)
+	}
+	defer e.ownership.Gates().Leave(key)
+	return e.run(ctx, b, req, s)
+}
+
+// owned returns the slice of a request's key when the node owns it now.
+func (e *Executor) owned(req *wirepb.Request) (assigner.Slice, bool) {
+	v := e.ownership.View()
+	s, ok := v.Slice(req.GetPool(), req.GetKeyHash())
+	return s, ok && s.Owner() == v.Self() && s.Next() == "" && e.ownership.Now().Before(v.LeaseUntil())
+}
+
+// notOwner refuses a request and names the node that the slice belongs to or is
+// moving to.
+func (e *Executor) notOwner(req *wirepb.Request, s assigner.Slice) *wirepb.Answer {
+	a := refuse(req, wirepb.Reason_REASON_NOT_OWNER)
+	a.OwnerHint = string(s.Owner())
+	if s.Next() != "" {
+		a.OwnerHint = string(s.Next())
+	}
+	return a
+}
+
+func (e *Executor) run(ctx context.Context, b *backend, req *wirepb.Request, s assigner.Slice) *wirepb.Answer {
+	ticket, err := b.limiter.Acquire(ctx, req.GetClass(), string(req.GetAccount())+"/"+string(req.GetCaller()))
+	if err != nil {
+		return waitFailure(req, err)
+	}
+	limit, ok := e.timeLeft(ctx, b, req, s)
+	if !ok {
+		ticket.Release(limiter.ResultIgnored)
+		return e.notOwner(req, s)
+	}
+	if limit <= 0 {
+		ticket.Release(limiter.ResultIgnored)
+		return refuse(req, wirepb.Reason_REASON_DEADLINE)
+	}
+	o := order{
+		callID: e.incarnation + strconv.FormatUint(req.GetOrigin(), 36) + "-" + strconv.FormatUint(req.GetCall(), 36),
+		slice:  s.Start(), token: uint64(s.Token()), limit: limit,
+	}
+	stop := context.AfterFunc(ctx, func() { b.cancel(o.callID) })
+	answer, result := b.call(req, o)
+	stop()
+	ticket.Release(result)
+	usage := b.limiter.Usage()
+	answer.InFlight = uint32(usage.Running() + usage.Waiting())
+	answer.Allowance = uint32(usage.Limit())
+	return answer
+}
+
+// timeLeft returns how long a call may last. It is the last check before the
+// call: it says false when the lease or the slice is gone. Work on a backend
+// server that does not check fencing tokens must end before the lease does.
+func (e *Executor) timeLeft(ctx context.Context, b *backend, req *wirepb.Request, s assigner.Slice) (time.Duration, bool) {
+	limit := time.Hour
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = time.Until(deadline)
+	}
+	if !req.GetKeyed() {
+		return limit, true
+	}
+	v := e.ownership.View()
+	current, ok := v.Slice(req.GetPool(), req.GetKeyHash())
+	lease := v.LeaseUntil().Sub(e.ownership.Now())
+	if !ok || current.Owner() != v.Self() || current.Token() != s.Token() || lease <= leaseGuard {
+		return 0, false
+	}
+	if !b.announcement.ChecksTokens {
+		limit = min(limit, lease-leaseGuard)
+	}
+	return limit, true
+}
+
+func waitFailure(req *wirepb.Request, err error) *wirepb.Answer {
+	if errors.Is(err, limiter.ErrOverloaded) || errors.Is(err, limiter.ErrWaited) {
+		return refuse(req, wirepb.Reason_REASON_OVERLOADED)
+	}
+	return refuse(req, wirepb.Reason_REASON_DEADLINE)
+}
--- /dev/null
+++ b/papayapass/internal/executor/headers.go
@@ -0,0 +1,43 @@
+package executor
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// hopHeaders are the headers that concern one connection and are not passed on.
+func isHopHeader(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+		"te", "trailer", "transfer-encoding", "upgrade", "content-length":
+		return true
+	default:
+		return false
+	}
+}
+
+// RequestHeaders returns the headers of a caller's request that are passed on.
+// They refer to the request's memory.
+func RequestHeaders(h *fasthttp.RequestHeader) []*wirepb.Header {
+	out := make([]*wirepb.Header, 0, h.Len())
+	for name, value := range h.All() {
+		if !isHopHeader(string(name)) {
+			out = append(out, &wirepb.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+// responseHeaders returns copies of the headers of an answer that are passed on.
+func responseHeaders(h *fasthttp.ResponseHeader) []*wirepb.Header {
+	out := make([]*wirepb.Header, 0, h.Len())
+	for name, value := range h.All() {
+		if !isHopHeader(string(name)) {
+			out = append(out, &wirepb.Header{Name: append([]byte(nil), name...), Value: append([]byte(nil), value...)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/papayapass/internal/holder/holder.go
@@ -0,0 +1,463 @@
+// Package holder decides, for one node, what it may serve and whom it obeys. It
+// holds the lease of the backend server beside the node, and is a voter: it
+// confirms to one coordinator at a time that it knows of no newer one. It is
+// pure: messages and instants go in, messages come out.
+package holder
+
+import (
+	"time"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/mutator"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// Times of the lease protocol, as docs/design/ownership.md derives them.
+const (
+	// BeatInterval is the time between two heartbeats of a node.
+	BeatInterval = 250 * time.Millisecond
+	// AuthorityTerm is how long a voter's confirmation counts, from when the
+	// coordinator sent the stamp that it echoes. No lease outlives it.
+	AuthorityTerm = 1500 * time.Millisecond
+	// ClaimAfter is the silence of a coordinator after which the first in the
+	// order of succession claims its role.
+	ClaimAfter = 800 * time.Millisecond
+	// ClaimStagger is added for each place further down that order.
+	ClaimStagger = 150 * time.Millisecond
+	// LoyaltyTerm is how long after hearing its coordinator a voter refuses
+	// other candidates, so that one that is cut off cannot disturb the rest.
+	LoyaltyTerm = 500 * time.Millisecond
+)
+
+// rateMargin is how much faster one clock may run than another, as a divisor.
+const rateMargin = 50
+
+// WithMargin lengthens a duration by the largest difference of clock rates. The
+// giver of a lease waits this much longer than its holder.
+func WithMargin(d time.Duration) time.Duration { return d + d/rateMargin }
+
+// sentBeats is how many heartbeats may wait for their replies at once.
+const sentBeats = 32
+
+// Identity is who a node is.
+type Identity struct {
+	cell          string
+	id            assigner.NodeID
+	address       string
+	statusAddress string
+	zone          string
+	incarnation   uint64
+}
+
+// NewIdentity returns the identity of a node's start.
+func NewIdentity(cell string, id assigner.NodeID, address, statusAddress, zone string, incarnation uint64) Identity {
+	return Identity{cell: cell, id: id, address: address, statusAddress: statusAddress, zone: zone, incarnation: incarnation}
+}
+
+// ID returns the node's name.
+func (i Identity) ID() assigner.NodeID { return i.id }
+
+// Cell returns the name of the node's cell.
+func (i Identity) Cell() string { return i.cell }
+
+// Address returns the IP address and port for peers.
+func (i Identity) Address() string { return i.address }
+
+// Zone returns the availability zone.
+func (i Identity) Zone() string { return i.zone }
+
+// Incarnation returns the number of the node's start.
+func (i Identity) Incarnation() uint64 { return i.incarnation }
+
+// Member returns the node as a member of its cell.
+func (i Identity) Member() assigner.Member {
+	return assigner.NewMember(i.id, i.address, i.statusAddress, i.zone, i.incarnation)
+}
+
+// sliceKey names a slice.
+type sliceKey struct {
+	pool  string
+	start uint64
+}
+
+// Holder is the state of one node.
+type Holder struct {
+	self        Identity
+	started     timer.Instant
+	informed    bool
+	informants  map[assigner.NodeID]struct{}
+	epoch       assigner.Epoch
+	coordinator assigner.NodeID
+	address     string
+	heard       timer.Instant
+	echo        uint64
+	table       *assigner.Table
+	leaseUntil  timer.Instant
+	sequence    uint64
+	applied     uint64
+	sent        [sentBeats]timer.Instant
+	released    map[sliceKey]assigner.Token
+}
+
+// NewHolder returns a node that has just started: it holds nothing, remembers
+// nothing and confirms nobody until it is past its quiet time.
+func NewHolder(self Identity, now timer.Instant) *Holder {
+	return &Holder{
+		self:       self,
+		started:    now,
+		heard:      now,
+		informants: make(map[assigner.NodeID]struct{}),
+		released:   make(map[sliceKey]assigner.Token),
+	}
+}
+
+// Epoch returns the highest epoch that the node has joined.
+func (h *Holder) Epoch() assigner.Epoch { return h.epoch }
+
+// Coordinator returns the node that it obeys, and its address.
+func (h *Holder) Coordinator() (assigner.NodeID, string) { return h.coordinator, h.address }
+
+// Table returns the newest table that the node knows, or nil.
+func (h *Holder) Table() *assigner.Table { return h.table }
+
+// LeaseUntil returns the instant at which the lease ends.
+func (h *Holder) LeaseUntil() timer.Instant { return h.leaseUntil }
+
+// Quiet says whether the node may not yet confirm a coordinator. What it
+// confirmed before its start has run out by the time that it speaks.
+func (h *Holder) Quiet(now timer.Instant) bool {
+	if mutator.Active(mutator.NoQuietStart) {
+		return false
+	}
+	return !h.informed || now.Sub(h.started) < WithMargin(AuthorityTerm)
+}
+
+// Inform gives the node a table read from the platform. A node that knows it,
+// or has heard from most voters, knows the epochs that went before.
+func (h *Holder) Inform(t *assigner.Table) {
+	h.informed = true
+	if t != nil && (h.table == nil || t.Newer(h.table)) && t.Epoch() >= h.epoch {
+		h.epoch = t.Epoch()
+		h.setTable(t)
+		h.follow(t.Coordinator())
+	}
+}
+
+// Founded tells the node that it created the cell, so nobody came before it.
+func (h *Holder) Founded(t *assigner.Table, now timer.Instant) {
+	h.informed = true
+	h.started = now - timer.Instant(WithMargin(AuthorityTerm))
+	h.epoch = t.Epoch()
+	h.setTable(t)
+	h.follow(h.self.id)
+}
+
+func (h *Holder) follow(coordinator assigner.NodeID) {
+	h.coordinator = coordinator
+	h.address = ""
+	if h.table == nil {
+		return
+	}
+	if m, ok := h.table.Member(coordinator); ok {
+		h.address = m.Address()
+	}
+}
+
+func (h *Holder) setTable(t *assigner.Table) {
+	h.table = t
+	for key, token := range h.released {
+		s, ok := t.Lookup(key.pool, key.start)
+		if !ok || s.Owner() != h.self.id || s.Token() > token {
+			delete(h.released, key)
+		}
+	}
+}
+
+// Beat returns the next heartbeat. The lease that its reply may bring counts
+// from now, before the question is sent.
+func (h *Holder) Beat(now timer.Instant) *wirepb.Beat {
+	h.sequence++
+	h.sent[h.sequence%sentBeats] = now
+	b := &wirepb.Beat{
+		Node:          string(h.self.id),
+		Incarnation:   h.self.incarnation,
+		Epoch:         uint64(h.epoch),
+		Sequence:      h.sequence,
+		Echo:          h.echo,
+		Address:       h.self.address,
+		StatusAddress: h.self.statusAddress,
+		Zone:          h.self.zone,
+		Quiet:         h.Quiet(now),
+		Released:      h.releasedHoldings(),
+	}
+	if h.table != nil && h.table.Epoch() == h.epoch {
+		b.TableVersion = h.table.Version()
+		b.VotersVersion = h.table.VotersVersion()
+	}
+	return b
+}
+
+func (h *Holder) releasedHoldings() []*wirepb.Holding {
+	if len(h.released) == 0 {
+		return nil
+	}
+	out := make([]*wirepb.Holding, 0, len(h.released))
+	for key, token := range h.released {
+		out = append(out, &wirepb.Holding{Pool: key.pool, Start: key.start, Token: uint64(token)})
+	}
+	return out
+}
+
+// Reply takes a coordinator's reply or push and says whether the table changed.
+func (h *Holder) Reply(r *wirepb.BeatReply, now timer.Instant) bool {
+	epoch := assigner.Epoch(r.GetEpoch())
+	if epoch < h.epoch || r.GetCoordinator() == "" {
+		return false
+	}
+	if epoch == h.epoch && h.coordinator != "" && h.coordinator != assigner.NodeID(r.GetCoordinator()) {
+		return false
+	}
+	if epoch > h.epoch {
+		h.join(epoch, assigner.NodeID(r.GetCoordinator()), r.GetCoordinatorAddress())
+	}
+	h.coordinator = assigner.NodeID(r.GetCoordinator())
+	if r.GetCoordinatorAddress() != "" {
+		h.address = r.GetCoordinatorAddress()
+	}
+	h.heard = now
+	if r.GetResigned() {
+		h.heard = now - timer.Instant(ClaimAfter)
+	}
+	h.echo = max(h.echo, r.GetStamp())
+	changed := h.takeTable(r)
+	h.takeLease(r, now)
+	return changed
+}
+
+// Redirect returns the answer to a heartbeat that another coordinator should
+// get.
+func (h *Holder) Redirect(now timer.Instant) *wirepb.BeatReply {
+	return &wirepb.BeatReply{
+		Redirect:           true,
+		From:               string(h.self.id),
+		Quiet:              h.Quiet(now),
+		Epoch:              uint64(h.epoch),
+		Coordinator:        string(h.coordinator),
+		CoordinatorAddress: h.address,
+	}
+}
+
+// Redirected takes another node's word for who the coordinator is. It renews
+// nothing.
+func (h *Holder) Redirected(r *wirepb.BeatReply) {
+	epoch := assigner.Epoch(r.GetEpoch())
+	unknown := h.coordinator == "" || h.address == ""
+	if r.GetCoordinator() != "" && (epoch > h.epoch || epoch == h.epoch && unknown) {
+		if epoch > h.epoch {
+			h.join(epoch, "", "")
+		}
+		h.coordinator = assigner.NodeID(r.GetCoordinator())
+		h.address = r.GetCoordinatorAddress()
+	}
+	h.HeardOther(assigner.NodeID(r.GetFrom()), epoch, r.GetQuiet())
+}
+
+func (h *Holder) join(epoch assigner.Epoch, coordinator assigner.NodeID, address string) {
+	h.epoch = epoch
+	h.coordinator = coordinator
+	h.address = address
+	h.echo = 0
+}
+
+func (h *Holder) takeTable(r *wirepb.BeatReply) bool {
+	if r.GetTable() == nil {
+		return false
+	}
+	t := assigner.Decode(r.GetTable())
+	if h.table != nil && !t.Newer(h.table) {
+		return false
+	}
+	h.setTable(t)
+	return true
+}
+
+// takeLease renews the lease when the reply belongs to a heartbeat of this
+// start, and the table is the one that the lease was given for.
+func (h *Holder) takeLease(r *wirepb.BeatReply, now timer.Instant) {
+	sequence := r.GetSequence()
+	if r.GetLeaseMillis() == 0 || r.GetIncarnation() != h.self.incarnation {
+		return
+	}
+	if sequence <= h.applied || sequence > h.sequence || h.sequence-sequence >= sentBeats {
+		return
+	}
+	if h.table == nil || h.table.Epoch() != h.epoch || h.table.Version() < r.GetTableVersion() {
+		return
+	}
+	h.applied = sequence
+	from := h.sent[sequence%sentBeats]
+	if mutator.Active(mutator.LeaseFromAnswer) {
+		from = now
+	}
+	until := from.Add(time.Duration(r.GetLeaseMillis()) * time.Millisecond)
+	h.leaseUntil = max(h.leaseUntil, until)
+}
+
+// Claim answers a candidate. Joining its epoch ends obedience to all earlier
+// ones; the lease in hand stays valid until it runs out, and is reported.
+func (h *Holder) Claim(c *wirepb.Claim, now timer.Instant) *wirepb.ClaimReply {
+	r := &wirepb.ClaimReply{
+		Epoch:        c.GetEpoch(),
+		Node:         string(h.self.id),
+		Incarnation:  h.self.incarnation,
+		Stamp:        c.GetStamp(),
+		HighestEpoch: uint64(h.epoch),
+		Quiet:        h.Quiet(now),
+	}
+	if h.table != nil {
+		r.Table = assigner.Encode(h.table)
+	}
+	if !h.accepts(c, now) {
+		return r
+	}
+	h.join(assigner.Epoch(c.GetEpoch()), assigner.NodeID(c.GetCandidate()), c.GetAddress())
+	h.heard = now
+	r.Joined = true
+	r.Holdings = h.holdings(now)
+	return r
+}
+
+func (h *Holder) accepts(c *wirepb.Claim, now timer.Instant) bool {
+	epoch := assigner.Epoch(c.GetEpoch())
+	candidate := assigner.NodeID(c.GetCandidate())
+	if epoch == h.epoch && h.coordinator == candidate {
+		return true
+	}
+	if epoch < h.epoch || epoch == h.epoch && !mutator.Active(mutator.AcceptEqualEpoch) {
+		return false
+	}
+	if h.table != nil && c.GetVotersVersion() < h.table.VotersVersion() {
+		return false
+	}
+	loyal := h.echo != 0 && now.Sub(h.heard) < LoyaltyTerm
+	return !loyal || h.coordinator == candidate
+}
+
+// holdings returns the slices that the node serves under a valid lease.
+func (h *Holder) holdings(now timer.Instant) []*wirepb.Holding {
+	if h.table == nil || !now.Before(h.leaseUntil) {
+		return nil
+	}
+	var out []*wirepb.Holding
+	for _, p := range h.table.Pools() {
+		for i := range p.Len() {
+			s := p.At(i)
+			if s.Owner() != h.self.id || h.hasReleased(p.Name(), s) {
+				continue
+			}
+			out = append(out, &wirepb.Holding{Pool: p.Name(), Start: s.Start(), Token: uint64(s.Token())})
+		}
+	}
+	return out
+}
+
+func (h *Holder) hasReleased(pool string, s assigner.Slice) bool {
+	token, ok := h.released[sliceKey{pool: pool, start: s.Start()}]
+	return ok && s.Token() <= token
+}
+
+// Owns returns the slice of a point when the node holds it under a lease that
+// is valid at this instant.
+func (h *Holder) Owns(pool string, point uint64, now timer.Instant) (assigner.Slice, bool) {
+	if h.table == nil || !now.Before(h.leaseUntil) {
+		return assigner.Slice{}, false
+	}
+	s, ok := h.table.Lookup(pool, point)
+	if !ok || s.Owner() != h.self.id || h.hasReleased(pool, s) {
+		return assigner.Slice{}, false
+	}
+	return s, true
+}
+
+// Heard returns when the coordinator was last heard.
+func (h *Holder) Heard() timer.Instant { return h.heard }
+
+// Searching says whether the node lacks a coordinator that answers, or still
+// has to learn from other voters what it forgot.
+func (h *Holder) Searching(now timer.Instant) bool {
+	return !h.informed || h.address == "" || now.Sub(h.heard) >= ClaimAfter
+}
+
+// Leaving returns the slices that are to be given up and are not released yet:
+// those that move to another node, or all when there is no backend server.
+func (h *Holder) Leaving(all bool) []*wirepb.Holding {
+	if h.table == nil {
+		return nil
+	}
+	var out []*wirepb.Holding
+	for _, p := range h.table.Pools() {
+		for i := range p.Len() {
+			s := p.At(i)
+			if s.Owner() == h.self.id && (all || s.Next() != "") && !h.hasReleased(p.Name(), s) {
+				out = append(out, &wirepb.Holding{Pool: p.Name(), Start: s.Start(), Token: uint64(s.Token())})
+			}
+		}
+	}
+	return out
+}
+
+// Release gives a slice up for good: no work of it runs here any more, and none
+// is started until it is granted anew under a higher token.
+func (h *Holder) Release(pool string, start uint64, token assigner.Token) {
+	h.released[sliceKey{pool: pool, start: start}] = token
+}
+
+// Released says whether a slice was given up under a token.
+func (h *Holder) Released(pool string, s assigner.Slice) bool { return h.hasReleased(pool, s) }
+
+// ShouldClaim says whether the coordinator has been silent for so long that
+// this node, by its place in the order of succession, claims the role.
+func (h *Holder) ShouldClaim(now timer.Instant) bool {
+	if h.table == nil || h.Quiet(now) || !h.table.IsVoter(h.self.id) {
+		return false
+	}
+	wait := ClaimAfter + time.Duration(h.place())*ClaimStagger
+	return now.Sub(h.heard) >= wait
+}
+
+// place returns the node's place in the order of succession, counted from the
+// voter after the silent coordinator.
+func (h *Holder) place() int {
+	voters := h.table.Voters()
+	self, last := 0, -1
+	for i, v := range voters {
+		if v == h.self.id {
+			self = i
+		}
+		if v == h.coordinator {
+			last = i
+		}
+	}
+	return (self - last - 1 + len(voters)) % len(voters)
+}
+
+// Postpone puts the next claim off, after one that got no majority.
+func (h *Holder) Postpone(now timer.Instant) {
+	h.heard = now - timer.Instant(ClaimAfter/2)
+}
+
+// HeardOther notes that a voter told the node its highest epoch. When most of
+// the other voters have, a restarted node knows what it forgot.
+func (h *Holder) HeardOther(id assigner.NodeID, epoch assigner.Epoch, quiet bool) {
+	if epoch > h.epoch {
+		h.join(epoch, "", "")
+	}
+	if quiet || h.table == nil || !h.table.IsVoter(id) || id == h.self.id {
+		return
+	}
+	h.informants[id] = struct{}{}
+	if len(h.informants) > len(h.table.Voters())/2 {
+		h.informed = true
+	}
+}
--- /dev/null
+++ b/papayapass/internal/keeper/status.go
@@ -0,0 +1,40 @@
+package keeper
+
+import (
+	"time"
+
+	"papayapass.dev/papayapass/internal/coordinator"
+)
+
+// Status is the state of the lease protocol at one node. Only a coordinator
+// knows the state of the other nodes.
+type Status struct {
+	view        *View
+	coordinates bool
+	storeDown   bool
+	quiet       bool
+	leaseLeft   time.Duration
+	peers       []coordinator.PeerStatus
+	moves       []Move
+}
+
+// View returns what the node knew.
+func (s Status) View() *View { return s.view }
+
+// Coordinates says whether the node is the coordinator of its cell.
+func (s Status) Coordinates() bool { return s.coordinates }
+
+// StoreDown says whether the platform failed to take the last write.
+func (s Status) StoreDown() bool { return s.storeDown }
+
+// Quiet says whether the node confirms nobody yet.
+func (s Status) Quiet() bool { return s.quiet }
+
+// LeaseLeft returns the time until the node's lease ends.
+func (s Status) LeaseLeft() time.Duration { return s.leaseLeft }
+
+// Peers returns what the coordinator knows of the nodes.
+func (s Status) Peers() []coordinator.PeerStatus { return s.peers }
+
+// Moves returns the recent changes of owners, oldest first.
+func (s Status) Moves() []Move { return s.moves }
--- /dev/null
+++ b/papayapass/internal/keeper/view.go
@@ -0,0 +1,63 @@
+// Package keeper runs the lease protocol of one node: it feeds messages, time
+// and results of writes to the holder and the coordinator, carries out what
+// they decide, and publishes a view for the threads that route requests.
+package keeper
+
+import (
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// View is what a node knows and may do at one moment. It is never changed.
+type View struct {
+	self          assigner.NodeID
+	epoch         assigner.Epoch
+	coordinator   assigner.NodeID
+	table         *assigner.Table
+	leaseUntil    timer.Instant
+	configuration *wirepb.Configuration
+	restriction   assigner.Restriction
+	changed       chan struct{}
+}
+
+// Self returns the node's own name.
+func (v *View) Self() assigner.NodeID { return v.self }
+
+// Epoch returns the highest epoch joined.
+func (v *View) Epoch() assigner.Epoch { return v.epoch }
+
+// Coordinator returns the node that is obeyed.
+func (v *View) Coordinator() assigner.NodeID { return v.coordinator }
+
+// Table returns the table in force, or nil.
+func (v *View) Table() *assigner.Table { return v.table }
+
+// LeaseUntil returns the instant at which the node's lease ends.
+func (v *View) LeaseUntil() timer.Instant { return v.leaseUntil }
+
+// Configuration returns the configuration in force.
+func (v *View) Configuration() *wirepb.Configuration { return v.configuration }
+
+// Changed is closed when a later view has another table or configuration.
+func (v *View) Changed() <-chan struct{} { return v.changed }
+
+// Slice returns the slice of a point.
+func (v *View) Slice(pool string, point uint64) (assigner.Slice, bool) {
+	if v.table == nil {
+		return assigner.Slice{}, false
+	}
+	return v.table.Lookup(pool, point)
+}
+
+// Eligible says whether a member may get new work.
+func (v *View) Eligible(m assigner.Member) bool { return v.restriction.Eligible(m) }
+
+// Excluded says whether operators have taken this node out of service.
+func (v *View) Excluded() bool {
+	if v.table == nil {
+		return false
+	}
+	m, ok := v.table.Member(v.self)
+	return ok && v.restriction.Excludes(m)
+}
--- /dev/null
+++ b/papayapass/internal/keeper/watcher.go
@@ -0,0 +1,124 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"papayapass.dev/papayapass/internal/wirepb"
+	"papayapass.dev/shared/storer"
+)
+
+// ConfigurationObject is the name of the configuration in the object API.
+const ConfigurationObject = "papayapass/configuration"
+
+// Times of the watch.
+const (
+	watchCheck     = 200 * time.Millisecond
+	watchWait      = time.Second
+	firstReadLimit = 500 * time.Millisecond
+)
+
+// WatchPlatform is the part of the object API that follows the configuration.
+type WatchPlatform interface {
+	// Get reads an object.
+	Get(ctx context.Context, name string) (storer.Object, error)
+	// Watch waits for a version above after.
+	Watch(ctx context.Context, name string, after uint64, wait time.Duration) (storer.Object, error)
+}
+
+// configurationWatcher follows the configuration in the platform while its node
+// is the coordinator; other nodes hear of it in heartbeats, so a cell costs the
+// platform one watch.
+type configurationWatcher struct {
+	platform WatchPlatform
+	keeper   *Keeper
+	version  uint64
+}
+
+func newConfigurationWatcher(platform WatchPlatform, keeper *Keeper) *configurationWatcher {
+	return &configurationWatcher{platform: platform, keeper: keeper}
+}
+
+func (w *configurationWatcher) run(ctx context.Context) error {
+	tick := w.keeper.timers.Subscribe(watchCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C():
+		}
+		for w.active() && ctx.Err() == nil {
+			if !w.follow(ctx) {
+				break
+			}
+		}
+	}
+}
+
+func (w *configurationWatcher) active() bool {
+	v := w.keeper.View()
+	return v.coordinator == v.self
+}
+
+// follow waits for one change and says whether to go on at once. A watch that
+// went silent is noticed by the plain read that goes before each.
+func (w *configurationWatcher) follow(ctx context.Context) bool {
+	if !w.read(ctx) {
+		return false
+	}
+	object, err := w.platform.Watch(ctx, ConfigurationObject, w.version, watchWait)
+	if errors.Is(err, storer.ErrUnchanged) {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	w.take(object)
+	return true
+}
+
+func (w *configurationWatcher) read(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, firstReadLimit)
+	defer cancel()
+	object, err := w.platform.Get(ctx, ConfigurationObject)
+	if errors.Is(err, storer.ErrNotFound) {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	w.take(object)
+	return true
+}
+
+func (w *configurationWatcher) take(object storer.Object) {
+	if object.Version() <= w.version {
+		return
+	}
+	cfg, err := DecodeConfiguration(object.Value())
+	if err != nil {
+		w.keeper.logger.Error().Err(err).Msg("configuration in the platform cannot be read, the old one stays in force")
+		return
+	}
+	w.version = object.Version()
+	w.keeper.post(configurationEvent{configuration: cfg})
+}
+
+// DecodeConfiguration returns the configuration of an object's value.
+func DecodeConfiguration(value []byte) (*wirepb.Configuration, error) {
+	var cfg wirepb.Configuration
+	options := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err := options.Unmarshal(value, &cfg); err != nil {
+		return nil, errors.Wrap(err, "decode the configuration")
+	}
+	return &cfg, nil
+}
+
+// EncodeConfiguration returns the object's value of a configuration.
+func EncodeConfiguration(cfg *wirepb.Configuration) ([]byte, error) {
+	return protojson.Marshal(cfg)
+}
--- /dev/null
+++ b/papayapass/internal/limiter/allowance.go
@@ -0,0 +1,153 @@
+// Package limiter decides how much work a backend server gets at once, and who
+// waits, in which order and for how long.
+package limiter
+
+import (
+	"time"
+
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+// Result is what a call told of the backend server.
+type Result int
+
+// Results of calls.
+const (
+	// ResultOK is an answer.
+	ResultOK Result = iota
+	// ResultShed is a refusal for lack of room.
+	ResultShed
+	// ResultFailed is a call without a whole answer.
+	ResultFailed
+	// ResultIgnored is a call that says nothing of the backend server.
+	ResultIgnored
+)
+
+// Parameters of the ramp and the adaptation.
+const (
+	coldDivisor      = 10
+	raiseSuccesses   = 16
+	raiseInterval    = 250 * time.Millisecond
+	cutInterval      = 100 * time.Millisecond
+	cutDivisor       = 2
+	slowFactor       = 4
+	slowCut          = 0.8
+	baselineGain     = 1.0 / 16
+	baselineSlowGain = 1.0 / 512
+	coldFailures     = 3
+)
+
+// Allowance is the number of calls that a backend server gets at once. A cold
+// server starts from a small share of its slots; each step up needs answers at
+// the present step. Refusals and failures take it down at once.
+type Allowance struct {
+	slots     int
+	limit     float64
+	warm      bool
+	successes int
+	failures  int
+	baseline  time.Duration
+	raised    timer.Instant
+	cut       timer.Instant
+}
+
+// NewAllowance returns the allowance of a backend server that is cold or warm.
+func NewAllowance(slots int, cold bool, now timer.Instant) *Allowance {
+	a := &Allowance{slots: slots, limit: float64(slots), warm: true}
+	if cold {
+		a.Chill(now)
+	}
+	return a
+}
+
+// Limit returns how many calls may be in progress.
+func (a *Allowance) Limit() int { return max(1, int(a.limit)) }
+
+// Warm says whether the ramp has been climbed.
+func (a *Allowance) Warm() bool { return a.warm }
+
+// Chill starts the ramp anew: the backend server is cold.
+func (a *Allowance) Chill(now timer.Instant) {
+	a.limit = float64(max(1, a.slots/coldDivisor))
+	a.warm = false
+	a.successes = 0
+	a.failures = 0
+	a.raised = now
+}
+
+// Observe takes the result of a call. Used is how many calls were in progress
+// when it started: only a server that was given its allowance has shown that it
+// bears it.
+func (a *Allowance) Observe(r Result, latency time.Duration, used int, now timer.Instant) {
+	switch r {
+	case ResultOK:
+		a.failures = 0
+		a.observeLatency(latency, used, now)
+	case ResultShed:
+		a.shed(now)
+	case ResultFailed:
+		a.failures++
+		if a.failures >= coldFailures {
+			a.Chill(now)
+		}
+	case ResultIgnored:
+	}
+}
+
+func (a *Allowance) shed(now timer.Instant) {
+	if now.Sub(a.cut) < cutInterval {
+		return
+	}
+	a.cut = now
+	a.limit = max(1, a.limit/cutDivisor)
+	a.successes = 0
+	a.raised = now
+}
+
+func (a *Allowance) observeLatency(latency time.Duration, used int, now timer.Instant) {
+	slow := a.baseline > 0 && latency > slowFactor*a.baseline
+	a.learn(latency)
+	if slow && now.Sub(a.cut) >= cutInterval && a.limit > float64(a.slots/cutDivisor) {
+		a.cut = now
+		a.limit = max(1, a.limit*slowCut)
+		a.successes = 0
+		return
+	}
+	if used < a.Limit() {
+		return
+	}
+	a.successes++
+	if a.successes < max(raiseSuccesses, a.Limit()) || now.Sub(a.raised) < raiseInterval {
+		return
+	}
+	a.raise(now)
+}
+
+// raise takes one step up. A cold server climbs by one slot, a warm one regains
+// what it lost faster.
+func (a *Allowance) raise(now timer.Instant) {
+	a.successes = 0
+	a.raised = now
+	step := 1.0
+	if a.warm {
+		step = max(1, a.limit/coldDivisor)
+	}
+	a.limit = min(float64(a.slots), a.limit+step)
+	if a.limit >= float64(a.slots) {
+		a.warm = true
+	}
+}
+
+// learn follows the usual latency: down fast, up slowly, so that a server that
+// slows down is measured against its better days.
+func (a *Allowance) learn(latency time.Duration) {
+	if a.baseline == 0 {
+		a.baseline = latency
+		return
+	}
+	gain := baselineSlowGain
+	if latency < a.baseline {
+		gain = baselineGain
+	}
+	a.baseline += time.Duration(gain * float64(latency-a.baseline))
+}
--- /dev/null
+++ b/papayapass/internal/matcher/matcher.go
@@ -0,0 +1,88 @@
+package matcher
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+)
+
+// Request is the part of a request that rules look at. Values may be reused
+// after the call.
+type Request interface {
+	// Method returns the HTTP method.
+	Method() []byte
+	// Path returns the path of the URI, decoded.
+	Path() []byte
+	// Host returns the host.
+	Host() []byte
+	// Header returns a header, or nothing.
+	Header(name string) []byte
+	// Query returns a query parameter, or nothing.
+	Query(name string) []byte
+}
+
+// RuleSet is the rules of a file in their order; the first that fits applies.
+type RuleSet struct {
+	rules []Rule
+}
+
+// NewRuleSet returns a set of rules.
+func NewRuleSet(rules []Rule) *RuleSet { return &RuleSet{rules: rules} }
+
+// Rules returns the rules in their order. The caller must not change them.
+func (s *RuleSet) Rules() []Rule { return s.rules }
+
+// Match returns the first rule that fits a request, or nil.
+func (s *RuleSet) Match(r Request) *Rule {
+	for i := range s.rules {
+		if s.rules[i].fits(r) {
+			return &s.rules[i]
+		}
+	}
+	return nil
+}
+
+func (r *Rule) fits(req Request) bool {
+	c := &r.condition
+	if !strings.HasPrefix(string(req.Path()), c.PathPrefix) {
+		return false
+	}
+	if len(c.Methods) > 0 && !slices.Contains(c.Methods, string(req.Method())) {
+		return false
+	}
+	if c.Host != "" && !strings.EqualFold(c.Host, string(req.Host())) {
+		return false
+	}
+	return c.HeaderName == "" || string(req.Header(c.HeaderName)) == c.HeaderValue
+}
+
+// Extract returns the key that a request carries for the rule. It says false
+// when the rule wants a key and there is none.
+func (r *Rule) Extract(req Request) ([]byte, bool) {
+	switch r.key.source {
+	case KeyPath:
+		return found(segment(req.Path(), r.key.segment))
+	case KeyQuery:
+		return found(req.Query(r.key.name))
+	case KeyHeader:
+		return found(req.Header(r.key.name))
+	default:
+		return nil, true
+	}
+}
+
+func found(key []byte) ([]byte, bool) { return key, len(key) > 0 }
+
+// segment returns a segment of a path, counted from one.
+func segment(path []byte, number int) []byte {
+	path = bytes.TrimPrefix(path, []byte("/"))
+	for range number - 1 {
+		_, rest, ok := bytes.Cut(path, []byte("/"))
+		if !ok {
+			return nil
+		}
+		path = rest
+	}
+	first, _, _ := bytes.Cut(path, []byte("/"))
+	return first
+}
--- /dev/null
+++ b/papayapass/internal/messenger/connector.go
@@ -0,0 +1,161 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// dialBackoff is the time after a failed dial during which an address is not
+// dialled again.
+const dialBackoff = 100 * time.Millisecond
+
+// ErrBackoff means that the last dial of the address failed a moment ago.
+var ErrBackoff = errors.New("peer was unreachable a moment ago")
+
+// Handler takes the messages of all links of a node. It is called on a link's
+// reading thread and must not block.
+type Handler func(l *Link, m proto.Message)
+
+// Connector opens links on demand, one for each peer address, and accepts those
+// that peers open.
+type Connector struct {
+	self    *wirepb.Hello
+	timers  *timer.Service
+	handler Handler
+	group   *errgroup.Group
+	ctx     context.Context
+	mu      sync.Mutex
+	slots   sync.Map
+	links   map[*Link]struct{}
+	bytes   uint64
+}
+
+// slot is the link to one address and the lock of its dialling.
+type slot struct {
+	mu     sync.Mutex
+	link   atomic.Pointer[Link]
+	failed timer.Instant
+}
+
+// NewConnector returns a connector. Its links run in the group until the context
+// ends.
+func NewConnector(ctx context.Context, group *errgroup.Group, self *wirepb.Hello, timers *timer.Service, handler Handler) *Connector {
+	return &Connector{
+		self: self, timers: timers, handler: handler, group: group, ctx: ctx,
+		links: make(map[*Link]struct{}),
+	}
+}
+
+// Receive passes a message to the handler.
+func (c *Connector) Receive(l *Link, m proto.Message) { c.handler(l, m) }
+
+// Closed forgets a link.
+func (c *Connector) Closed(l *Link, _ error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.links, l)
+	c.bytes += l.ControlBytes()
+}
+
+// ControlBytes returns the bytes of the control lanes of all links so far.
+func (c *Connector) ControlBytes() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := c.bytes
+	for l := range c.links {
+		total += l.ControlBytes()
+	}
+	return total
+}
+
+// Link returns an open link to an address, and dials when there is none.
+func (c *Connector) Link(ctx context.Context, address string) (*Link, error) {
+	s := c.slot(address)
+	if l := s.link.Load(); l != nil && !l.ended() {
+		return l, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.link.Load(); l != nil && !l.ended() {
+		return l, nil
+	}
+	now := c.timers.Now()
+	if s.failed != 0 && now.Sub(s.failed) < dialBackoff {
+		return nil, ErrBackoff
+	}
+	l, err := Dial(ctx, address, c.self, c.timers, c)
+	if err != nil {
+		s.failed = c.timers.Now()
+		return nil, err
+	}
+	s.failed = 0
+	s.link.Store(l)
+	c.start(l)
+	return l, nil
+}
+
+// Open returns the open link to an address, or nil.
+func (c *Connector) Open(address string) *Link {
+	l := c.slot(address).link.Load()
+	if l == nil || l.ended() {
+		return nil
+	}
+	return l
+}
+
+func (c *Connector) slot(address string) *slot {
+	s, ok := c.slots.Load(address)
+	if !ok {
+		s, _ = c.slots.LoadOrStore(address, &slot{})
+	}
+	return s.(*slot)
+}
+
+func (c *Connector) start(l *Link) {
+	c.mu.Lock()
+	c.links[l] = struct{}{}
+	c.mu.Unlock()
+	c.group.Go(func() error {
+		_ = l.Run(c.ctx) // a link's end is reported by Closed and to its calls
+		return nil
+	})
+}
+
+// Serve accepts links until the listener is closed.
+func (c *Connector) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if c.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return errors.Wrap(err, "accept peer")
+		}
+		c.group.Go(func() error {
+			l, err := Accept(conn, c.self, c.timers, c)
+			if err == nil {
+				c.start(l)
+			}
+			return nil
+		})
+	}
+}
+
+func (l *Link) ended() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/papayapass/internal/messenger/lane.go
@@ -0,0 +1,130 @@
+package messenger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// Sizes of a lane's buffers.
+const (
+	ringFrames           = 1024
+	bufferBytes          = 64 << 10
+	maxPooledBytes       = 64 << 10
+	firstFrameBytes      = 1024
+	streamHeadBytes      = 12
+	packetHeadBytes      = 52
+	controlLane     byte = 'c'
+	dataLane        byte = 'd'
+)
+
+// ErrRingFull means that a lane has no room: nothing was sent.
+var ErrRingFull = errors.New("outgoing ring is full")
+
+// ErrLinkClosed means that a link has ended: nothing was sent.
+var ErrLinkClosed = errors.New("link is closed")
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, 0, firstFrameBytes)
+	return &b
+}}
+
+// lane is one ordered stream of frames of a link. A bounded ring joins its
+// senders to the one thread that writes.
+type lane struct {
+	stream   net.Conn
+	ring     chan *[]byte
+	done     <-chan struct{}
+	bytesIn  atomic.Uint64
+	bytesOut atomic.Uint64
+}
+
+func newLane(stream net.Conn, done <-chan struct{}) *lane {
+	return &lane{stream: stream, ring: make(chan *[]byte, ringFrames), done: done}
+}
+
+// send puts a message on the ring; it never blocks.
+func (l *lane) send(m proto.Message) error {
+	buf := buffers.Get().(*[]byte)
+	frame, err := Encode((*buf)[:0], m)
+	if err != nil {
+		buffers.Put(buf)
+		return err
+	}
+	*buf = frame
+	select {
+	case <-l.done:
+		recycle(buf)
+		return ErrLinkClosed
+	default:
+	}
+	select {
+	case l.ring <- buf:
+		return nil
+	default:
+		recycle(buf)
+		return ErrRingFull
+	}
+}
+
+func recycle(buf *[]byte) {
+	if cap(*buf) <= maxPooledBytes {
+		buffers.Put(buf)
+	}
+}
+
+// write moves frames from the ring to the stream, many at a time.
+func (l *lane) write(ctx context.Context) error {
+	w := bufio.NewWriterSize(l.stream, bufferBytes)
+	for {
+		select {
+		case <-ctx.Done():
+			return ErrLinkClosed
+		case buf := <-l.ring:
+			if err := l.writeBatch(w, buf); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (l *lane) writeBatch(w *bufio.Writer, buf *[]byte) error {
+	for {
+		size := len(*buf)
+		if _, err := w.Write(*buf); err != nil {
+			return errors.Wrap(err, "write to peer")
+		}
+		recycle(buf)
+		l.bytesOut.Add(uint64(size))
+		select {
+		case buf = <-l.ring:
+			continue
+		default:
+		}
+		l.bytesOut.Add(streamHeadBytes + packetHeadBytes)
+		return errors.Wrap(w.Flush(), "write to peer")
+	}
+}
+
+// read passes each message of the stream to a receiver, in order.
+func (l *lane) read(receive func(proto.Message)) error {
+	r := bufio.NewReaderSize(l.stream, bufferBytes)
+	for {
+		m, size, err := Decode(r)
+		if err != nil {
+			return errors.Wrap(err, "read from peer")
+		}
+		l.bytesIn.Add(uint64(size))
+		if r.Buffered() == 0 {
+			l.bytesIn.Add(streamHeadBytes + packetHeadBytes)
+		}
+		if m != nil {
+			receive(m)
+		}
+	}
+}
--- /dev/null
+++ b/papayapass/internal/messenger/link.go
@@ -0,0 +1,270 @@
+package messenger
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// Liveness of links. A link with calls in flight on which nothing arrives is
+// asked with a ping, and closed when the pong stays out.
+const (
+	FormatVersion  = 1
+	handshakeLimit = time.Second
+	watchInterval  = 100 * time.Millisecond
+	pingAfter      = 300 * time.Millisecond
+	silentAfter    = 700 * time.Millisecond
+)
+
+// ErrSilent means that a link stayed silent although an answer was due.
+var ErrSilent = errors.New("link went silent")
+
+// ErrHello means that a peer's hello does not fit this node.
+var ErrHello = errors.New("unexpected hello")
+
+// Receiver takes the messages of a link, one at a time for each lane, and must
+// not block.
+type Receiver interface {
+	// Receive takes a message.
+	Receive(l *Link, m proto.Message)
+	// Closed is told once that the link has ended.
+	Closed(l *Link, err error)
+}
+
+// Link is a connection to a peer with a lane for control and one for data, so
+// that requests never hold up heartbeats.
+type Link struct {
+	session  *yamux.Session
+	control  *lane
+	data     *lane
+	peer     *wirepb.Hello
+	timers   *timer.Service
+	receiver Receiver
+	calls    callTable
+	done     chan struct{}
+	stop     sync.Once
+	lastRead atomic.Int64
+	lastPing atomic.Int64
+}
+
+// Dial opens a link to a peer.
+func Dial(ctx context.Context, address string, self *wirepb.Hello, timers *timer.Service, receiver Receiver) (*Link, error) {
+	dialer := net.Dialer{Timeout: handshakeLimit}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial peer")
+	}
+	l, err := newLink(conn, self, timers, receiver, openLanes)
+	if err != nil {
+		return nil, errors.CombineErrors(err, conn.Close())
+	}
+	return l, nil
+}
+
+// Accept makes a link of a connection that a peer opened.
+func Accept(conn net.Conn, self *wirepb.Hello, timers *timer.Service, receiver Receiver) (*Link, error) {
+	l, err := newLink(conn, self, timers, receiver, acceptLanes)
+	if err != nil {
+		return nil, errors.CombineErrors(err, conn.Close())
+	}
+	return l, nil
+}
+
+type lanesOpener func(conn net.Conn, done <-chan struct{}) (*yamux.Session, *lane, *lane, error)
+
+func newLink(conn net.Conn, self *wirepb.Hello, timers *timer.Service, receiver Receiver, open lanesOpener) (*Link, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeLimit)); err != nil {
+		return nil, err
+	}
+	l := &Link{timers: timers, receiver: receiver, done: make(chan struct{})}
+	l.calls.init()
+	var err error
+	if l.session, l.control, l.data, err = open(conn, l.done); err != nil {
+		return nil, err
+	}
+	if err := l.greet(self); err != nil {
+		return nil, errors.CombineErrors(err, l.session.Close())
+	}
+	l.touch()
+	return l, conn.SetDeadline(time.Time{})
+}
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.LogOutput = io.Discard
+	cfg.MaxStreamWindowSize = 4 << 20
+	cfg.StreamOpenTimeout = handshakeLimit
+	return cfg
+}
+
+func openLanes(conn net.Conn, done <-chan struct{}) (*yamux.Session, *lane, *lane, error) {
+	session, err := yamux.Client(conn, yamuxConfig())
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	lanes := make([]*lane, 0, 2)
+	for _, name := range []byte{controlLane, dataLane} {
+		stream, err := session.Open()
+		if err != nil {
+			return nil, nil, nil, errors.CombineErrors(err, session.Close())
+		}
+		if _, err := stream.Write([]byte{name}); err != nil {
+			return nil, nil, nil, errors.CombineErrors(err, session.Close())
+		}
+		lanes = append(lanes, newLane(stream, done))
+	}
+	return session, lanes[0], lanes[1], nil
+}
+
+func acceptLanes(conn net.Conn, done <-chan struct{}) (*yamux.Session, *lane, *lane, error) {
+	session, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	lanes := make([]*lane, 0, 2)
+	for _, want := range []byte{controlLane, dataLane} {
+		stream, err := session.Accept()
+		if err != nil {
+			return nil, nil, nil, errors.CombineErrors(err, session.Close())
+		}
+		var name [1]byte
+		if _, err := io.ReadFull(stream, name[:]); err != nil {
+			return nil, nil, nil, errors.CombineErrors(err, session.Close())
+		}
+		if name[0] != want {
+			return nil, nil, nil, errors.CombineErrors(ErrFrame, session.Close())
+		}
+		lanes = append(lanes, newLane(stream, done))
+	}
+	return session, lanes[0], lanes[1], nil
+}
+
+// greet exchanges hellos.
+func (l *Link) greet(self *wirepb.Hello) error {
+	frame, err := Encode(nil, self)
+	if err != nil {
+		return err
+	}
+	if _, err := l.control.stream.Write(frame); err != nil {
+		return errors.Wrap(err, "send hello")
+	}
+	m, err := decodeUnbuffered(l.control.stream)
+	if err != nil {
+		return errors.Wrap(err, "read hello")
+	}
+	hello, ok := m.(*wirepb.Hello)
+	if !ok || hello.GetFormat() == 0 || hello.GetCell() != self.GetCell() {
+		return errors.Wrapf(ErrHello, "cell %q, format %d", hello.GetCell(), hello.GetFormat())
+	}
+	l.peer = hello
+	return nil
+}
+
+// Peer returns what the other end said of itself.
+func (l *Link) Peer() *wirepb.Hello { return l.peer }
+
+// Done is closed when the link has ended.
+func (l *Link) Done() <-chan struct{} { return l.done }
+
+// ControlBytes returns the bytes of the control lane in both directions, with
+// an estimate of packet headers.
+func (l *Link) ControlBytes() uint64 {
+	return l.control.bytesIn.Load() + l.control.bytesOut.Load()
+}
+
+// Run serves the link until it ends or the context does.
+func (l *Link) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return l.control.write(ctx) })
+	g.Go(func() error { return l.data.write(ctx) })
+	g.Go(func() error { return l.control.read(l.receive) })
+	g.Go(func() error { return l.data.read(l.receive) })
+	g.Go(func() error { return l.watch(ctx) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-l.done:
+		}
+		l.Close()
+		return ErrLinkClosed
+	})
+	err := g.Wait()
+	l.calls.failAll()
+	l.receiver.Closed(l, err)
+	return err
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.stop.Do(func() {
+		close(l.done)
+		_ = l.session.Close() // the link has ended either way
+	})
+}
+
+// SendControl sends a message on the control lane; it never blocks.
+func (l *Link) SendControl(m proto.Message) error { return l.control.send(m) }
+
+// SendData sends a message on the data lane; it never blocks.
+func (l *Link) SendData(m proto.Message) error { return l.data.send(m) }
+
+func (l *Link) touch() { l.lastRead.Store(int64(l.timers.Now())) }
+
+func (l *Link) receive(m proto.Message) {
+	l.touch()
+	switch m := m.(type) {
+	case *wirepb.Answer:
+		l.calls.answer(m)
+	case *wirepb.Ping:
+		_ = l.data.send(&wirepb.Pong{Stamp: m.GetStamp()}) // a lost pong is a silent link
+	case *wirepb.Pong:
+	default:
+		l.receiver.Receive(l, m)
+	}
+}
+
+// watch closes the link when calls wait and nothing arrives.
+func (l *Link) watch(ctx context.Context) error {
+	tick := l.timers.Subscribe(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ErrLinkClosed
+		case now := <-tick.C():
+			if err := l.check(now); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (l *Link) check(now timer.Instant) error {
+	oldest, waiting := l.calls.oldest()
+	if !waiting {
+		return nil
+	}
+	last := max(timer.Instant(l.lastRead.Load()), oldest)
+	quiet := now.Sub(last)
+	if quiet >= silentAfter {
+		return ErrSilent
+	}
+	pinged := timer.Instant(l.lastPing.Load())
+	if quiet >= pingAfter && pinged.Before(last) {
+		l.lastPing.Store(int64(now))
+		_ = l.data.send(&wirepb.Ping{Stamp: uint64(now)}) // no pong counts as silence
+	}
+	return nil
+}
--- /dev/null
+++ b/papayapass/internal/parser/problem.go
@@ -0,0 +1,42 @@
+// Package parser reads the rules file.
+package parser
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is a mistake in a rules file.
+type Problem struct {
+	file   string
+	line   int
+	column int
+	rule   string
+	fix    string
+}
+
+// Line returns the number of the line, counted from one.
+func (p Problem) Line() int { return p.line }
+
+// Column returns the number of the byte in the line, counted from one.
+func (p Problem) Column() int { return p.column }
+
+// Fix returns what is wrong and what would be right.
+func (p Problem) Fix() string { return p.fix }
+
+// String returns the problem as one line with the rule below it.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s\n    %s", p.file, p.line, p.column, p.fix, p.rule)
+}
+
+// Problems is all mistakes of a file; it is an error.
+type Problems []Problem
+
+// Error returns the problems, one after the other.
+func (ps Problems) Error() string {
+	lines := make([]string, 0, len(ps))
+	for _, p := range ps {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/papayapass/internal/receiver/receiver.go
@@ -0,0 +1,252 @@
+package receiver
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/trace"
+
+	"papayapass.dev/papayapass/internal/executor"
+	"papayapass.dev/papayapass/internal/keeper"
+	"papayapass.dev/papayapass/internal/matcher"
+	"papayapass.dev/papayapass/internal/meter"
+	"papayapass.dev/papayapass/internal/parser"
+	"papayapass.dev/papayapass/internal/tracer"
+	"papayapass.dev/papayapass/internal/wirepb"
+	"papayapass.dev/shared/announcer"
+	"papayapass.dev/shared/hasher"
+)
+
+// idleTimeout is how long an idle connection of a caller stays open.
+const idleTimeout = time.Minute
+
+// retryAfterSeconds is told to callers whose request was not run.
+const retryAfterSeconds = "1"
+
+// Router answers requests.
+type Router interface {
+	// Route sends a request to the backend server that is to serve it.
+	Route(ctx context.Context, req *wirepb.Request) *wirepb.Answer
+}
+
+// Views gives the newest view.
+type Views interface {
+	// View returns the newest view.
+	View() *keeper.View
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	bodyBytes   int
+	bodyTime    time.Duration
+	connections int
+}
+
+// NewLimits returns limits on the bytes of a body, the time to send a request,
+// and the number of connections.
+func NewLimits(bodyBytes int, bodyTime time.Duration, connections int) Limits {
+	return Limits{bodyBytes: bodyBytes, bodyTime: bodyTime, connections: connections}
+}
+
+// ruleBook is the rules of one version of the configuration.
+type ruleBook struct {
+	version uint64
+	rules   *matcher.RuleSet
+}
+
+// Receiver serves callers.
+type Receiver struct {
+	server      *fasthttp.Server
+	router      Router
+	views       Views
+	meter       *meter.Meter
+	tracer      *tracer.Tracer
+	logger      zerolog.Logger
+	incarnation uint64
+	calls       atomic.Uint64
+	book        atomic.Pointer[ruleBook]
+	accounts    accounts
+}
+
+// NewReceiver returns a receiver. Serve starts it.
+func NewReceiver(r Router, v Views, m *meter.Meter, t *tracer.Tracer, logger zerolog.Logger, incarnation uint64, limits Limits) *Receiver {
+	rc := &Receiver{router: r, views: v, meter: m, tracer: t, logger: logger, incarnation: incarnation}
+	rc.book.Store(&ruleBook{rules: matcher.NewRuleSet(nil)})
+	rc.server = &fasthttp.Server{
+		Handler:               rc.handle,
+		ErrorHandler:          rc.refuseMalformed,
+		MaxRequestBodySize:    limits.bodyBytes,
+		ReadTimeout:           limits.bodyTime,
+		IdleTimeout:           idleTimeout,
+		Concurrency:           limits.connections,
+		NoDefaultServerHeader: true,
+		NoDefaultContentType:  true,
+		CloseOnShutdown:       true,
+	}
+	return rc
+}
+
+// Serve takes requests until Stop.
+func (rc *Receiver) Serve(listener net.Listener) error {
+	return errors.Wrap(rc.server.Serve(listener), "serve callers")
+}
+
+// Stop takes no new connections and waits for the requests in progress.
+func (rc *Receiver) Stop(ctx context.Context) error {
+	return rc.server.ShutdownWithContext(ctx)
+}
+
+// rules returns the rules of the configuration in force. A configuration whose
+// rules cannot be read leaves the old rules in force.
+func (rc *Receiver) rules() *matcher.RuleSet {
+	book := rc.book.Load()
+	cfg := rc.views.View().Configuration()
+	if cfg.GetVersion() == book.version {
+		return book.rules
+	}
+	rules, err := parser.Parse("configuration", cfg.GetRules())
+	if err != nil {
+		rc.logger.Error().Err(err).Uint64("version", cfg.GetVersion()).Msg("rules cannot be read, the old ones stay in force")
+		rules = book.rules
+	}
+	rc.book.Store(&ruleBook{version: cfg.GetVersion(), rules: rules})
+	return rules
+}
+
+func (rc *Receiver) handle(ctx *fasthttp.RequestCtx) {
+	started := time.Now()
+	rule := rc.rules().Match(view{ctx: ctx})
+	if rule == nil {
+		rc.refuse(ctx, fasthttp.StatusNotFound, wirepb.Reason_REASON_NO_RULE)
+		return
+	}
+	key, ok := rule.Extract(view{ctx: ctx})
+	if !ok {
+		rc.refuse(ctx, fasthttp.StatusBadRequest, wirepb.Reason_REASON_NO_RULE)
+		return
+	}
+	account := accountKey{line: rule.Line(), account: string(ctx.Request.Header.Peek(announcer.HeaderAccount))}
+	if rule.AccountLimit() > 0 {
+		if !rc.accounts.enter(account, rule.AccountLimit()) {
+			rc.refuse(ctx, fasthttp.StatusTooManyRequests, wirepb.Reason_REASON_LIMIT)
+			return
+		}
+		defer rc.accounts.leave(account)
+	}
+	answer := rc.route(ctx, rule, key)
+	rc.meter.Request(rule.Pool(), answer, time.Since(started))
+	rc.logger.Debug().Uint64("call", answer.GetCall()).Str("pool", rule.Pool()).
+		Uint64("keyHash", hasher.Key(key)).Str("outcome", meter.OutcomeName(answer.GetOutcome())).Msg("request")
+	rc.write(ctx, answer)
+}
+
+func (rc *Receiver) route(ctx *fasthttp.RequestCtx, rule *matcher.Rule, key []byte) *wirepb.Answer {
+	limit := rc.timeLimit(ctx, rule)
+	routing, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	routing, span, parent := rc.tracer.Start(routing, "request", string(ctx.Request.Header.Peek("Traceparent")), trace.SpanKindServer)
+	defer span.End()
+	return rc.router.Route(routing, rc.request(ctx, rule, key, limit, parent))
+}
+
+// timeLimit returns the rule's deadline, or a caller's own when it is shorter.
+func (rc *Receiver) timeLimit(ctx *fasthttp.RequestCtx, rule *matcher.Rule) time.Duration {
+	limit := rule.Deadline()
+	own, err := strconv.ParseInt(string(ctx.Request.Header.Peek(announcer.HeaderDeadline)), 10, 64)
+	if err == nil && own > 0 && own < limit.Milliseconds() {
+		limit = time.Duration(own) * time.Millisecond
+	}
+	return limit
+}
+
+// request makes the message of a request. It refers to the request's memory,
+// which stays valid until the handler returns.
+func (rc *Receiver) request(ctx *fasthttp.RequestCtx, rule *matcher.Rule, key []byte, limit time.Duration, parent string) *wirepb.Request {
+	caller := ctx.Request.Header.Peek(announcer.HeaderCaller)
+	if len(caller) == 0 {
+		caller = []byte(ctx.RemoteAddr().String())
+	}
+	return &wirepb.Request{
+		Call:           rc.calls.Add(1),
+		Origin:         rc.incarnation,
+		Pool:           rule.Pool(),
+		Keyed:          rule.Key().Source() != matcher.KeyNone,
+		KeyHash:        hasher.Key(key),
+		Method:         ctx.Method(),
+		Uri:            ctx.RequestURI(),
+		Headers:        executor.RequestHeaders(&ctx.Request.Header),
+		Body:           ctx.Request.Body(),
+		TimeLeftMicros: uint32(limit.Microseconds()),
+		Class:          rule.Class(),
+		Idempotent:     rule.Idempotent(string(ctx.Method())),
+		Account:        ctx.Request.Header.Peek(announcer.HeaderAccount),
+		Caller:         caller,
+		TraceParent:    parent,
+		IdempotencyKey: ctx.Request.Header.Peek("Idempotency-Key"),
+	}
+}
+
+func (rc *Receiver) write(ctx *fasthttp.RequestCtx, answer *wirepb.Answer) {
+	if answer.GetOutcome() != wirepb.Outcome_OUTCOME_ANSWERED {
+		rc.writeFailure(ctx, answer)
+		return
+	}
+	for _, h := range answer.GetHeaders() {
+		ctx.Response.Header.AddBytesKV(h.GetName(), h.GetValue())
+	}
+	ctx.Response.Header.Set(announcer.HeaderOutcome, meter.OutcomeName(answer.GetOutcome()))
+	ctx.SetStatusCode(int(answer.GetStatus()))
+	ctx.Response.SetBodyRaw(answer.GetBody())
+}
+
+func (rc *Receiver) writeFailure(ctx *fasthttp.RequestCtx, answer *wirepb.Answer) {
+	notRun := answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN
+	deadline := answer.GetReason() == wirepb.Reason_REASON_DEADLINE
+	status := fasthttp.StatusBadGateway
+	switch {
+	case notRun:
+		status = fasthttp.StatusServiceUnavailable
+		ctx.Response.Header.Set("Retry-After", retryAfterSeconds)
+	case deadline:
+		status = fasthttp.StatusGatewayTimeout
+	}
+	rc.writeOutcome(ctx, status, answer.GetOutcome(), answer.GetReason())
+}
+
+// refuse ends a request that was not passed on.
+func (rc *Receiver) refuse(ctx *fasthttp.RequestCtx, status int, reason wirepb.Reason) {
+	rc.meter.Request("", &wirepb.Answer{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Reason: reason}, 0)
+	rc.writeOutcome(ctx, status, wirepb.Outcome_OUTCOME_NOT_RUN, reason)
+}
+
+func (rc *Receiver) writeOutcome(ctx *fasthttp.RequestCtx, status int, o wirepb.Outcome, reason wirepb.Reason) {
+	ctx.SetStatusCode(status)
+	ctx.Response.Header.Set(announcer.HeaderOutcome, meter.OutcomeName(o))
+	ctx.Response.Header.Set(announcer.HeaderReason, meter.ReasonName(reason))
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(meter.OutcomeName(o) + ": " + meter.ReasonName(reason) + "\n")
+}
+
+// refuseMalformed answers what is not a whole request: too large, too slow, cut
+// off or malformed. None of it reached a backend server.
+func (rc *Receiver) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	var timeout net.Error
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		rc.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, wirepb.Reason_REASON_TOO_LARGE)
+	case errors.As(err, &small):
+		rc.refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, wirepb.Reason_REASON_TOO_LARGE)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		rc.refuse(ctx, fasthttp.StatusRequestTimeout, wirepb.Reason_REASON_DEADLINE)
+	default:
+		rc.refuse(ctx, fasthttp.StatusBadRequest, wirepb.Reason_REASON_NONE)
+	}
+	ctx.SetConnectionClose()
+}
--- /dev/null
+++ b/papayapass/internal/router/router.go
@@ -0,0 +1,254 @@
+// Package router sends each request to the node whose backend server is to
+// serve it, and answers for what became of it.
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/balancer"
+	"papayapass.dev/papayapass/internal/keeper"
+	"papayapass.dev/papayapass/internal/messenger"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// Times and counts of attempts.
+const (
+	// retryPause is the longest wait for news before a refused request is sent
+	// again.
+	retryPause = 25 * time.Millisecond
+	// overloadTries is how many servers of a shared pool are asked before an
+	// overload is reported.
+	overloadTries = 3
+	// dialLimit bounds the opening of a link for a request.
+	dialLimit = 500 * time.Millisecond
+)
+
+// Views gives the newest view.
+type Views interface {
+	// View returns the newest view.
+	View() *keeper.View
+}
+
+// Local runs requests on this node's backend server.
+type Local interface {
+	// Serve runs a request.
+	Serve(ctx context.Context, req *wirepb.Request) *wirepb.Answer
+}
+
+// Links gives links to peers.
+type Links interface {
+	// Link returns an open link to an address.
+	Link(ctx context.Context, address string) (*messenger.Link, error)
+}
+
+// Router routes requests of callers.
+type Router struct {
+	views    Views
+	local    Local
+	links    Links
+	balancer *balancer.Balancer
+	clock    timer.Clock
+	budget   *Budget
+}
+
+// NewRouter returns a router.
+func NewRouter(v Views, local Local, links Links, b *balancer.Balancer, clock timer.Clock) *Router {
+	return &Router{views: v, local: local, links: links, balancer: b, clock: clock, budget: NewBudget()}
+}
+
+// verdict is what to do after an attempt.
+type verdict int
+
+const (
+	verdictReturn verdict = iota
+	// verdictWait sends again after a change of the view or a pause.
+	verdictWait
+	// verdictAgain sends again at once.
+	verdictAgain
+)
+
+// attempt is the state of one request's tries.
+type attempt struct {
+	req       *wirepb.Request
+	hint      assigner.NodeID
+	tried     []assigner.NodeID
+	overloads int
+	last      *wirepb.Answer
+}
+
+// Route sends a request until it is answered, refused for good, or its context
+// ends.
+func (r *Router) Route(ctx context.Context, req *wirepb.Request) *wirepb.Answer {
+	r.budget.Earn()
+	a := &attempt{req: req, last: notRun(req, wirepb.Reason_REASON_NO_SERVER)}
+	for {
+		view := r.views.View()
+		v := r.try(ctx, view, a)
+		if v == verdictReturn || ctx.Err() != nil {
+			return a.last
+		}
+		if v == verdictWait && !pause(ctx, view) {
+			return a.last
+		}
+		refreshTime(ctx, req)
+	}
+}
+
+// pause waits for a change of the view, but not long. It says false when the
+// context ended.
+func pause(ctx context.Context, view *keeper.View) bool {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-view.Changed():
+	case <-t.C:
+	}
+	return true
+}
+
+// refreshTime takes what was spent off the time left.
+func refreshTime(ctx context.Context, req *wirepb.Request) {
+	if deadline, ok := ctx.Deadline(); ok {
+		req.TimeLeftMicros = uint32(max(1, time.Until(deadline).Microseconds()))
+	}
+}
+
+func (r *Router) try(ctx context.Context, view *keeper.View, a *attempt) verdict {
+	target, ok := r.target(view, a)
+	if !ok {
+		a.last = notRun(a.req, wirepb.Reason_REASON_NO_SERVER)
+		return verdictWait
+	}
+	started := r.clock.Now()
+	a.last = r.send(ctx, view, target, a.req)
+	if !a.req.GetKeyed() {
+		r.report(target.ID(), a.last, r.clock.Now().Sub(started))
+	}
+	return r.judge(target, a)
+}
+
+func (r *Router) report(id assigner.NodeID, answer *wirepb.Answer, latency time.Duration) {
+	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_ANSWERED {
+		r.balancer.Done(id, latency, answer.GetInFlight())
+		return
+	}
+	r.balancer.Failed(id)
+}
+
+// judge decides what follows an attempt. Work that is not idempotent is sent
+// again only when the last attempt certainly ran none of it.
+func (r *Router) judge(target assigner.Member, a *attempt) verdict {
+	a.hint = ""
+	switch a.last.GetOutcome() {
+	case wirepb.Outcome_OUTCOME_ANSWERED:
+		return verdictReturn
+	case wirepb.Outcome_OUTCOME_NOT_RUN:
+		return r.judgeRefusal(target, a)
+	default:
+		if a.req.GetIdempotent() && a.last.GetReason() == wirepb.Reason_REASON_LOST_CONNECTION && r.budget.Spend() {
+			return verdictWait
+		}
+		return verdictReturn
+	}
+}
+
+func (r *Router) judgeRefusal(target assigner.Member, a *attempt) verdict {
+	switch a.last.GetReason() {
+	case wirepb.Reason_REASON_NOT_OWNER:
+		hint := assigner.NodeID(a.last.GetOwnerHint())
+		if hint != "" && hint != target.ID() && len(a.tried) == 0 {
+			a.hint = hint
+			a.tried = append(a.tried, target.ID())
+			return verdictAgain
+		}
+		a.tried = nil
+		return verdictWait
+	case wirepb.Reason_REASON_OVERLOADED:
+		a.overloads++
+		a.tried = append(a.tried, target.ID())
+		if a.req.GetKeyed() || a.overloads >= overloadTries {
+			return verdictReturn
+		}
+		return verdictAgain
+	case wirepb.Reason_REASON_DRAINING, wirepb.Reason_REASON_NO_SERVER, wirepb.Reason_REASON_LOST_CONNECTION:
+		if !a.req.GetKeyed() && len(a.tried) < overloadTries {
+			a.tried = append(a.tried, target.ID())
+			return verdictAgain
+		}
+		a.tried = nil
+		return verdictWait
+	default:
+		return verdictReturn
+	}
+}
+
+// target returns the node to send a request to.
+func (r *Router) target(view *keeper.View, a *attempt) (assigner.Member, bool) {
+	t := view.Table()
+	if t == nil {
+		return assigner.Member{}, false
+	}
+	if !a.req.GetKeyed() {
+		return r.balancer.Pick(candidates(view, a.req.GetPool()), a.tried)
+	}
+	if a.hint != "" {
+		return t.Member(a.hint)
+	}
+	s, ok := view.Slice(a.req.GetPool(), a.req.GetKeyHash())
+	if !ok || s.Owner() == "" {
+		return assigner.Member{}, false
+	}
+	return t.Member(s.Owner())
+}
+
+// candidates returns the members that may serve a shared pool.
+func candidates(view *keeper.View, pool string) []assigner.Member {
+	members := view.Table().Members()
+	out := make([]assigner.Member, 0, len(members))
+	for _, m := range members {
+		if m.Server().Pool() == pool && view.Eligible(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (r *Router) send(ctx context.Context, view *keeper.View, target assigner.Member, req *wirepb.Request) *wirepb.Answer {
+	if target.ID() == view.Self() {
+		return r.local.Serve(ctx, req)
+	}
+	link, err := r.link(ctx, target.Address())
+	if err != nil {
+		return notRun(req, wirepb.Reason_REASON_LOST_CONNECTION)
+	}
+	answer, err := link.Call(ctx, req)
+	switch {
+	case err == nil:
+		return answer
+	case errors.Is(err, messenger.ErrLinkClosed):
+		return notRun(req, wirepb.Reason_REASON_LOST_CONNECTION)
+	case errors.Is(err, messenger.ErrRingFull):
+		return notRun(req, wirepb.Reason_REASON_OVERLOADED)
+	case errors.Is(err, messenger.ErrLinkLost):
+		return &wirepb.Answer{Call: req.GetCall(), Reason: wirepb.Reason_REASON_LOST_CONNECTION}
+	default:
+		return &wirepb.Answer{Call: req.GetCall(), Reason: wirepb.Reason_REASON_DEADLINE}
+	}
+}
+
+func (r *Router) link(ctx context.Context, address string) (*messenger.Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	return r.links.Link(ctx, address)
+}
+
+func notRun(req *wirepb.Request, reason wirepb.Reason) *wirepb.Answer {
+	return &wirepb.Answer{Call: req.GetCall(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Reason: reason}
+}
--- /dev/null
+++ b/papayapass/internal/runner/runner.go
@@ -0,0 +1,238 @@
+// Package runner puts a node together, runs it and stops it.
+package runner
+
+import (
+	"context"
+	"net"
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/balancer"
+	"papayapass.dev/papayapass/internal/configurer"
+	"papayapass.dev/papayapass/internal/executor"
+	"papayapass.dev/papayapass/internal/holder"
+	"papayapass.dev/papayapass/internal/keeper"
+	"papayapass.dev/papayapass/internal/messenger"
+	"papayapass.dev/papayapass/internal/meter"
+	"papayapass.dev/papayapass/internal/receiver"
+	"papayapass.dev/papayapass/internal/reporter"
+	"papayapass.dev/papayapass/internal/responder"
+	"papayapass.dev/papayapass/internal/router"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
+	"papayapass.dev/papayapass/internal/wirepb"
+	"papayapass.dev/shared/storer"
+)
+
+// Times of the run.
+const (
+	serverCheck = 50 * time.Millisecond
+	drainCheck  = 50 * time.Millisecond
+	closeTime   = time.Second
+)
+
+// Node is a running papayapass process.
+type Node struct {
+	settings  *configurer.Settings
+	logger    zerolog.Logger
+	timers    *timer.Service
+	keeper    *keeper.Keeper
+	connector *messenger.Connector
+	executor  *executor.Executor
+	responder *responder.Responder
+	receiver  *receiver.Receiver
+	reporter  *reporter.Reporter
+	tracer    *tracer.Tracer
+	listeners listeners
+}
+
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	status  net.Listener
+}
+
+func listen(s *configurer.Settings) (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = net.Listen("tcp", s.Text(configurer.ListenCallers)); err != nil {
+		return l, errors.Wrap(err, configurer.ListenCallers)
+	}
+	if l.peers, err = net.Listen("tcp", s.Text(configurer.ListenPeers)); err != nil {
+		return l, errors.Wrap(err, configurer.ListenPeers)
+	}
+	if l.status, err = net.Listen("tcp", s.Text(configurer.ListenStatus)); err != nil {
+		return l, errors.Wrap(err, configurer.ListenStatus)
+	}
+	return l, nil
+}
+
+// NewLogger returns the log of a node.
+func NewLogger(s *configurer.Settings) zerolog.Logger {
+	level, err := zerolog.ParseLevel(s.Text(configurer.LogLevel))
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	logger := zerolog.New(os.Stderr)
+	if s.Text(configurer.LogFormat) == "console" {
+		logger = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr})
+	}
+	return logger.Level(level).With().Timestamp().Str("node", s.Text(configurer.NodeID)).Logger()
+}
+
+// Run runs a node until the context ends, and stops it gracefully then.
+func Run(ctx context.Context, s *configurer.Settings) error {
+	l, err := listen(s)
+	if err != nil {
+		return err
+	}
+	// The parts live longer than ctx: the end of ctx begins the graceful stop.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, life := errgroup.WithContext(life)
+	n, err := newNode(life, group, s, l)
+	if err != nil {
+		return err
+	}
+	n.start(life, group)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.stop(life)
+		case <-life.Done():
+		}
+		end()
+		n.close()
+		return nil
+	})
+	return group.Wait()
+}
+
+func newNode(ctx context.Context, group *errgroup.Group, s *configurer.Settings, l listeners) (*Node, error) {
+	incarnation := uint64(time.Now().UnixNano())
+	n := &Node{settings: s, logger: NewLogger(s), timers: timer.NewService(timer.BootClock{}), listeners: l}
+	self := holder.NewIdentity(
+		s.Text(configurer.CellName), assigner.NodeID(s.Text(configurer.NodeID)),
+		s.Text(configurer.ListenPeers), s.Text(configurer.ListenStatus), s.Text(configurer.NodeZone), incarnation,
+	)
+	platform := storer.NewClient(s.Text(configurer.PlatformAddress))
+	n.keeper = keeper.NewKeeper(self, s.List(configurer.CellSeeds), platform, platform, n.timers, n.logger)
+	hello := &wirepb.Hello{
+		Format: messenger.FormatVersion, Cell: self.Cell(), Node: string(self.ID()),
+		Incarnation: incarnation, Address: self.Address(), Zone: self.Zone(),
+	}
+	n.connector = messenger.NewConnector(ctx, group, hello, n.timers, n.receive)
+	n.keeper.Attach(n.connector)
+	var err error
+	n.tracer, err = tracer.NewTracer(ctx, s.Text(configurer.TraceEndpoint), s.Share(configurer.TraceShare), string(self.ID()))
+	if err != nil {
+		return nil, err
+	}
+	n.executor = executor.NewExecutor(n.keeper, n.timers, s.Duration(configurer.LimitQueueTime), incarnation)
+	n.responder = responder.NewResponder(ctx, n.executor, n.tracer)
+	choice := balancer.NewBalancer(n.timers, self.Zone(), incarnation)
+	route := router.NewRouter(n.keeper, n.executor, n.connector, choice, n.timers)
+	m := meter.NewMeter()
+	limits := receiver.NewLimits(s.Integer(configurer.LimitBody), s.Duration(configurer.LimitBodyTime), s.Integer(configurer.LimitConns))
+	n.receiver = receiver.NewReceiver(route, n.keeper, m, n.tracer, n.logger, incarnation, limits)
+	n.reporter = reporter.NewReporter(n.keeper, n.executor, n.connector, m, self.Zone(), s.Networks(configurer.AnnounceFrom))
+	n.addGauges(m)
+	return n, nil
+}
+
+func (n *Node) addGauges(m *meter.Meter) {
+	m.Gauge("papayapass_control_bytes", func() float64 { return float64(n.connector.ControlBytes()) })
+	m.Gauge("papayapass_running", func() float64 { return float64(n.executor.Running()) })
+	m.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
+	m.Gauge("papayapass_allowance", func() float64 {
+		u, _ := n.executor.Usage()
+		return float64(u.Limit())
+	})
+	m.Gauge("papayapass_configuration_version", func() float64 {
+		return float64(n.keeper.View().Configuration().GetVersion())
+	})
+}
+
+// receive takes the messages of all links.
+func (n *Node) receive(l *messenger.Link, m proto.Message) {
+	switch m := m.(type) {
+	case *wirepb.Request:
+		n.responder.Request(l, m)
+	case *wirepb.Cancel:
+		n.responder.Cancel(l, m.GetCall())
+	default:
+		n.keeper.Receive(l, m)
+	}
+}
+
+func (n *Node) start(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return n.timers.Run(ctx) })
+	group.Go(func() error { return n.keeper.Run(ctx) })
+	group.Go(func() error { return n.connector.Serve(n.listeners.peers) })
+	group.Go(func() error { return n.receiver.Serve(n.listeners.callers) })
+	group.Go(func() error { return n.reporter.Serve(n.listeners.status) })
+	group.Go(func() error { return n.watchServer(ctx) })
+	n.logger.Info().Str("callers", n.settings.Text(configurer.ListenCallers)).Msg("node runs")
+}
+
+// watchServer tells the keeper when the backend server has changed.
+func (n *Node) watchServer(ctx context.Context) error {
+	tick := n.timers.Subscribe(serverCheck)
+	defer tick.Stop()
+	var told assigner.Server
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C():
+		}
+		if s := n.executor.Server(); s != told {
+			told = s
+			n.keeper.SetServer(s)
+		}
+	}
+}
+
+// stop hands the slices over, and waits for the requests in progress.
+func (n *Node) stop(ctx context.Context) {
+	n.logger.Info().Msg("node stops")
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Duration(configurer.StopTimeout))
+	defer cancel()
+	n.executor.Leave()
+	n.keeper.Leave()
+	tick := n.timers.Subscribe(drainCheck)
+	defer tick.Stop()
+	for !n.keeper.Left() {
+		select {
+		case <-ctx.Done():
+			n.logger.Warn().Msg("stop timeout is over, slices are still owned")
+			return
+		case <-tick.C():
+		}
+	}
+	if err := n.receiver.Stop(ctx); err != nil {
+		n.logger.Warn().Err(err).Msg("stop of the callers' port")
+	}
+	for n.executor.Running() > 0 && ctx.Err() == nil {
+		<-tick.C()
+	}
+	if err := n.tracer.Stop(ctx); err != nil {
+		n.logger.Warn().Err(err).Msg("stop of the traces")
+	}
+}
+
+// close ends the servers.
+func (n *Node) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	_ = n.receiver.Stop(ctx)
+	_ = n.reporter.Stop(ctx)
+	_ = n.listeners.peers.Close()
+}
--- /dev/null
+++ b/papayapass/internal/timer/service.go
@@ -0,0 +1,76 @@
+package timer
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// Service wakes its subscribers at their intervals from one thread.
+type Service struct {
+	clock Clock
+	mu    sync.Mutex
+	queue subscriptions
+	kick  chan struct{}
+}
+
+// NewService returns a service on a clock. Run starts it.
+func NewService(clock Clock) *Service {
+	return &Service{clock: clock, kick: make(chan struct{}, 1)}
+}
+
+// Now returns the current instant of the service's clock.
+func (s *Service) Now() Instant { return s.clock.Now() }
+
+// Subscribe returns a subscription that fires every interval until stopped.
+func (s *Service) Subscribe(interval time.Duration) *Subscription {
+	sub := &Subscription{
+		c:        make(chan Instant, 1),
+		interval: interval,
+		due:      s.clock.Now().Add(interval),
+	}
+	s.mu.Lock()
+	heap.Push(&s.queue, sub)
+	s.mu.Unlock()
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+	return sub
+}
+
+// Run fires subscriptions until the context ends.
+func (s *Service) Run(ctx context.Context) error {
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.kick:
+		case <-wake.C:
+		}
+		wake.Reset(s.fire())
+	}
+}
+
+// fire wakes what is due and returns the time until the next is.
+func (s *Service) fire() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for len(s.queue) > 0 {
+		sub := s.queue[0]
+		if sub.stopped.Load() {
+			heap.Pop(&s.queue)
+			continue
+		}
+		if now.Before(sub.due) {
+			return sub.due.Sub(now)
+		}
+		sub.fire(now)
+		heap.Fix(&s.queue, 0)
+	}
+	return time.Hour
+}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,13 @@
+// Command standin runs stand-ins for what papayapass meets: the platform,
+// backend servers and callers.
+package main
+
+import (
+	"os"
+
+	"papayapass.dev/standin/internal/commander"
+)
+
+func main() {
+	os.Exit(commander.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/standin/internal/auditor/auditor.go
@@ -0,0 +1,111 @@
+package auditor
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+)
+
+// JournalPattern fits the journal files of a run's directory.
+const JournalPattern = "journal-*.jsonl"
+
+// Findings is what an audit found. Each count must be zero but Executions.
+type Findings struct {
+	Executions   int            `json:"executions"`
+	RanTwice     int            `json:"ranTwice"`
+	TwoOwners    int            `json:"twoOwners"`
+	FalseNotRun  int            `json:"falseNotRun"`
+	PerServer    map[string]int `json:"perServer"`
+	FirstExample string         `json:"firstExample"`
+}
+
+// Clean says whether nothing that must hold was broken.
+func (f Findings) Clean() bool { return f.RanTwice+f.TwoOwners+f.FalseNotRun == 0 }
+
+// ReadJournals reads all journals of a directory.
+func ReadJournals(dir string) ([]Execution, error) {
+	files, err := filepath.Glob(filepath.Join(dir, JournalPattern))
+	if err != nil {
+		return nil, err
+	}
+	var out []Execution
+	for _, name := range files {
+		list, err := readJournal(name)
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		out = append(out, list...)
+	}
+	return out, nil
+}
+
+func readJournal(name string) ([]Execution, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close() //nolint:errcheck // only read
+	var out []Execution
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		var e Execution
+		if err := json.Unmarshal(scanner.Bytes(), &e); err != nil {
+			continue // the last line of a killed process may be cut off
+		}
+		out = append(out, e)
+	}
+	return out, scanner.Err()
+}
+
+// Audit checks executions, and the nonces of requests whose callers were told
+// that they were not run.
+func Audit(executions []Execution, notRun []string) Findings {
+	f := Findings{Executions: len(executions), PerServer: make(map[string]int)}
+	sort.Slice(executions, func(i, j int) bool { return executions[i].StartNanos < executions[j].StartNanos })
+	ran := make(map[string]int, len(executions))
+	for _, e := range executions {
+		f.PerServer[e.Server]++
+		ran[e.Nonce]++
+		if !e.Idempotent && ran[e.Nonce] == 2 {
+			f.RanTwice++
+			f.example("ran twice: " + e.Nonce)
+		}
+	}
+	for _, nonce := range notRun {
+		if ran[nonce] > 0 {
+			f.FalseNotRun++
+			f.example("told not run, but ran: " + nonce)
+		}
+	}
+	f.auditOwners(executions)
+	return f
+}
+
+// auditOwners checks that the fencing tokens of a key never go back over time,
+// and that no token is used by two servers.
+func (f *Findings) auditOwners(executions []Execution) {
+	newest := make(map[string]Execution)
+	for _, e := range executions {
+		if !e.Keyed {
+			continue
+		}
+		last, ok := newest[e.Key]
+		switch {
+		case !ok || e.Token > last.Token:
+			newest[e.Key] = e
+		case e.Token < last.Token || e.Server != last.Server:
+			f.TwoOwners++
+			f.example("two owners of " + e.Key + ": " + last.Server + " and " + e.Server)
+		}
+	}
+}
+
+func (f *Findings) example(text string) {
+	if f.FirstExample == "" {
+		f.FirstExample = text
+	}
+}
--- /dev/null
+++ b/standin/internal/commander/commander.go
@@ -0,0 +1,114 @@
+// Package commander is the command line of the stand-ins.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"papayapass.dev/standin/internal/orchestrator"
+	"papayapass.dev/standin/internal/storekeeper"
+	"papayapass.dev/standin/internal/worker"
+)
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	root := &cobra.Command{Use: "standin", Short: "Stand-ins for the platform, backend servers and callers", SilenceUsage: true}
+	root.AddCommand(newPlatformCommand(), newBackendCommand(), newDemoCommand())
+	root.SetArgs(args)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root.ExecuteContext(ctx); err != nil {
+		return 1
+	}
+	return 0
+}
+
+func newPlatformCommand() *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Serve the platform's object API from memory",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			listener, err := net.Listen("tcp", listen)
+			if err != nil {
+				return err
+			}
+			s := storekeeper.NewStorekeeper()
+			context.AfterFunc(cmd.Context(), func() { _ = listener.Close() })
+			return s.Serve(listener)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7000", "address to listen on")
+	return cmd
+}
+
+func newBackendCommand() *cobra.Command {
+	var s worker.Settings
+	cmd := &cobra.Command{
+		Use:   "backend",
+		Short: "Run a backend server",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			w, err := worker.NewWorker(s)
+			if err != nil {
+				return err
+			}
+			return w.Run(cmd.Context())
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&s.Name, "name", "backend-1", "name in journals")
+	f.StringVar(&s.Pool, "pool", "pool", "pool")
+	f.StringVar(&s.Zone, "zone", "zone", "availability zone")
+	f.StringVar(&s.Listen, "listen", "127.0.0.1:7004", "address to listen on")
+	f.StringVar(&s.Announce, "announce", "127.0.0.1:7003", "status address of the node beside it")
+	f.IntVar(&s.Slots, "slots", 20, "requests at once")
+	f.IntVar(&s.Connections, "connections", 100, "connections at once")
+	f.BoolVar(&s.Divided, "divided", true, "each key has one owner")
+	f.BoolVar(&s.ChecksTokens, "checks-tokens", true, "refuse older fencing tokens")
+	f.BoolVar(&s.Cold, "cold", false, "start cold")
+	f.DurationVar(&s.ServiceTime, "service-time", 5*time.Millisecond, "mean time of a request")
+	f.StringVar(&s.Journal, "journal", os.DevNull, "file for executions")
+	f.Uint64Var(&s.Seed, "seed", 1, "seed of the service times")
+	return cmd
+}
+
+func newDemoCommand() *cobra.Command {
+	var site, programs, dir string
+	var length time.Duration
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a site on loopback under load while a zone leaves and an instance is lost",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := orchestrator.FindSite(site)
+			if err != nil {
+				return err
+			}
+			p := orchestrator.Programs{Papayapass: filepath.Join(programs, "papayapass"), Standin: filepath.Join(programs, "standin")}
+			outcome, err := orchestrator.Run(cmd.Context(), os.Stdout, s, p, dir, length, orchestrator.DemoSteps(s))
+			if err != nil {
+				return err
+			}
+			if err := outcome.Print(os.Stdout); err != nil {
+				return err
+			}
+			fmt.Println("all promises kept")
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&site, "site", "luzon", "luzon or nordeste")
+	cmd.Flags().StringVar(&programs, "programs", "bin", "directory of the two programs")
+	cmd.Flags().StringVar(&dir, "out", "out/demo", "directory for logs and journals; it is emptied first")
+	cmd.Flags().DurationVar(&length, "length", 28*time.Second, "length of the load")
+	return cmd
+}
--- /dev/null
+++ b/standin/internal/loader/loader.go
@@ -0,0 +1,160 @@
+package loader
+
+import (
+	"context"
+	"hash/crc32"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"papayapass.dev/shared/announcer"
+	"papayapass.dev/standin/internal/worker"
+)
+
+// Limits of a run.
+const (
+	maxInFlight    = 4000
+	requestTimeout = 8 * time.Second
+	connectTimeout = 500 * time.Millisecond
+	maxConnections = 2000
+)
+
+// Settings describe a run.
+type Settings struct {
+	// Nodes are the callers' addresses of the nodes.
+	Nodes []string
+	// Kinds is the mix of requests.
+	Kinds []Kind
+	// Rate is the requests a second.
+	Rate float64
+	// Duration is the length of the run.
+	Duration time.Duration
+	// Keys is the number of keys of each group.
+	Keys int
+	// ShiftEvery moves the hot keys on at this interval; zero never does.
+	ShiftEvery time.Duration
+	// Seed fixes the sequence of requests.
+	Seed uint64
+	// Name goes before the nonces, so that runs can be told apart.
+	Name string
+}
+
+// Loader sends the load of a run.
+type Loader struct {
+	settings Settings
+	client   *fasthttp.Client
+	turn     atomic.Uint64
+	report   *Report
+	work     sync.WaitGroup
+	inFlight atomic.Int64
+}
+
+// NewLoader returns a loader.
+func NewLoader(s Settings) *Loader {
+	return &Loader{
+		settings: s,
+		report:   newReport(s.Kinds),
+		client: &fasthttp.Client{
+			MaxConnsPerHost:           maxConnections,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			Dial:                      func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, connectTimeout) },
+			DisablePathNormalizing:    true,
+		},
+	}
+}
+
+// Run sends requests at the rate, whether or not earlier ones have been
+// answered, and returns what became of them.
+func (l *Loader) Run(ctx context.Context) *Report {
+	d := newDrawer(l.settings.Kinds, l.settings.Keys, l.settings.Seed, l.settings.Name+"-")
+	started := time.Now()
+	due := started
+	shift := 0
+	for ctx.Err() == nil && due.Sub(started) < l.settings.Duration {
+		if l.settings.ShiftEvery > 0 {
+			shift = int(due.Sub(started)/l.settings.ShiftEvery) * l.settings.Keys / 3 //nolint:mnd // a third of the ranks
+		}
+		o := d.next(shift)
+		due = due.Add(time.Duration(o.wait / l.settings.Rate * float64(time.Second)))
+		time.Sleep(time.Until(due))
+		l.start(o, due)
+	}
+	l.work.Wait()
+	l.report.finish()
+	return l.report
+}
+
+func (l *Loader) start(o order, due time.Time) {
+	if l.inFlight.Load() >= maxInFlight {
+		l.report.mu.Lock()
+		l.report.Skipped++
+		l.report.mu.Unlock()
+		return
+	}
+	l.inFlight.Add(1)
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		defer l.inFlight.Add(-1)
+		res := l.send(o)
+		res.latency = time.Since(due)
+		l.report.take(res)
+	}()
+}
+
+// send sends a request to one node after the other until one takes it. A node
+// that takes no connection has seen nothing of the request.
+func (l *Loader) send(o order) result {
+	var res result
+	for range l.settings.Nodes {
+		node := l.settings.Nodes[l.turn.Add(1)%uint64(len(l.settings.Nodes))]
+		var connected bool
+		if res, connected = l.sendTo(node, o); connected {
+			return res
+		}
+	}
+	return res
+}
+
+func (l *Loader) sendTo(node string, o order) (result, bool) {
+	k := l.settings.Kinds[o.kind]
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + node + k.prefix + o.key + k.suffix)
+	req.Header.SetMethod(k.method)
+	req.Header.Set(worker.HeaderNonce, o.nonce)
+	req.Header.Set(worker.HeaderKey, o.key)
+	req.Header.Set(announcer.HeaderAccount, "office-"+o.caller[:1])
+	req.Header.Set(announcer.HeaderCaller, o.caller)
+	if err := l.client.DoTimeout(req, resp, requestTimeout); err != nil {
+		var op *net.OpError
+		refused := errors.As(err, &op) && op.Op == "dial"
+		return result{order: o, outcome: "failed", reason: "caller: " + err.Error()}, !refused
+	}
+	res := result{
+		order:   o,
+		outcome: string(resp.Header.Peek(announcer.HeaderOutcome)),
+		reason:  string(resp.Header.Peek(announcer.HeaderReason)),
+	}
+	if res.outcome == "answered" {
+		res.wrong, res.short = check(o, resp)
+	}
+	return res, true
+}
+
+// check compares an answer with its request and its checksum.
+func check(o order, resp *fasthttp.Response) (wrong, short bool) {
+	body := string(resp.Body())
+	sum := strconv.FormatUint(uint64(crc32.ChecksumIEEE(resp.Body())), 16)
+	short = resp.StatusCode() == fasthttp.StatusOK && sum != string(resp.Header.Peek(worker.HeaderSum))
+	wrong = !strings.HasPrefix(body, o.nonce+" "+o.key+" ")
+	return wrong, short
+}
--- /dev/null
+++ b/standin/internal/loader/report.go
@@ -0,0 +1,163 @@
+package loader
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	maxLatency     = time.Minute
+	histogramScale = 3
+	// gapKeys is the number of keys whose unavailable time is measured.
+	gapKeys = 64
+)
+
+// Percentiles is the latency of answered requests.
+type Percentiles struct {
+	P50Millis  float64 `json:"p50Millis"`
+	P99Millis  float64 `json:"p99Millis"`
+	P999Millis float64 `json:"p999Millis"`
+	MaxMillis  float64 `json:"maxMillis"`
+}
+
+// KindReport is what became of the requests of one kind.
+type KindReport struct {
+	Kind        string         `json:"kind"`
+	Sent        int            `json:"sent"`
+	Answered    int            `json:"answered"`
+	NotRun      int            `json:"notRun"`
+	Unknown     int            `json:"unknown"`
+	Failed      int            `json:"failed"`
+	Reasons     map[string]int `json:"reasons"`
+	Percentiles Percentiles    `json:"percentiles"`
+	histogram   *hdrhistogram.Histogram
+}
+
+// Report is what became of a run.
+type Report struct {
+	Kinds          []*KindReport `json:"kinds"`
+	Wrong          int           `json:"wrong"`
+	Short          int           `json:"short"`
+	Skipped        int           `json:"skipped"`
+	GapP50Millis   float64       `json:"gapP50Millis"`
+	GapMaxMillis   float64       `json:"gapMaxMillis"`
+	NotRunNonces   []string      `json:"-"`
+	mu             sync.Mutex
+	lastAnswered   map[string]time.Time
+	gaps           map[string]time.Duration
+	overall        *hdrhistogram.Histogram
+	OverallLatency Percentiles `json:"overallLatency"`
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), histogramScale)
+}
+
+func newReport(kinds []Kind) *Report {
+	r := &Report{
+		lastAnswered: make(map[string]time.Time), gaps: make(map[string]time.Duration), overall: newHistogram(),
+	}
+	for _, k := range kinds {
+		r.Kinds = append(r.Kinds, &KindReport{Kind: k.name, Reasons: make(map[string]int), histogram: newHistogram()})
+	}
+	return r
+}
+
+// result is the end of one request.
+type result struct {
+	order   order
+	outcome string
+	reason  string
+	wrong   bool
+	short   bool
+	latency time.Duration
+}
+
+// take notes the end of a request.
+func (r *Report) take(res result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.Kinds[res.order.kind]
+	k.Sent++
+	if res.wrong {
+		r.Wrong++
+	}
+	if res.short {
+		r.Short++
+	}
+	switch res.outcome {
+	case "answered":
+		k.Answered++
+		_ = k.histogram.RecordValue(min(res.latency, maxLatency).Microseconds())
+		_ = r.overall.RecordValue(min(res.latency, maxLatency).Microseconds())
+		r.noteAnswered(res.order.key)
+	case "not-run":
+		k.NotRun++
+		k.Reasons[res.reason]++
+		r.NotRunNonces = append(r.NotRunNonces, res.order.nonce)
+	case "unknown":
+		k.Unknown++
+		k.Reasons[res.reason]++
+	default:
+		k.Failed++
+		k.Reasons[res.reason]++
+	}
+}
+
+// noteAnswered measures the longest time between two answers of a key.
+func (r *Report) noteAnswered(key string) {
+	now := time.Now()
+	last, ok := r.lastAnswered[key]
+	if !ok && len(r.lastAnswered) >= gapKeys {
+		return
+	}
+	r.lastAnswered[key] = now
+	if ok {
+		r.gaps[key] = max(r.gaps[key], now.Sub(last))
+	}
+}
+
+func (r *Report) finish() {
+	for _, k := range r.Kinds {
+		k.Percentiles = percentiles(k.histogram)
+	}
+	r.OverallLatency = percentiles(r.overall)
+	gaps := make([]time.Duration, 0, len(r.gaps))
+	for _, g := range r.gaps {
+		gaps = append(gaps, g)
+	}
+	sort.Slice(gaps, func(i, j int) bool { return gaps[i] < gaps[j] })
+	if len(gaps) > 0 {
+		r.GapP50Millis = millis(gaps[len(gaps)/2].Microseconds())
+		r.GapMaxMillis = millis(gaps[len(gaps)-1].Microseconds())
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	return Percentiles{
+		P50Millis:  millis(h.ValueAtQuantile(50)),   //nolint:mnd // a percentile
+		P99Millis:  millis(h.ValueAtQuantile(99)),   //nolint:mnd // a percentile
+		P999Millis: millis(h.ValueAtQuantile(99.9)), //nolint:mnd // a percentile
+		MaxMillis:  millis(h.Max()),
+	}
+}
+
+const microsPerMilli = 1000.0
+
+func millis(micros int64) float64 { return float64(micros) / microsPerMilli }
+
+// Totals returns the sums over all kinds.
+func (r *Report) Totals() KindReport {
+	t := KindReport{Kind: "all", Reasons: make(map[string]int), Percentiles: r.OverallLatency}
+	for _, k := range r.Kinds {
+		t.Sent += k.Sent
+		t.Answered += k.Answered
+		t.NotRun += k.NotRun
+		t.Unknown += k.Unknown
+		t.Failed += k.Failed
+	}
+	return t
+}
--- /dev/null
+++ b/standin/internal/loader/workload.go
@@ -0,0 +1,103 @@
+// Package loader is a stand-in for callers: it sends a bounded load and checks
+// that each answer is its own and whole.
+package loader
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+)
+
+// Kind is one sort of request in a workload.
+type Kind struct {
+	name   string
+	weight float64
+	method string
+	prefix string
+	suffix string
+	group  string
+}
+
+// NewKind returns a kind. Its path is prefix, key and suffix; kinds of one group
+// share their keys.
+func NewKind(name string, weight float64, method, prefix, suffix, group string) Kind {
+	return Kind{name: name, weight: weight, method: method, prefix: prefix, suffix: suffix, group: group}
+}
+
+// Name returns the name in reports.
+func (k Kind) Name() string { return k.name }
+
+// keyMix draws keys whose popularity falls with their rank (Zipf, exponent 1).
+// Which keys are hot moves on by shifting the ranks.
+type keyMix struct {
+	cumulative []float64
+	random     *rand.Rand
+}
+
+func newKeyMix(keys int, random *rand.Rand) *keyMix {
+	m := &keyMix{cumulative: make([]float64, keys), random: random}
+	total := 0.0
+	for i := range keys {
+		total += 1 / float64(i+1)
+		m.cumulative[i] = total
+	}
+	return m
+}
+
+// draw returns a key's number for a shift of the ranks.
+func (m *keyMix) draw(shift int) int {
+	point := m.random.Float64() * m.cumulative[len(m.cumulative)-1]
+	rank := sort.SearchFloat64s(m.cumulative, point)
+	return (min(rank, len(m.cumulative)-1) + shift) % len(m.cumulative)
+}
+
+// order is one request to send.
+type order struct {
+	kind   int
+	key    string
+	nonce  string
+	caller string
+	wait   float64
+}
+
+// drawer makes the sequence of requests of a run from its seed.
+type drawer struct {
+	kinds  []Kind
+	keys   *keyMix
+	random *rand.Rand
+	total  float64
+	prefix string
+	sent   int
+}
+
+func newDrawer(kinds []Kind, keys int, seed uint64, prefix string) *drawer {
+	random := rand.New(rand.NewPCG(seed, seed+1))
+	d := &drawer{kinds: kinds, keys: newKeyMix(keys, random), random: random, prefix: prefix}
+	for _, k := range kinds {
+		d.total += k.weight
+	}
+	return d
+}
+
+const (
+	callersPerOffice = 40
+	offices          = 5
+)
+
+// next draws a request; wait is its distance from the one before, in units of
+// the mean distance.
+func (d *drawer) next(shift int) order {
+	d.sent++
+	kind := 0
+	for point := d.random.Float64() * d.total; kind < len(d.kinds)-1 && point >= d.kinds[kind].weight; kind++ {
+		point -= d.kinds[kind].weight
+	}
+	return order{
+		kind:   kind,
+		key:    d.kinds[kind].group + "-" + strconv.Itoa(d.keys.draw(shift)),
+		nonce:  d.prefix + strconv.Itoa(d.sent),
+		caller: strconv.Itoa(d.random.IntN(callersPerOffice * offices)),
+		wait:   -math.Log(1 - d.random.Float64()),
+	}
+}
--- /dev/null
+++ b/standin/internal/orchestrator/demo.go
@@ -0,0 +1,130 @@
+package orchestrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"papayapass.dev/standin/internal/auditor"
+	"papayapass.dev/standin/internal/loader"
+)
+
+// Step is something that happens at a moment of a run.
+type Step struct {
+	at     time.Duration
+	name   string
+	action func(ctx context.Context, c *Cluster) error
+}
+
+// Outcome is the result of a run.
+type Outcome struct {
+	report   *loader.Report
+	findings auditor.Findings
+}
+
+const (
+	demoKeys = 2000
+	demoSeed = 1
+)
+
+// Run starts a site, sends its load while the steps happen, stops it and checks
+// the journals.
+func Run(ctx context.Context, out io.Writer, site Site, programs Programs, dir string, length time.Duration, steps []Step) (Outcome, error) {
+	c, err := NewCluster(site, programs, dir)
+	if err != nil {
+		return Outcome{}, err
+	}
+	defer c.Stop()
+	begun := time.Now()
+	if err := c.Start(ctx); err != nil {
+		return Outcome{}, errors.Wrapf(err, "start site %s, logs are in %s", site.name, dir)
+	}
+	fmt.Fprintf(out, "site %s: %d nodes, %d backend servers, ready after %.1f s\n",
+		site.name, len(c.instances), len(c.instances), time.Since(begun).Seconds())
+	l := loader.NewLoader(loader.Settings{
+		Nodes: c.callerAddresses(), Kinds: site.kinds, Rate: site.rate, Duration: length,
+		Keys: demoKeys, Seed: demoSeed, Name: site.name,
+	})
+	stepsDone := make(chan error, 1)
+	go func() { stepsDone <- c.play(ctx, out, steps) }()
+	report := l.Run(ctx)
+	if err := <-stepsDone; err != nil {
+		return Outcome{}, err
+	}
+	c.Stop()
+	executions, err := auditor.ReadJournals(dir)
+	if err != nil {
+		return Outcome{}, err
+	}
+	return Outcome{report: report, findings: auditor.Audit(executions, report.NotRunNonces)}, nil
+}
+
+func (c *Cluster) play(ctx context.Context, out io.Writer, steps []Step) error {
+	begun := time.Now()
+	for _, s := range steps {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(s.at - time.Since(begun)):
+		}
+		fmt.Fprintf(out, "%5.1f s  %s\n", time.Since(begun).Seconds(), s.name)
+		if err := s.action(ctx, c); err != nil {
+			return errors.Wrap(err, s.name)
+		}
+	}
+	return nil
+}
+
+// DemoSteps returns what happens in the demo: a zone leaves and returns, and an
+// instance is lost and replaced.
+func DemoSteps(site Site) []Step {
+	zone := site.zones[1]
+	return []Step{
+		{at: 5 * time.Second, name: "operators take zone " + zone + " out", action: func(ctx context.Context, c *Cluster) error {
+			return c.Operate(ctx, "zone", "out", zone, "--wait")
+		}},
+		{at: 11 * time.Second, name: "operators take zone " + zone + " back in", action: func(ctx context.Context, c *Cluster) error {
+			return c.Operate(ctx, "zone", "in", zone, "--wait")
+		}},
+		{at: 16 * time.Second, name: "an instance is lost: node and backend server killed", action: func(_ context.Context, c *Cluster) error {
+			c.instances[2].node.kill()
+			c.instances[2].backend.kill()
+			return nil
+		}},
+		{at: 21 * time.Second, name: "the instance is replaced, its backend server is cold", action: func(_ context.Context, c *Cluster) error {
+			return c.startMember(c.instances[2], true)
+		}},
+	}
+}
+
+// Print writes the table of a run and returns an error when something that must
+// always hold was broken.
+func (o Outcome) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "requests\tsent\tanswered\tnot run\tunknown\tfailed\tp50 ms\tp99 ms\tp99.9 ms\t")
+	total := o.report.Totals()
+	for _, k := range append(o.report.Kinds, &total) {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", k.Kind, k.Sent, k.Answered, k.NotRun, k.Unknown, k.Failed,
+			k.Percentiles.P50Millis, k.Percentiles.P99Millis, k.Percentiles.P999Millis)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, k := range o.report.Kinds {
+		for reason, n := range k.Reasons {
+			fmt.Fprintf(out, "  %s: %d x %s\n", k.Kind, n, reason)
+		}
+	}
+	fmt.Fprintf(out, "longest time without an answer, of the keys watched: median %.0f ms, largest %.0f ms\n",
+		o.report.GapP50Millis, o.report.GapMaxMillis)
+	fmt.Fprintf(out, "executions %d, wrong answers %d, short answers %d, run twice %d, two owners %d, false \"not run\" %d\n",
+		o.findings.Executions, o.report.Wrong, o.report.Short, o.findings.RanTwice, o.findings.TwoOwners, o.findings.FalseNotRun)
+	if !o.findings.Clean() || o.report.Wrong+o.report.Short > 0 {
+		return errors.Newf("a promise broke: %s", o.findings.FirstExample)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/internal/worker/worker.go
@@ -0,0 +1,282 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"hash/crc32"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"papayapass.dev/shared/announcer"
+	"papayapass.dev/standin/internal/auditor"
+)
+
+// Paths and headers of the stand-in.
+const (
+	ControlPath = "/standin/control"
+	ReportPath  = "/standin/report"
+	// HeaderNonce names a request; the answer repeats it.
+	HeaderNonce = "Standin-Nonce"
+	// HeaderKey carries the key that the answer must be for.
+	HeaderKey = "Standin-Key"
+	// HeaderSum carries the checksum of the answer's body.
+	HeaderSum = "Standin-Sum"
+)
+
+const (
+	connectTime      = time.Millisecond
+	announceInterval = 250 * time.Millisecond
+	announceTimeout  = 200 * time.Millisecond
+	slowTail         = 3.0
+	bodyBytes        = 512
+)
+
+// Worker is a running backend server.
+type Worker struct {
+	settings Settings
+	server   *fasthttp.Server
+	warmth   *warmth
+	journal  *os.File
+	instance uint64
+	started  time.Time
+	mu       sync.Mutex
+	random   *rand.Rand
+	control  Control
+	tokens   map[string]uint64
+	counts   map[string]int
+	cancels  sync.Map
+	draining atomic.Bool
+}
+
+// NewWorker returns a backend server.
+func NewWorker(s Settings) (*Worker, error) {
+	journal, err := os.OpenFile(s.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open journal")
+	}
+	w := &Worker{
+		settings: s, warmth: newWarmth(s.Slots, s.Cold), journal: journal,
+		instance: uint64(time.Now().UnixNano()), started: time.Now(),
+		random: rand.New(rand.NewPCG(s.Seed, s.Seed)),
+		tokens: make(map[string]uint64), counts: make(map[string]int),
+	}
+	w.server = &fasthttp.Server{Handler: w.handle, Concurrency: s.Connections}
+	return w, nil
+}
+
+// Run serves and announces until the context ends.
+func (w *Worker) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", w.settings.Listen)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- w.server.Serve(slowListener{Listener: listener}) }()
+	tick := time.NewTicker(announceInterval)
+	defer tick.Stop()
+	w.announce()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-tick.C:
+			w.announce()
+		case <-ctx.Done():
+			return w.stop()
+		}
+	}
+}
+
+// stopTime bounds the wait for requests in progress at the stop.
+const stopTime = 5 * time.Second
+
+func (w *Worker) stop() error {
+	w.draining.Store(true)
+	w.announce()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	return w.server.ShutdownWithContext(ctx)
+}
+
+// slowListener makes each new connection cost its time.
+type slowListener struct {
+	net.Listener
+}
+
+// Accept returns the next connection.
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{Conn: conn}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	used bool
+}
+
+// Read reads from the connection; the first time takes longer.
+func (c *slowConn) Read(p []byte) (int, error) {
+	if !c.used {
+		c.used = true
+		time.Sleep(connectTime)
+	}
+	return c.Conn.Read(p)
+}
+
+func (w *Worker) announce() {
+	w.mu.Lock()
+	control := w.control
+	w.mu.Unlock()
+	if control.Silent {
+		return
+	}
+	a := announcer.Announcement{
+		Pool: w.settings.Pool, Address: w.settings.Listen, Zone: w.settings.Zone,
+		Slots: w.settings.Slots, Connections: w.settings.Connections,
+		Divided: w.settings.Divided, ChecksTokens: w.settings.ChecksTokens,
+		Cold: w.settings.Cold, Draining: control.Drain || w.draining.Load(), Instance: w.instance,
+	}
+	body, err := a.Encode()
+	if err != nil {
+		return
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + w.settings.Announce + announcer.AnnouncePath)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBody(body)
+	_ = fasthttp.DoTimeout(req, resp, announceTimeout) // the next one follows soon
+}
+
+func (w *Worker) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == ControlPath:
+		w.handleControl(ctx)
+	case path == ReportPath:
+		body, _ := json.Marshal(w.warmth.report())
+		ctx.SetBody(body)
+	case strings.HasPrefix(path, announcer.CancelPath):
+		if cancel, ok := w.cancels.Load(strings.TrimPrefix(path, announcer.CancelPath)); ok {
+			cancel.(context.CancelFunc)()
+		}
+	default:
+		w.serve(ctx)
+	}
+}
+
+func (w *Worker) handleControl(ctx *fasthttp.RequestCtx) {
+	var c Control
+	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if c.Chill {
+		w.warmth.chill()
+	}
+	w.mu.Lock()
+	w.control = c
+	w.mu.Unlock()
+}
+
+func (w *Worker) serve(ctx *fasthttp.RequestCtx) {
+	switch w.warmth.enter() {
+	case shed:
+		w.refuse(ctx, announcer.NotRunShed)
+		return
+	case fallen:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(conn net.Conn) { _ = conn.Close() })
+		return
+	case admitted:
+	}
+	defer w.warmth.leave()
+	if w.fenced(ctx) {
+		w.refuse(ctx, announcer.NotRunFenced)
+		return
+	}
+	w.run(ctx)
+}
+
+func (w *Worker) refuse(ctx *fasthttp.RequestCtx, reason string) {
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(announcer.HeaderNotRun, reason)
+}
+
+// fenced says whether a request carries an older fencing token than one seen.
+func (w *Worker) fenced(ctx *fasthttp.RequestCtx) bool {
+	if !w.settings.ChecksTokens || !w.settings.Divided {
+		return false
+	}
+	token := tokenOf(ctx)
+	key := string(ctx.Request.Header.Peek(HeaderKey))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if token < w.tokens[key] {
+		return true
+	}
+	w.tokens[key] = token
+	return false
+}
+
+func tokenOf(ctx *fasthttp.RequestCtx) uint64 {
+	token, err := strconv.ParseUint(string(ctx.Request.Header.Peek(announcer.HeaderToken)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return token
+}
+
+func (w *Worker) run(ctx *fasthttp.RequestCtx) {
+	key := string(ctx.Request.Header.Peek(HeaderKey))
+	nonce := string(ctx.Request.Header.Peek(HeaderNonce))
+	call := string(ctx.Request.Header.Peek(announcer.HeaderCall))
+	w.note(auditor.Execution{
+		Server: w.settings.Name, Call: call, Nonce: nonce, Key: key,
+		Slice: string(ctx.Request.Header.Peek(announcer.HeaderSlice)), Token: tokenOf(ctx),
+		Idempotent: ctx.IsGet(), Keyed: w.settings.Divided, StartNanos: time.Now().UnixNano(),
+	})
+	duration, count := w.draw(key)
+	working, cancel := context.WithTimeout(context.Background(), duration)
+	w.cancels.Store(call, cancel)
+	<-working.Done()
+	w.cancels.Delete(call)
+	cancel()
+	body := nonce + " " + key + " " + w.settings.Name + " " + strconv.Itoa(count) + "\n"
+	body += strings.Repeat(".", max(0, bodyBytes-len(body)))
+	ctx.Response.Header.Set(HeaderSum, strconv.FormatUint(uint64(crc32.ChecksumIEEE([]byte(body))), 16))
+	ctx.SetBodyString(body)
+}
+
+// draw returns the duration of a request and the count of its key's requests.
+func (w *Worker) draw(key string) (time.Duration, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.counts[key]++
+	factor := min(slowTail, w.random.ExpFloat64()/2+0.5) //nolint:mnd // mean one
+	if w.control.Slow > 0 {
+		factor *= w.control.Slow
+	}
+	return time.Duration(factor * float64(w.settings.ServiceTime)), w.counts[key]
+}
+
+func (w *Worker) note(e auditor.Execution) {
+	line, err := json.Marshal(e)
+	if err != nil {
+		return
+	}
+	_, _ = w.journal.Write(append(line, '\n')) // a failed audit shows it
+}
