Answer unknown when an earlier try may have run

Cause: the demo's audit found a request that was told "not run" and had run: a GET whose first try was lost with its server was sent again and then refused for overload, and the refusal of the last try was passed on as one of the request.

Change: a refusal after a try that may have run ends as unknown. The allowance compares the recent mean latency with the usual one instead of each latency with a low percentile, which cut the limit by half on a regular tail. A node without a configuration lets requests wait and says so.

--- a/papayapass/internal/limiter/allowance.go
+++ b/papayapass/internal/limiter/allowance.go
@@ -30,10 +30,10 @@
 	raiseInterval    = 250 * time.Millisecond
 	cutInterval      = 100 * time.Millisecond
 	cutDivisor       = 2
-	slowFactor       = 4
+	slowFactor       = 2
 	slowCut          = 0.8
-	baselineGain     = 1.0 / 16
-	baselineSlowGain = 1.0 / 512
+	recentGain       = 1.0 / 16
+	usualGain        = 1.0 / 256
 	coldFailures     = 3
 )
 
@@ -46,7 +46,8 @@
 	warm      bool
 	successes int
 	failures  int
-	baseline  time.Duration
+	recent    time.Duration
+	usual     time.Duration
 	raised    timer.Instant
 	cut       timer.Instant
 }
@@ -105,9 +106,8 @@
 }
 
 func (a *Allowance) observeLatency(latency time.Duration, used int, now timer.Instant) {
-	slow := a.baseline > 0 && latency > slowFactor*a.baseline
 	a.learn(latency)
-	if slow && now.Sub(a.cut) >= cutInterval && a.limit > float64(a.slots/cutDivisor) {
+	if a.recent > slowFactor*a.usual && now.Sub(a.cut) >= cutInterval && a.limit > float64(a.slots/cutDivisor) {
 		a.cut = now
 		a.limit = max(1, a.limit*slowCut)
 		a.successes = 0
@@ -138,16 +138,12 @@
 	}
 }
 
-// learn follows the usual latency: down fast, up slowly, so that a server that
-// slows down is measured against its better days.
+// learn follows the recent latency and the usual one.
 func (a *Allowance) learn(latency time.Duration) {
-	if a.baseline == 0 {
-		a.baseline = latency
+	if a.usual == 0 {
+		a.usual, a.recent = latency, latency
 		return
 	}
-	gain := baselineSlowGain
-	if latency < a.baseline {
-		gain = baselineGain
-	}
-	a.baseline += time.Duration(gain * float64(latency-a.baseline))
+	a.recent += time.Duration(recentGain * float64(latency-a.recent))
+	a.usual += time.Duration(usualGain * float64(latency-a.usual))
 }
--- a/papayapass/internal/limiter/queue.go
+++ b/papayapass/internal/limiter/queue.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/wirepb"
 )
 
@@ -18,7 +17,6 @@
 type Waiter struct {
 	class    wirepb.Class
 	caller   string
-	deadline timer.Instant
 	admitted chan error
 }
 
--- a/papayapass/internal/receiver/receiver.go
+++ b/papayapass/internal/receiver/receiver.go
@@ -26,6 +26,9 @@
 // idleTimeout is how long an idle connection of a caller stays open.
 const idleTimeout = time.Minute
 
+// startWait is how long a request waits for the first configuration.
+const startWait = 2 * time.Second
+
 // retryAfterSeconds is told to callers whose request was not run.
 const retryAfterSeconds = "1"
 
@@ -119,8 +122,32 @@
 	return rules
 }
 
+// configured says whether the node has a configuration. A node that has just
+// started waits for it a moment.
+func (rc *Receiver) configured() bool {
+	view := rc.views.View()
+	if view.Configuration().GetVersion() > 0 {
+		return true
+	}
+	wait := time.NewTimer(startWait)
+	defer wait.Stop()
+	for view.Configuration().GetVersion() == 0 {
+		select {
+		case <-view.Changed():
+			view = rc.views.View()
+		case <-wait.C:
+			return false
+		}
+	}
+	return true
+}
+
 func (rc *Receiver) handle(ctx *fasthttp.RequestCtx) {
 	started := time.Now()
+	if !rc.configured() {
+		rc.refuse(ctx, fasthttp.StatusServiceUnavailable, wirepb.Reason_REASON_STARTING)
+		return
+	}
 	rule := rc.rules().Match(view{ctx: ctx})
 	if rule == nil {
 		rc.refuse(ctx, fasthttp.StatusNotFound, wirepb.Reason_REASON_NO_RULE)
@@ -128,7 +155,7 @@
 	}
 	key, ok := rule.Extract(view{ctx: ctx})
 	if !ok {
-		rc.refuse(ctx, fasthttp.StatusBadRequest, wirepb.Reason_REASON_NO_RULE)
+		rc.refuse(ctx, fasthttp.StatusBadRequest, wirepb.Reason_REASON_BAD_REQUEST)
 		return
 	}
 	account := accountKey{line: rule.Line(), account: string(ctx.Request.Header.Peek(announcer.HeaderAccount))}
@@ -212,7 +239,6 @@
 	switch {
 	case notRun:
 		status = fasthttp.StatusServiceUnavailable
-		ctx.Response.Header.Set("Retry-After", retryAfterSeconds)
 	case deadline:
 		status = fasthttp.StatusGatewayTimeout
 	}
@@ -227,6 +253,9 @@
 
 func (rc *Receiver) writeOutcome(ctx *fasthttp.RequestCtx, status int, o wirepb.Outcome, reason wirepb.Reason) {
 	ctx.SetStatusCode(status)
+	if status == fasthttp.StatusServiceUnavailable {
+		ctx.Response.Header.Set("Retry-After", retryAfterSeconds)
+	}
 	ctx.Response.Header.Set(announcer.HeaderOutcome, meter.OutcomeName(o))
 	ctx.Response.Header.Set(announcer.HeaderReason, meter.ReasonName(reason))
 	ctx.SetContentType("text/plain; charset=utf-8")
@@ -246,7 +275,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		rc.refuse(ctx, fasthttp.StatusRequestTimeout, wirepb.Reason_REASON_DEADLINE)
 	default:
-		rc.refuse(ctx, fasthttp.StatusBadRequest, wirepb.Reason_REASON_NONE)
+		rc.refuse(ctx, fasthttp.StatusBadRequest, wirepb.Reason_REASON_BAD_REQUEST)
 	}
 	ctx.SetConnectionClose()
 }
--- a/papayapass/internal/router/router.go
+++ b/papayapass/internal/router/router.go
@@ -78,9 +78,19 @@
 	hint      assigner.NodeID
 	tried     []assigner.NodeID
 	overloads int
+	maybeRan  bool
 	last      *wirepb.Answer
 }
 
+// end returns the answer to a request whose tries are over. A refusal of the
+// last try is no refusal of the request when an earlier try may have run.
+func (a *attempt) end() *wirepb.Answer {
+	if a.maybeRan && a.last.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
+		a.last.Outcome = wirepb.Outcome_OUTCOME_UNKNOWN
+	}
+	return a.last
+}
+
 // Route sends a request until it is answered, refused for good, or its context
 // ends.
 func (r *Router) Route(ctx context.Context, req *wirepb.Request) *wirepb.Answer {
@@ -90,10 +100,10 @@
 		view := r.views.View()
 		v := r.try(ctx, view, a)
 		if v == verdictReturn || ctx.Err() != nil {
-			return a.last
+			return a.end()
 		}
 		if v == verdictWait && !pause(ctx, view) {
-			return a.last
+			return a.end()
 		}
 		refreshTime(ctx, req)
 	}
@@ -152,6 +162,7 @@
 	case wirepb.Outcome_OUTCOME_NOT_RUN:
 		return r.judgeRefusal(target, a)
 	default:
+		a.maybeRan = true
 		if a.req.GetIdempotent() && a.last.GetReason() == wirepb.Reason_REASON_LOST_CONNECTION && r.budget.Spend() {
 			return verdictWait
 		}
--- /dev/null
+++ b/papayapass/internal/router/router_test.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/balancer"
+	"papayapass.dev/papayapass/internal/keeper"
+	"papayapass.dev/papayapass/internal/messenger"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// scriptedLocal answers the tries of a request in order; the last answer
+// repeats.
+type scriptedLocal struct {
+	answers []*wirepb.Answer
+	calls   int
+}
+
+func (s *scriptedLocal) Serve(context.Context, *wirepb.Request) *wirepb.Answer {
+	answer := s.answers[min(s.calls, len(s.answers)-1)]
+	s.calls++
+	return &wirepb.Answer{Outcome: answer.GetOutcome(), Reason: answer.GetReason()}
+}
+
+type fixedView struct{ view *keeper.View }
+
+func (f fixedView) View() *keeper.View { return f.view }
+
+type noLinks struct{}
+
+func (noLinks) Link(context.Context, string) (*messenger.Link, error) {
+	return nil, messenger.ErrLinkClosed
+}
+
+func singleNodeView() *keeper.View {
+	m := assigner.NewMember("a", "127.0.0.1:1", "127.0.0.1:2", "z1", 1).
+		WithServer(assigner.NewServer("permits", 10, 10, true, true))
+	t := assigner.NewTable("cell", 1, m)
+	var sequence uint32
+	p := assigner.NewPlanner(t, assigner.NewRestriction(nil, nil), noLoads{}, 1, &sequence)
+	p.AddPools()
+	p.Assign(func(string, uint64) bool { return false })
+	return keeper.NewView("a", t, timer.Instant(time.Hour), &wirepb.Configuration{})
+}
+
+type noLoads struct{}
+
+func (noLoads) Load(string, uint64) float64 { return 0 }
+
+func TestRouteOutcomes(t *testing.T) {
+	answered := &wirepb.Answer{Outcome: wirepb.Outcome_OUTCOME_ANSWERED}
+	lost := &wirepb.Answer{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Reason: wirepb.Reason_REASON_LOST_CONNECTION}
+	overloaded := &wirepb.Answer{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Reason: wirepb.Reason_REASON_OVERLOADED}
+	notOwner := &wirepb.Answer{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Reason: wirepb.Reason_REASON_NOT_OWNER}
+	tests := map[string]struct {
+		idempotent bool
+		answers    []*wirepb.Answer
+		want       wirepb.Outcome
+		wantCalls  int
+	}{
+		"answered at once":                              {answers: []*wirepb.Answer{answered}, want: wirepb.Outcome_OUTCOME_ANSWERED, wantCalls: 1},
+		"non-idempotent work is not sent again":         {answers: []*wirepb.Answer{lost, answered}, want: wirepb.Outcome_OUTCOME_UNKNOWN, wantCalls: 1},
+		"idempotent work is sent again":                 {idempotent: true, answers: []*wirepb.Answer{lost, answered}, want: wirepb.Outcome_OUTCOME_ANSWERED, wantCalls: 2},
+		"refusal after a try that may have run":         {idempotent: true, answers: []*wirepb.Answer{lost, overloaded}, want: wirepb.Outcome_OUTCOME_UNKNOWN, wantCalls: 2},
+		"refusal of all tries":                          {answers: []*wirepb.Answer{overloaded}, want: wirepb.Outcome_OUTCOME_NOT_RUN, wantCalls: 1},
+		"non-idempotent work waits for the right owner": {answers: []*wirepb.Answer{notOwner, notOwner, answered}, want: wirepb.Outcome_OUTCOME_ANSWERED, wantCalls: 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := &timer.ManualClock{}
+				local := &scriptedLocal{answers: tt.answers}
+				r := NewRouter(fixedView{view: singleNodeView()}, local, noLinks{}, balancer.NewBalancer(clock, "z1", 1), clock)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				got := r.Route(ctx, &wirepb.Request{Pool: "permits", Keyed: true, KeyHash: 7, Idempotent: tt.idempotent})
+				require.Equal(t, tt.want, got.GetOutcome())
+				require.Equal(t, tt.wantCalls, local.calls)
+			})
+		})
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := NewBudget()
+	retries := 0
+	const requests = 10_000
+	for range requests {
+		b.Earn()
+		if b.Spend() {
+			retries++
+		}
+	}
+	require.LessOrEqual(t, retries, budgetMaximum+requests/10)
+}
