Drive the lease protocol through fixed schedules of faults

Cause: the protocol lived in the keeper, among links and threads, where no schedule could be replayed.

Change: package negotiator holds holder, candidate and coordinator without I/O. Its tests drive 3 to 5 nodes through 60 drawn schedules (pauses, amnesia, partitions, platform down, lost answers, loss, duplicates, clock skew) and check after each step that no slice has two owners and no token goes back. They found and this change mends: - a coordinator that is cut off gave a lost owner's slices away although its successor had left them with the owner and renewed the lease: a loss now needs a majority's confirmation from after the lease's end; - a candidate without a majority left its epoch and then refused the coordinator: it probes first; - a losing candidate refused the winner of its own epoch; - a node that joined late lost what it held under a valid lease: it reports it; - a node that came back after a restart was given up the moment its old lease had run out.

--- a/papayapass/internal/coordinator/candidacy.go
+++ b/papayapass/internal/coordinator/candidacy.go
@@ -16,6 +16,7 @@
 	epoch   assigner.Epoch
 	table   *assigner.Table
 	claimed timer.Instant
+	probe   bool
 	replies map[assigner.NodeID]*wirepb.ClaimReply
 }
 
@@ -27,6 +28,16 @@
 	}
 }
 
+// NewProbe returns a claim that only asks whether a majority would join.
+func NewProbe(self holder.Identity, epoch assigner.Epoch, table *assigner.Table, now timer.Instant) *Candidacy {
+	c := NewCandidacy(self, epoch, table, now)
+	c.probe = true
+	return c
+}
+
+// Probe says whether the candidacy only asks.
+func (c *Candidacy) Probe() bool { return c.probe }
+
 // Claim returns the message for the voters.
 func (c *Candidacy) Claim() *wirepb.Claim {
 	return &wirepb.Claim{
@@ -36,6 +47,7 @@
 		Stamp:         uint64(c.claimed),
 		VotersVersion: c.table.VotersVersion(),
 		Cell:          c.self.Cell(),
+		Probe:         c.probe,
 	}
 }
 
@@ -47,7 +59,7 @@
 
 // Reply takes a voter's answer and says whether a majority has joined.
 func (c *Candidacy) Reply(r *wirepb.ClaimReply) bool {
-	if assigner.Epoch(r.GetEpoch()) != c.epoch || !r.GetJoined() {
+	if assigner.Epoch(r.GetEpoch()) != c.epoch || r.GetProbe() != c.probe || !r.GetJoined() {
 		return false
 	}
 	c.replies[assigner.NodeID(r.GetNode())] = r
--- a/papayapass/internal/coordinator/coordinator.go
+++ b/papayapass/internal/coordinator/coordinator.go
@@ -20,6 +20,9 @@
 	// storeRetryInterval is the time between two writes while the platform is
 	// down.
 	storeRetryInterval = 500 * time.Millisecond
+	// restartFreshness is how long a restarted node counts as present after a
+	// heartbeat that could not be given a lease yet.
+	restartFreshness = 2 * holder.BeatInterval
 	// settleTime is how long the table rests after a node joined before load is
 	// balanced, so that nodes that start together count together.
 	settleTime = time.Second
@@ -225,9 +228,9 @@
 	}
 }
 
-// authorityEnd returns the instant until which a majority of the voters has
+// confirmed returns the newest instant as of which a majority of the voters has
 // confirmed that it knows of no newer coordinator.
-func (c *Coordinator) authorityEnd(now timer.Instant) timer.Instant {
+func (c *Coordinator) confirmed(now timer.Instant) timer.Instant {
 	voters := c.table.Voters()
 	echoes := make([]timer.Instant, 0, len(voters))
 	for _, v := range voters {
@@ -238,7 +241,23 @@
 		echoes = append(echoes, c.peer(v).echo)
 	}
 	sort.Slice(echoes, func(i, j int) bool { return echoes[i] > echoes[j] })
-	return echoes[len(voters)/2].Add(holder.AuthorityTerm)
+	return echoes[len(voters)/2]
+}
+
+// authorityEnd returns the instant at which the coordinator's authority ends.
+func (c *Coordinator) authorityEnd(now timer.Instant) timer.Instant {
+	return c.confirmed(now).Add(holder.AuthorityTerm)
+}
+
+// ended says whether a node's lease has certainly run out, and no newer
+// coordinator can have renewed it: a majority has confirmed this one since.
+// Without the second part a coordinator that is cut off could give slices away
+// that its successor has left with their owners.
+func (c *Coordinator) ended(p *peer, now timer.Instant) bool {
+	if mutator.Active(mutator.StaleConfirmation) {
+		return !now.Before(p.leaseEnd)
+	}
+	return !c.confirmed(now).Before(p.leaseEnd)
 }
 
 // lease returns how long a lease given now may last; zero is none.
@@ -282,10 +301,12 @@
 // present start is the one that the table knows.
 func (c *Coordinator) admit(id assigner.NodeID, p *peer, b *wirepb.Beat, now timer.Instant) bool {
 	if p.incarnation != b.GetIncarnation() {
-		if now.Before(p.leaseEnd) {
+		p.heard = now
+		p.successor = b
+		if !c.ended(p, now) {
 			return false
 		}
-		c.restart(id, p, b)
+		c.restart(id, p)
 	}
 	p.heard = now
 	p.tableVersion = b.GetTableVersion()
@@ -299,13 +320,28 @@
 	}
 	c.loads.take(b.GetLoads())
 	c.updateMember(id, b)
+	c.takeHoldings(id, b.GetHoldings())
 	c.takeReleases(id, b.GetReleased())
 	return true
 }
 
+// restartMembers replaces the former starts of nodes as soon as their leases
+// have run out, so that a node that is back is not given up.
+func (c *Coordinator) restartMembers(now timer.Instant) {
+	for _, m := range c.table.Members() {
+		p := c.peer(m.ID())
+		if p.successor != nil && now.Sub(p.heard) < restartFreshness && c.ended(p, now) {
+			c.restart(m.ID(), p)
+		}
+	}
+}
+
 // restart replaces a node's former start, whose lease has run out.
-func (c *Coordinator) restart(id assigner.NodeID, p *peer, b *wirepb.Beat) {
+func (c *Coordinator) restart(id assigner.NodeID, p *peer) {
+	b := p.successor
+	p.successor = nil
 	p.incarnation = b.GetIncarnation()
+	p.renew(p.heard.Add(restartFreshness))
 	if _, ok := c.table.Member(id); !ok {
 		return
 	}
@@ -341,6 +377,24 @@
 	}
 }
 
+// takeHoldings leaves slices with a node that joined late and holds them under a
+// lease of an older epoch. Nobody else can have been given one that has no owner.
+func (c *Coordinator) takeHoldings(id assigner.NodeID, held []*wirepb.Holding) {
+	if len(held) == 0 || c.ready {
+		return
+	}
+	t := c.table.Clone()
+	planner := c.planner(t)
+	for _, h := range held {
+		if s, ok := t.Lookup(h.GetPool(), h.GetStart()); ok && s.Owner() == "" {
+			planner.Hold(h.GetPool(), h.GetStart(), id, assigner.Token(h.GetToken()))
+		}
+	}
+	if planner.Changed() {
+		c.publish(t)
+	}
+}
+
 // takeReleases puts moves into force whose owner has released the slice, and
 // gives slices away that an owner without a backend server released.
 func (c *Coordinator) takeReleases(id assigner.NodeID, released []*wirepb.Holding) {
@@ -387,6 +441,7 @@
 		return
 	}
 	c.ready = !now.Before(c.readyAt)
+	c.restartMembers(now)
 	c.loseMembers(now)
 	c.plan(now)
 	c.changeVoters(now)
--- a/papayapass/internal/coordinator/peer.go
+++ b/papayapass/internal/coordinator/peer.go
@@ -18,6 +18,7 @@
 	votersVersion uint64
 	configuration uint64
 	leaving       bool
+	successor     *wirepb.Beat
 }
 
 // confirm notes what a voter confirmed as of a stamp of this coordinator.
--- a/papayapass/internal/coordinator/plan.go
+++ b/papayapass/internal/coordinator/plan.go
@@ -41,7 +41,7 @@
 	if mutator.Active(mutator.KeepLeaseOnLoss) && now.Sub(p.heard) > hastyLoss {
 		return true
 	}
-	return !now.Before(p.leaseEnd)
+	return c.ended(p, now)
 }
 
 // plan assigns what has no owner, moves slices off servers that may get no new
--- a/papayapass/internal/holder/holder.go
+++ b/papayapass/internal/holder/holder.go
@@ -5,6 +5,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"papayapass.dev/papayapass/internal/assigner"
@@ -98,6 +99,9 @@
 	applied     uint64
 	sent        [sentBeats]timer.Instant
 	released    map[sliceKey]assigner.Token
+	carried     []*wirepb.Holding
+	carryUntil  timer.Instant
+	revision    uint64
 }
 
 // NewHolder returns a node that has just started: it holds nothing, remembers
@@ -121,6 +125,9 @@
 // Table returns the newest table that the node knows, or nil.
 func (h *Holder) Table() *assigner.Table { return h.table }
 
+// Revision returns a number that changes with the table and the releases.
+func (h *Holder) Revision() uint64 { return h.revision }
+
 // LeaseUntil returns the instant at which the lease ends.
 func (h *Holder) LeaseUntil() timer.Instant { return h.leaseUntil }
 
@@ -154,6 +161,12 @@
 }
 
 func (h *Holder) follow(coordinator assigner.NodeID) {
+	if h.coordinator == coordinator && h.address != "" {
+		return
+	}
+	if h.coordinator != coordinator {
+		h.echo = 0
+	}
 	h.coordinator = coordinator
 	h.address = ""
 	if h.table == nil {
@@ -166,6 +179,8 @@
 
 func (h *Holder) setTable(t *assigner.Table) {
 	h.table = t
+	h.revision++
+	h.dropCarried(t)
 	for key, token := range h.released {
 		s, ok := t.Lookup(key.pool, key.start)
 		if !ok || s.Owner() != h.self.id || s.Token() > token {
@@ -190,6 +205,7 @@
 		Zone:          h.self.zone,
 		Quiet:         h.Quiet(now),
 		Released:      h.releasedHoldings(),
+		Holdings:      h.takeCarried(now),
 	}
 	if h.table != nil && h.table.Epoch() == h.epoch {
 		b.TableVersion = h.table.Version()
@@ -210,18 +226,18 @@
 }
 
 // Reply takes a coordinator's reply or push and says whether the table changed.
+// Only the candidate that won an epoch sends any, so a voter that had joined
+// another candidate of the epoch follows the winner.
 func (h *Holder) Reply(r *wirepb.BeatReply, now timer.Instant) bool {
 	epoch := assigner.Epoch(r.GetEpoch())
 	if epoch < h.epoch || r.GetCoordinator() == "" {
 		return false
 	}
-	if epoch == h.epoch && h.coordinator != "" && h.coordinator != assigner.NodeID(r.GetCoordinator()) {
-		return false
-	}
 	if epoch > h.epoch {
+		h.carry(now)
 		h.join(epoch, assigner.NodeID(r.GetCoordinator()), r.GetCoordinatorAddress())
 	}
-	h.coordinator = assigner.NodeID(r.GetCoordinator())
+	h.follow(assigner.NodeID(r.GetCoordinator()))
 	if r.GetCoordinatorAddress() != "" {
 		h.address = r.GetCoordinatorAddress()
 	}
@@ -248,19 +264,29 @@
 	}
 }
 
+// Abandon notes that the node's own coordinator's role has ended, so that it
+// looks for the next coordinator at once.
+func (h *Holder) Abandon(now timer.Instant) {
+	if h.coordinator == h.self.id {
+		h.address = ""
+		h.heard = min(h.heard, now-timer.Instant(LoyaltyTerm))
+	}
+}
+
 // Redirected takes another node's word for who the coordinator is. It renews
 // nothing.
-func (h *Holder) Redirected(r *wirepb.BeatReply) {
+func (h *Holder) Redirected(r *wirepb.BeatReply, now timer.Instant) {
 	epoch := assigner.Epoch(r.GetEpoch())
 	unknown := h.coordinator == "" || h.address == ""
 	if r.GetCoordinator() != "" && (epoch > h.epoch || epoch == h.epoch && unknown) {
 		if epoch > h.epoch {
+			h.carry(now)
 			h.join(epoch, "", "")
 		}
 		h.coordinator = assigner.NodeID(r.GetCoordinator())
 		h.address = r.GetCoordinatorAddress()
 	}
-	h.HeardOther(assigner.NodeID(r.GetFrom()), epoch, r.GetQuiet())
+	h.HeardOther(assigner.NodeID(r.GetFrom()), epoch, r.GetQuiet(), now)
 }
 
 func (h *Holder) join(epoch assigner.Epoch, coordinator assigner.NodeID, address string) {
@@ -270,6 +296,32 @@
 	h.echo = 0
 }
 
+// carry keeps what the node holds for the coordinator of the epoch that it is
+// about to join, whose table may not know of it.
+func (h *Holder) carry(now timer.Instant) {
+	if held := h.holdings(now); len(held) > 0 {
+		h.carried = held
+		h.carryUntil = h.leaseUntil
+	}
+}
+
+// takeCarried returns what the node held under an older epoch, while the lease
+// of that epoch lasts.
+func (h *Holder) takeCarried(now timer.Instant) []*wirepb.Holding {
+	if !now.Before(h.carryUntil) {
+		h.carried = nil
+	}
+	return h.carried
+}
+
+// dropCarried forgets slices that have an owner in the newest table.
+func (h *Holder) dropCarried(t *assigner.Table) {
+	h.carried = slices.DeleteFunc(h.carried, func(held *wirepb.Holding) bool {
+		s, ok := t.Lookup(held.GetPool(), held.GetStart())
+		return !ok || s.Owner() != ""
+	})
+}
+
 func (h *Holder) takeTable(r *wirepb.BeatReply) bool {
 	if r.GetTable() == nil {
 		return false
@@ -304,7 +356,7 @@
 	h.leaseUntil = max(h.leaseUntil, until)
 }
 
-// Claim answers a candidate. Joining its epoch ends obedience to all earlier
+// Claim answers a candidate. A probe is answered without joining. Joining its epoch ends obedience to all earlier
 // ones; the lease in hand stays valid until it runs out, and is reported.
 func (h *Holder) Claim(c *wirepb.Claim, now timer.Instant) *wirepb.ClaimReply {
 	r := &wirepb.ClaimReply{
@@ -314,6 +366,11 @@
 		Stamp:        c.GetStamp(),
 		HighestEpoch: uint64(h.epoch),
 		Quiet:        h.Quiet(now),
+		Probe:        c.GetProbe(),
+	}
+	if c.GetProbe() {
+		r.Joined = h.accepts(c, now)
+		return r
 	}
 	if h.table != nil {
 		r.Table = assigner.Encode(h.table)
@@ -411,6 +468,7 @@
 // is started until it is granted anew under a higher token.
 func (h *Holder) Release(pool string, start uint64, token assigner.Token) {
 	h.released[sliceKey{pool: pool, start: start}] = token
+	h.revision++
 }
 
 // Released says whether a slice was given up under a token.
@@ -449,8 +507,9 @@
 
 // HeardOther notes that a voter told the node its highest epoch. When most of
 // the other voters have, a restarted node knows what it forgot.
-func (h *Holder) HeardOther(id assigner.NodeID, epoch assigner.Epoch, quiet bool) {
+func (h *Holder) HeardOther(id assigner.NodeID, epoch assigner.Epoch, quiet bool, now timer.Instant) {
 	if epoch > h.epoch {
+		h.carry(now)
 		h.join(epoch, "", "")
 	}
 	if quiet || h.table == nil || !h.table.IsVoter(id) || id == h.self.id {
--- a/papayapass/internal/limiter/allowance.go
+++ b/papayapass/internal/limiter/allowance.go
@@ -25,16 +25,16 @@
 
 // Parameters of the ramp and the adaptation.
 const (
-	coldDivisor      = 10
-	raiseSuccesses   = 16
-	raiseInterval    = 250 * time.Millisecond
-	cutInterval      = 100 * time.Millisecond
-	cutDivisor       = 2
-	slowFactor       = 2
-	slowCut          = 0.8
-	recentGain       = 1.0 / 16
-	usualGain        = 1.0 / 256
-	coldFailures     = 3
+	coldDivisor    = 10
+	raiseSuccesses = 16
+	raiseInterval  = 250 * time.Millisecond
+	cutInterval    = 100 * time.Millisecond
+	cutDivisor     = 2
+	slowFactor     = 2
+	slowCut        = 0.8
+	recentGain     = 1.0 / 16
+	usualGain      = 1.0 / 256
+	coldFailures   = 3
 )
 
 // Allowance is the number of calls that a backend server gets at once. A cold
--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -21,4 +21,7 @@
 	SleepingClock
 	// KeepLeaseOnLoss gives a lost owner's slices away before its lease ends.
 	KeepLeaseOnLoss
+	// StaleConfirmation gives a lost owner's slices away on confirmations that
+	// voters gave before its lease ended.
+	StaleConfirmation
 )
--- /dev/null
+++ b/papayapass/internal/negotiator/negotiator.go
@@ -0,0 +1,356 @@
+package negotiator
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/coordinator"
+	"papayapass.dev/papayapass/internal/holder"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// loadInterval is the time between two reports of the load of slices.
+const loadInterval = 2 * time.Second
+
+// Workload is the work in progress of the node's slices.
+type Workload interface {
+	// Loads returns the load of each slice over the time since the last call.
+	Loads(elapsed time.Duration) []*wirepb.SliceLoad
+	// Close lets no more requests of a slice in, and says whether none runs.
+	Close(pool string, start uint64, token assigner.Token) bool
+}
+
+// Negotiator is the state of one node.
+type Negotiator struct {
+	self          holder.Identity
+	seeds         []string
+	workload      Workload
+	holder        *holder.Holder
+	coordinator   *coordinator.Coordinator
+	candidacy     *coordinator.Candidacy
+	configuration *wirepb.Configuration
+	server        assigner.Server
+	leaving       bool
+	lastBeat      timer.Instant
+	lastLoads     timer.Instant
+	rotation      int
+	actions       []Action
+}
+
+// NewNegotiator returns the state of a node that has just started.
+func NewNegotiator(self holder.Identity, seeds []string, w Workload, now timer.Instant) *Negotiator {
+	return &Negotiator{
+		self: self, seeds: seeds, workload: w,
+		holder:        holder.NewHolder(self, now),
+		configuration: &wirepb.Configuration{},
+	}
+}
+
+// Holder returns the node's lease and vote.
+func (n *Negotiator) Holder() *holder.Holder { return n.holder }
+
+// Coordinator returns the coordinator's state, or nil when the node has another
+// role.
+func (n *Negotiator) Coordinator() *coordinator.Coordinator { return n.coordinator }
+
+// Configuration returns the configuration in force.
+func (n *Negotiator) Configuration() *wirepb.Configuration { return n.configuration }
+
+// Take returns the actions that are due and forgets them.
+func (n *Negotiator) Take() []Action {
+	out := n.actions
+	n.actions = nil
+	return out
+}
+
+func (n *Negotiator) note(text, reason string, epoch assigner.Epoch) {
+	n.actions = append(n.actions, Note{text: text, reason: reason, epoch: epoch})
+}
+
+// Founded makes the node the coordinator of a cell that it has just created.
+func (n *Negotiator) Founded(t *assigner.Table, now timer.Instant) {
+	n.holder.Founded(t, now)
+	n.coordinator = coordinator.Found(n.self, t, now)
+	n.coordinator.SetConfiguration(n.configuration)
+	n.note("founded the cell", "", t.Epoch())
+}
+
+// Inform takes the table that the platform held at the node's start.
+func (n *Negotiator) Inform(t *assigner.Table) { n.holder.Inform(t) }
+
+// Receive takes a message of a peer.
+func (n *Negotiator) Receive(m proto.Message, now timer.Instant) {
+	switch m := m.(type) {
+	case *wirepb.Beat:
+		n.takeBeat(m, now)
+	case *wirepb.BeatReply:
+		n.takeReply(m, now)
+	case *wirepb.Claim:
+		n.takeClaim(m, now)
+	case *wirepb.ClaimReply:
+		n.takeClaimReply(m, now)
+	}
+	n.collectAt(now)
+}
+
+func (n *Negotiator) takeBeat(m *wirepb.Beat, now timer.Instant) {
+	if n.coordinator == nil {
+		n.actions = append(n.actions, Reply{message: n.holder.Redirect(now)})
+		return
+	}
+	n.coordinator.Beat(m, now)
+}
+
+func (n *Negotiator) takeClaim(m *wirepb.Claim, now timer.Instant) {
+	r := n.holder.Claim(m, now)
+	if r.GetJoined() && !m.GetProbe() && assigner.NodeID(m.GetCandidate()) != n.self.ID() {
+		n.candidacy = nil
+		n.stepDown(now, "joined a newer epoch")
+	}
+	n.actions = append(n.actions, Reply{message: r})
+}
+
+func (n *Negotiator) takeReply(m *wirepb.BeatReply, now timer.Instant) {
+	if m.GetRedirect() {
+		n.holder.Redirected(m, now)
+		n.followEpoch(now)
+		return
+	}
+	before := n.holder.Table()
+	changed := n.holder.Reply(m, now)
+	n.followEpoch(now)
+	if changed {
+		n.actions = append(n.actions, Moved{before: before, after: n.holder.Table()})
+	}
+	if m.GetConfiguration() != nil {
+		n.takeConfiguration(m.GetConfiguration())
+	}
+}
+
+// followEpoch ends roles of epochs that the holder has left behind.
+func (n *Negotiator) followEpoch(now timer.Instant) {
+	id, _ := n.holder.Coordinator()
+	if n.candidacy != nil && !n.candidacy.Probe() && (n.candidacy.Epoch() != n.holder.Epoch() || id != n.self.ID()) {
+		n.candidacy = nil
+	}
+	if n.coordinator != nil && n.coordinator.Epoch() < n.holder.Epoch() {
+		n.stepDown(now, "heard of a newer epoch")
+	}
+}
+
+func (n *Negotiator) takeClaimReply(m *wirepb.ClaimReply, now timer.Instant) {
+	n.holder.HeardOther(assigner.NodeID(m.GetNode()), assigner.Epoch(m.GetHighestEpoch()), m.GetQuiet(), now)
+	n.followEpoch(now)
+	if n.candidacy == nil || !n.candidacy.Reply(m) {
+		return
+	}
+	won := n.candidacy
+	n.candidacy = nil
+	if won.Probe() {
+		n.claim(won.Epoch(), now)
+		return
+	}
+	if n.holder.Epoch() != won.Epoch() {
+		return
+	}
+	n.coordinator = coordinator.Succeed(won, now)
+	n.coordinator.SetConfiguration(n.configuration)
+	n.note("took the coordinator's role", "", won.Epoch())
+}
+
+func (n *Negotiator) stepDown(now timer.Instant, reason string) {
+	if n.coordinator == nil {
+		return
+	}
+	n.note("gave up the coordinator's role", reason, n.coordinator.Epoch())
+	n.coordinator = nil
+	n.holder.Abandon(now)
+}
+
+// SetConfiguration puts a newer configuration into force and refuses any other.
+func (n *Negotiator) SetConfiguration(cfg *wirepb.Configuration, now timer.Instant) {
+	n.takeConfiguration(cfg)
+	n.collectAt(now)
+}
+
+func (n *Negotiator) takeConfiguration(cfg *wirepb.Configuration) {
+	if cfg.GetVersion() > n.configuration.GetVersion() {
+		n.configuration = cfg
+		n.note("configuration in force", cfg.GetAuthor(), n.holder.Epoch())
+	}
+	if n.coordinator != nil {
+		n.coordinator.SetConfiguration(n.configuration)
+	}
+}
+
+// Stored takes the result of the write of a table.
+func (n *Negotiator) Stored(t *assigner.Table, result coordinator.StoreResult, now timer.Instant) {
+	if n.coordinator != nil && n.coordinator.Epoch() == t.Epoch() {
+		n.coordinator.Stored(t, result, now)
+	}
+	n.collectAt(now)
+}
+
+// SetServer takes the state of the backend server beside the node.
+func (n *Negotiator) SetServer(s assigner.Server, now timer.Instant) {
+	n.server = s
+	n.beat(now)
+	n.collectAt(now)
+}
+
+// Leave starts the handing over of all slices, and of the coordinator's role to
+// the next in the order of succession.
+func (n *Negotiator) Leave(now timer.Instant) {
+	n.leaving = true
+	n.beat(now)
+	n.collectAt(now)
+	if n.coordinator != nil && len(n.coordinator.Table().Voters()) > 1 {
+		n.coordinator.Abdicate()
+	}
+	n.collectAt(now)
+}
+
+// Tick does what has become due. Epochs follow the wall clock where they can, so
+// that they grow even when all memory of them is lost.
+func (n *Negotiator) Tick(now timer.Instant, wall time.Time) {
+	if n.coordinator != nil {
+		n.coordinator.Tick(now)
+	}
+	n.collectAt(now)
+	if now.Sub(n.lastBeat) >= holder.BeatInterval {
+		n.beat(now)
+	}
+	if n.candidacy != nil && n.candidacy.Expired(now) {
+		n.candidacy = nil
+		n.holder.Postpone(now)
+	}
+	if n.candidacy == nil && n.coordinator == nil && !n.leaving && n.holder.ShouldClaim(now) {
+		n.probe(now, wall)
+	}
+	n.ReleaseDrained(now)
+	n.collectAt(now)
+}
+
+// probe asks the voters whether they would join this node's epoch.
+func (n *Negotiator) probe(now timer.Instant, wall time.Time) {
+	epoch := max(n.holder.Epoch()+1, assigner.Epoch(wall.Unix()))
+	n.stand(coordinator.NewProbe(n.self, epoch, n.holder.Table(), now), now)
+}
+
+// claim stands for the coordinator's role in a new epoch.
+func (n *Negotiator) claim(epoch assigner.Epoch, now timer.Instant) {
+	n.note("claiming the coordinator's role", "", epoch)
+	n.stand(coordinator.NewCandidacy(n.self, epoch, n.holder.Table(), now), now)
+}
+
+// stand sends a candidacy's claim to all voters, this node included.
+func (n *Negotiator) stand(c *coordinator.Candidacy, now timer.Instant) {
+	n.candidacy = c
+	m := c.Claim()
+	own := n.holder.Claim(m, now)
+	for _, v := range n.holder.Table().Voters() {
+		if member, ok := n.holder.Table().Member(v); ok && v != n.self.ID() {
+			n.actions = append(n.actions, SendAddress{address: member.Address(), message: m})
+		}
+	}
+	n.takeClaimReply(own, now)
+}
+
+// beat sends a heartbeat to the coordinator.
+func (n *Negotiator) beat(now timer.Instant) {
+	n.lastBeat = now
+	b := n.holder.Beat(now)
+	b.ConfigurationVersion = n.configuration.GetVersion()
+	b.Leaving = n.leaving
+	b.Server = assigner.EncodeServer(n.server)
+	if now.Sub(n.lastLoads) >= loadInterval {
+		b.Loads = n.workload.Loads(now.Sub(n.lastLoads))
+		n.lastLoads = now
+	}
+	if n.coordinator != nil {
+		n.coordinator.Beat(b, now)
+		return
+	}
+	id, address := n.holder.Coordinator()
+	if address != "" && id != n.self.ID() {
+		n.actions = append(n.actions, SendAddress{address: address, message: b})
+	}
+	if n.holder.Searching(now) {
+		n.search(b)
+	}
+}
+
+// search asks other nodes, one at a time, who the coordinator is.
+func (n *Negotiator) search(b *wirepb.Beat) {
+	addresses := append([]string(nil), n.seeds...)
+	if t := n.holder.Table(); t != nil {
+		for _, m := range t.Members() {
+			addresses = append(addresses, m.Address())
+		}
+	}
+	if len(addresses) == 0 {
+		return
+	}
+	n.rotation++
+	address := addresses[n.rotation%len(addresses)]
+	if address != n.self.Address() {
+		n.actions = append(n.actions, SendAddress{address: address, message: b})
+	}
+}
+
+// ReleaseDrained closes the slices that are to move away, and releases those in
+// which nothing runs any more.
+func (n *Negotiator) ReleaseDrained(now timer.Instant) {
+	released := false
+	for _, h := range n.holder.Leaving(n.server.State() == assigner.ServerAbsent) {
+		if !n.workload.Close(h.GetPool(), h.GetStart(), assigner.Token(h.GetToken())) {
+			continue
+		}
+		n.holder.Release(h.GetPool(), h.GetStart(), assigner.Token(h.GetToken()))
+		released = true
+	}
+	if released {
+		n.beat(now)
+	}
+}
+
+// collect takes over what the coordinator wants done. Messages of the
+// coordinator to its own node are taken at once.
+func (n *Negotiator) collect(now timer.Instant) {
+	for n.coordinator != nil {
+		actions := n.coordinator.Take()
+		if len(actions) == 0 {
+			return
+		}
+		for _, a := range actions {
+			switch a := a.(type) {
+			case coordinator.Send:
+				n.actions = append(n.actions, SendNode{to: a.To(), message: a.Message()})
+			case coordinator.Store:
+				n.actions = append(n.actions, Store{table: a.Table()})
+			case coordinator.Resign:
+				n.stepDown(now, a.Reason())
+			}
+		}
+	}
+}
+
+// collectAt collects, and takes the messages to the own node.
+func (n *Negotiator) collectAt(now timer.Instant) {
+	n.collect(now)
+	for i := 0; i < len(n.actions); i++ {
+		send, ok := n.actions[i].(SendNode)
+		if !ok || send.to != n.self.ID() {
+			continue
+		}
+		n.actions = append(n.actions[:i], n.actions[i+1:]...)
+		i--
+		if r, ok := send.message.(*wirepb.BeatReply); ok {
+			n.takeReply(r, now)
+			n.collect(now)
+		}
+	}
+}
--- /dev/null
+++ b/papayapass/internal/negotiator/protocol_test.go
@@ -0,0 +1,308 @@
+package negotiator
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/coordinator"
+)
+
+// TestMain fixes the seed of the schedules, so that each run checks the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "60", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
+		explicit := false
+		flag.Visit(func(f *flag.Flag) { explicit = explicit || f.Name == name })
+		if explicit {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	formed     = 6 * time.Second
+	faultsEnd  = 22 * time.Second
+	healedEnd  = 32 * time.Second
+	longestCut = 5 * time.Second
+	// serveWithin is the target for a key to be served again after a loss.
+	serveWithin = 4 * time.Second
+)
+
+// fault is something that goes wrong for a while.
+type fault struct {
+	kind   string
+	at     time.Duration
+	length time.Duration
+	nodes  uint
+}
+
+func drawFault(t *rapid.T) fault {
+	return fault{
+		kind:   rapid.SampledFrom([]string{"pause", "restart", "partition", "platform down", "answers lost", "loss"}).Draw(t, "kind"),
+		at:     time.Duration(rapid.IntRange(int(formed.Milliseconds()), int(faultsEnd.Milliseconds())).Draw(t, "at")) * time.Millisecond,
+		length: time.Duration(rapid.IntRange(50, int(longestCut.Milliseconds())).Draw(t, "length")) * time.Millisecond,
+		nodes:  uint(rapid.IntRange(1, 31).Draw(t, "nodes")),
+	}
+}
+
+func (f fault) hits(i int) bool { return f.nodes&(1<<i) != 0 }
+
+// begin brings the fault about.
+func (f fault) begin(w *world) {
+	switch f.kind {
+	case "pause":
+		w.each(f, func(n *simNode) { n.paused = !n.down })
+	case "restart":
+		w.each(f, func(n *simNode) { n.down = true })
+	case "partition":
+		w.cut = func(a, b assigner.NodeID) bool { return f.hits(int(a[1]-'0')) != f.hits(int(b[1]-'0')) }
+	case "platform down":
+		w.platform.down = true
+	case "answers lost":
+		w.platform.loseAnswers = true
+	case "loss":
+		w.loss = 0.3
+	}
+}
+
+// end heals the fault.
+func (f fault) end(w *world) {
+	switch f.kind {
+	case "pause":
+		w.each(f, func(n *simNode) { n.paused = false })
+	case "restart":
+		w.each(f, func(n *simNode) {
+			if n.down {
+				w.start(n)
+			}
+		})
+	case "partition":
+		w.cut = never
+	case "platform down":
+		w.platform.down = false
+	case "answers lost":
+		w.platform.loseAnswers = false
+	case "loss":
+		w.loss = 0.02
+	}
+}
+
+func (w *world) each(f fault, do func(*simNode)) {
+	for i, n := range w.nodes {
+		if f.hits(i) {
+			do(n)
+		}
+	}
+}
+
+// play runs a schedule of faults and heals all at its end.
+func play(w *world, faults []fault) {
+	for w.now < faultsEnd+longestCut && w.broken == "" {
+		for _, f := range faults {
+			if f.at > w.now && f.at <= w.now+step {
+				f.begin(w)
+			}
+			if end := f.at + f.length; end > w.now && end <= w.now+step {
+				f.end(w)
+			}
+		}
+		w.advance()
+	}
+	for _, f := range faults {
+		f.end(w)
+	}
+	w.run(w.now + healedEnd - faultsEnd)
+}
+
+func drawSchedule(t *rapid.T) (*world, []fault) {
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 5).Draw(t, "nodes"))
+	faults := rapid.SliceOfN(rapid.Custom(drawFault), 1, 8).Draw(t, "faults")
+	return w, faults
+}
+
+// TestProtocolKeepsOneOwner drives nodes through schedules of pauses, restarts
+// with amnesia, partitions, platform faults, loss, delay, reordering and
+// duplication, with clocks of different rates.
+func TestProtocolKeepsOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, faults := drawSchedule(t)
+		play(w, faults)
+		require.Empty(t, w.broken)
+		require.Equal(t, assigner.SlicesPerPool, w.served(), "slices with an owner after all faults are healed")
+	})
+}
+
+// form runs a world until each node is a voter and each slice is served.
+func form(t *testing.T, seed uint64, count int) *world {
+	w := newWorld(seed, count)
+	w.run(formed)
+	require.Empty(t, w.broken)
+	require.Equal(t, assigner.SlicesPerPool, w.served())
+	c := w.coordinatorNode()
+	require.NotNil(t, c)
+	require.Len(t, c.negotiator.Coordinator().Table().Voters(), count)
+	return w
+}
+
+// unserved runs on until all slices are served, and returns how long it took.
+func (w *world) unserved(limit time.Duration) time.Duration {
+	begun := w.now
+	for w.now-begun < limit && w.broken == "" {
+		w.advance()
+		if w.served() == assigner.SlicesPerPool {
+			return w.now - begun
+		}
+	}
+	return limit
+}
+
+func TestTakeoverWithinTarget(t *testing.T) {
+	other := func(w *world) *simNode {
+		for _, n := range w.nodes {
+			if n != w.coordinatorNode() && len(n.owned(w.now)) > 0 {
+				return n
+			}
+		}
+		return nil
+	}
+	tests := map[string]struct {
+		lose         func(w *world) []*simNode
+		platformDown bool
+	}{
+		"server":                                {lose: func(w *world) []*simNode { return []*simNode{other(w)} }},
+		"coordinator":                           {lose: func(w *world) []*simNode { return []*simNode{w.coordinatorNode()} }},
+		"server and coordinator":                {lose: func(w *world) []*simNode { return []*simNode{other(w), w.coordinatorNode()} }},
+		"server, platform down":                 {lose: func(w *world) []*simNode { return []*simNode{other(w)} }, platformDown: true},
+		"coordinator, platform down":            {lose: func(w *world) []*simNode { return []*simNode{w.coordinatorNode()} }, platformDown: true},
+		"server and coordinator, platform down": {lose: func(w *world) []*simNode { return []*simNode{other(w), w.coordinatorNode()} }, platformDown: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				w := form(t, seed, 5)
+				if tt.platformDown {
+					w.platform.down = true
+					w.run(w.now + 10*time.Minute/20)
+					require.Equal(t, assigner.SlicesPerPool, w.served(), "renewals need no platform")
+				}
+				for _, n := range tt.lose(w) {
+					n.down = true
+				}
+				require.Less(t, w.unserved(2*serveWithin), serveWithin)
+				require.Empty(t, w.broken)
+			}
+		})
+	}
+}
+
+// TestFrozenOwnerReturns freezes an owner for longer than its lease: when it
+// returns, it owns nothing that others were given.
+func TestFrozenOwnerReturns(t *testing.T) {
+	w := form(t, 1, 5)
+	frozen := w.nodes[2]
+	frozen.paused = true
+	w.run(w.now + 3*time.Second)
+	require.Equal(t, assigner.SlicesPerPool, w.served(), "others took over")
+	frozen.paused = false
+	w.run(w.now + 3*time.Second)
+	require.Empty(t, w.broken)
+	require.Equal(t, assigner.SlicesPerPool, w.served())
+}
+
+// TestShortFreezeMovesNothing freezes an owner for less than its lease.
+func TestShortFreezeMovesNothing(t *testing.T) {
+	w := form(t, 1, 5)
+	frozen := w.nodes[2]
+	before := frozen.owned(w.now)
+	require.NotEmpty(t, before)
+	frozen.paused = true
+	w.run(w.now + 700*time.Millisecond)
+	frozen.paused = false
+	w.run(w.now + 3*time.Second)
+	require.Equal(t, before, frozen.owned(w.now))
+}
+
+// TestCutOffCoordinatorStops cuts the coordinator off from all others: it gives
+// its role up, and the others take over.
+func TestCutOffCoordinatorStops(t *testing.T) {
+	w := form(t, 3, 5)
+	old := w.coordinatorNode()
+	w.cut = func(a, b assigner.NodeID) bool { return (a == old.id) != (b == old.id) }
+	w.run(w.now + serveWithin)
+	require.Nil(t, old.negotiator.Coordinator())
+	require.NotNil(t, w.coordinatorNode())
+	require.Equal(t, assigner.SlicesPerPool, w.served())
+	require.Empty(t, w.broken)
+}
+
+// TestWrittenAssignmentSurvives restarts the whole cell: slices go back to the
+// owners that were written down.
+func TestWrittenAssignmentSurvives(t *testing.T) {
+	w := form(t, 4, 5)
+	before := make(map[assigner.NodeID]int)
+	for _, n := range w.nodes {
+		before[n.id] = len(n.owned(w.now))
+		n.down = true
+	}
+	w.run(w.now + 2*time.Second)
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	w.run(w.now + 10*time.Second)
+	require.Empty(t, w.broken)
+	for _, n := range w.nodes {
+		require.Len(t, n.owned(w.now), before[n.id], n.id)
+	}
+}
+
+// TestLeavingNodeHandsOver stops a node in an orderly way, first a plain one and
+// then the coordinator, and counts the time that any slice is not served.
+func TestLeavingNodeHandsOver(t *testing.T) {
+	tests := map[string]func(w *world) *simNode{
+		"plain node": func(w *world) *simNode {
+			for _, n := range w.nodes {
+				if n != w.coordinatorNode() {
+					return n
+				}
+			}
+			return nil
+		},
+		"coordinator": func(w *world) *simNode { return w.coordinatorNode() },
+	}
+	for name, choose := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := form(t, 5, 5)
+			w.loss = 0
+			n := choose(w)
+			n.negotiator.Leave(n.local(w.now))
+			w.carry(n, "")
+			w.run(w.now + 3*time.Second)
+			require.Empty(t, w.broken)
+			require.Empty(t, n.owned(w.now))
+			require.Equal(t, assigner.SlicesPerPool, w.served())
+		})
+	}
+}
+
+func TestSecondCoordinatorNeedsMajority(t *testing.T) {
+	w := form(t, 6, 5)
+	table := w.coordinatorNode().negotiator.Coordinator().Table()
+	c := coordinator.NewCandidacy(identityOf(w.nodes[0]), table.Epoch()+1, table, w.nodes[0].local(w.now))
+	joined := 0
+	for _, n := range w.nodes {
+		if c.Reply(n.negotiator.Holder().Claim(c.Claim(), n.local(w.now))) {
+			joined++
+		}
+	}
+	require.Zero(t, joined, "voters that hear their coordinator refuse a candidate")
+}
--- /dev/null
+++ b/papayapass/internal/negotiator/world_test.go
@@ -0,0 +1,368 @@
+package negotiator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"papayapass.dev/papayapass/internal/archiver"
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/coordinator"
+	"papayapass.dev/papayapass/internal/holder"
+	"papayapass.dev/papayapass/internal/mutator"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+	"papayapass.dev/shared/storer"
+)
+
+const (
+	step      = 5 * time.Millisecond
+	tickEvery = 25 * time.Millisecond
+	maxDelay  = 20 * time.Millisecond
+	lateDelay = 2 * time.Second
+	storeTime = 3 * time.Millisecond
+	// maxSkew is the largest deviation of a clock's rate; two clocks differ by at
+	// most twice that, which the margin of leases covers.
+	maxSkew = 0.009
+)
+
+// memoryPlatform is an object API with faults.
+type memoryPlatform struct {
+	object      storer.Object
+	down        bool
+	loseAnswers bool
+}
+
+func (p *memoryPlatform) Get(context.Context, string) (storer.Object, error) {
+	switch {
+	case p.down:
+		return storer.Object{}, storer.ErrUnavailable
+	case p.object.Version() == 0:
+		return storer.Object{}, storer.ErrNotFound
+	default:
+		return p.object, nil
+	}
+}
+
+func (p *memoryPlatform) Put(_ context.Context, _ string, ifVersion uint64, value []byte) (uint64, error) {
+	if p.down {
+		return 0, storer.ErrUnavailable
+	}
+	if ifVersion != p.object.Version() {
+		return 0, storer.ErrConflict
+	}
+	p.object = storer.NewObject(ifVersion+1, value)
+	if p.loseAnswers {
+		return 0, storer.ErrUnavailable
+	}
+	return p.object.Version(), nil
+}
+
+// idle is a workload in which nothing runs.
+type idle struct{}
+
+func (idle) Loads(time.Duration) []*wirepb.SliceLoad   { return nil }
+func (idle) Close(string, uint64, assigner.Token) bool { return true }
+func never(assigner.NodeID, assigner.NodeID) bool      { return false }
+func wallOf(now time.Duration) time.Time               { return time.Unix(1_000_000, 0).Add(now) }
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int64N(int64(high-low)))
+}
+
+// simNode is one node of the world.
+type simNode struct {
+	id          assigner.NodeID
+	zone        string
+	negotiator  *Negotiator
+	archive     *archiver.Archiver
+	incarnation uint64
+	rate        float64
+	offset      time.Duration
+	slept       time.Duration
+	paused      bool
+	down        bool
+	informed    bool
+	inbox       []delivery
+	nextTick    time.Duration
+	last        holding
+	cachedFor   holding
+	cached      map[uint64]assigner.Token
+}
+
+// holding is what a node's ownership depends on.
+type holding struct {
+	revision    uint64
+	incarnation uint64
+	valid       bool
+}
+
+// delivery is a message on its way, or the result of a write.
+type delivery struct {
+	due     time.Duration
+	from    assigner.NodeID
+	to      assigner.NodeID
+	message proto.Message
+	table   *assigner.Table
+	result  coordinator.StoreResult
+}
+
+// world is nodes, clocks, a lossy network and a platform, in simulated time.
+type world struct {
+	now      time.Duration
+	random   *rand.Rand
+	platform *memoryPlatform
+	nodes    []*simNode
+	flight   []delivery
+	cut      func(a, b assigner.NodeID) bool
+	loss     float64
+	owners   map[uint64]ownership
+	broken   string
+}
+
+type ownership struct {
+	token assigner.Token
+	owner assigner.NodeID
+}
+
+func newWorld(seed uint64, count int) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, seed)), platform: &memoryPlatform{},
+		cut: never, loss: 0.02, owners: make(map[uint64]ownership),
+	}
+	for i := range count {
+		n := &simNode{
+			id: assigner.NodeID("n" + strconv.Itoa(i)), zone: "z" + strconv.Itoa(i%3),
+			rate: 1 + (w.random.Float64()*2-1)*maxSkew, offset: time.Duration(w.random.Int64N(int64(time.Hour))),
+		}
+		w.nodes = append(w.nodes, n)
+		w.start(n)
+	}
+	return w
+}
+
+// start begins a node's next life, which remembers nothing.
+func (w *world) start(n *simNode) {
+	n.incarnation++
+	n.down, n.paused, n.informed, n.inbox = false, false, false, nil
+	now := n.local(w.now)
+	n.negotiator = NewNegotiator(identityOf(n), nil, idle{}, now)
+	n.archive = archiver.NewArchiver(w.platform, "cell", string(n.id)+"-"+strconv.FormatUint(n.incarnation, 10))
+	n.negotiator.SetServer(assigner.NewServer("pool", 10, 10, true, true), now)
+}
+
+func identityOf(n *simNode) holder.Identity {
+	return holder.NewIdentity("cell", n.id, string(n.id), "", n.zone, n.incarnation)
+}
+
+// local returns a node's clock at a moment.
+func (n *simNode) local(now time.Duration) timer.Instant {
+	if mutator.Active(mutator.SleepingClock) {
+		now -= n.slept
+	}
+	return timer.Instant(n.offset + time.Duration(float64(now)*n.rate))
+}
+
+func (w *world) run(until time.Duration) {
+	for w.now < until && w.broken == "" {
+		w.advance()
+	}
+}
+
+// advance moves time by one step and checks the invariants.
+func (w *world) advance() {
+	w.now += step
+	w.arrive()
+	for _, n := range w.nodes {
+		if n.paused {
+			n.slept += step
+		}
+		if n.down || n.paused {
+			continue
+		}
+		w.act(n)
+	}
+	w.check()
+}
+
+// arrive puts what is due into the inboxes.
+func (w *world) arrive() {
+	sort.SliceStable(w.flight, func(i, j int) bool { return w.flight[i].due < w.flight[j].due })
+	i := 0
+	for ; i < len(w.flight) && w.flight[i].due <= w.now; i++ {
+		d := w.flight[i]
+		n := w.node(d.to)
+		if n != nil && !n.down && (d.table != nil || !w.cut(d.from, d.to)) {
+			n.inbox = append(n.inbox, d)
+		}
+	}
+	w.flight = w.flight[i:]
+}
+
+func (w *world) node(id assigner.NodeID) *simNode {
+	for _, n := range w.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) act(n *simNode) {
+	if !n.informed {
+		w.inform(n)
+	}
+	for _, d := range n.inbox {
+		if d.table != nil {
+			n.negotiator.Stored(d.table, d.result, n.local(w.now))
+		} else {
+			n.negotiator.Receive(d.message, n.local(w.now))
+		}
+		w.carry(n, d.from)
+	}
+	n.inbox = nil
+	if w.now >= n.nextTick {
+		n.nextTick = w.now + tickEvery
+		n.negotiator.Tick(n.local(w.now), wallOf(w.now))
+		w.carry(n, "")
+	}
+}
+
+// inform reads the cell's object, or creates it.
+func (w *world) inform(n *simNode) {
+	t, err := n.archive.Read(context.Background())
+	if err != nil {
+		return
+	}
+	if t != nil {
+		n.informed = true
+		n.negotiator.Inform(t)
+		return
+	}
+	first := assigner.NewTable("cell", assigner.Epoch(wallOf(w.now).Unix()), assigner.NewMember(n.id, string(n.id), "", n.zone, n.incarnation))
+	if n.archive.Create(context.Background(), first) == coordinator.StoreDone {
+		n.informed = true
+		n.negotiator.Founded(first, n.local(w.now))
+	}
+}
+
+// carry sends what a node wants sent.
+func (w *world) carry(n *simNode, from assigner.NodeID) {
+	for _, a := range n.negotiator.Take() {
+		switch a := a.(type) {
+		case Reply:
+			w.send(n.id, from, a.Message())
+		case SendNode:
+			w.send(n.id, a.To(), a.Message())
+		case SendAddress:
+			w.send(n.id, assigner.NodeID(a.Address()), a.Message())
+		case Store:
+			result := n.archive.Write(context.Background(), a.Table())
+			w.flight = append(w.flight, delivery{due: w.now + storeTime, to: n.id, table: a.Table(), result: result})
+		case Note, Moved:
+		}
+	}
+}
+
+// send puts a message on its way: it may be lost, late, or arrive twice.
+func (w *world) send(from, to assigner.NodeID, m proto.Message) {
+	if w.cut(from, to) || w.random.Float64() < w.loss {
+		return
+	}
+	d := delivery{due: w.now + w.between(time.Millisecond, maxDelay), from: from, to: to, message: m}
+	w.flight = append(w.flight, d)
+	if w.random.Float64() < w.loss {
+		d.due = w.now + w.between(time.Millisecond, lateDelay)
+		w.flight = append(w.flight, d)
+	}
+}
+
+// check asserts that no key has two owners and that no token goes back.
+func (w *world) check() {
+	if !w.changed() {
+		return
+	}
+	held := make(map[uint64]assigner.NodeID)
+	for _, n := range w.nodes {
+		if n.down {
+			continue
+		}
+		for start, token := range n.owned(w.now) {
+			if other, ok := held[start]; ok {
+				w.broken = fmt.Sprintf("two owners of %x: %s and %s at %s", start, other, n.id, w.now)
+				return
+			}
+			held[start] = n.id
+			last := w.owners[start]
+			if token < last.token || token == last.token && n.id != last.owner {
+				w.broken = fmt.Sprintf("token of %x went back at %s at %s", start, n.id, w.now)
+				return
+			}
+			w.owners[start] = ownership{token: token, owner: n.id}
+		}
+	}
+}
+
+// changed says whether any node may own other slices than at the last call.
+func (w *world) changed() bool {
+	changed := false
+	for _, n := range w.nodes {
+		h := n.negotiator.Holder()
+		now := holding{revision: h.Revision(), incarnation: n.incarnation, valid: !n.down && n.local(w.now).Before(h.LeaseUntil())}
+		changed = changed || now != n.last
+		n.last = now
+	}
+	return changed
+}
+
+// owned returns the slices that a node may serve at a moment.
+func (n *simNode) owned(now time.Duration) map[uint64]assigner.Token {
+	h := n.negotiator.Holder()
+	if h.Table() == nil || !n.local(now).Before(h.LeaseUntil()) {
+		return nil
+	}
+	key := holding{revision: h.Revision(), incarnation: n.incarnation, valid: true}
+	if n.cachedFor == key {
+		return n.cached
+	}
+	out := make(map[uint64]assigner.Token)
+	for _, p := range h.Table().Pools() {
+		for i := range p.Len() {
+			if s, ok := h.Owns(p.Name(), p.At(i).Start(), n.local(now)); ok {
+				out[s.Start()] = s.Token()
+			}
+		}
+	}
+	n.cached, n.cachedFor = out, key
+	return out
+}
+
+// served returns how many slices have an owner.
+func (w *world) served() int {
+	total := 0
+	for _, n := range w.nodes {
+		if !n.down && !n.paused {
+			total += len(n.owned(w.now))
+		}
+	}
+	return total
+}
+
+// coordinatorNode returns the node that coordinates under the highest epoch.
+func (w *world) coordinatorNode() *simNode {
+	var best *simNode
+	for _, n := range w.nodes {
+		c := n.negotiator.Coordinator()
+		if c == nil || n.down || n.paused {
+			continue
+		}
+		if best == nil || c.Epoch() > best.negotiator.Coordinator().Epoch() {
+			best = n
+		}
+	}
+	return best
+}
