--- a/papayapass/internal/executor/backend.go
+++ b/papayapass/internal/executor/backend.go
@@ -94,6 +94,9 @@
 	for _, h := range req.GetHeaders() {
 		out.Header.AddBytesKV(h.GetName(), h.GetValue())
 	}
+	if len(out.Header.Host()) == 0 {
+		out.Header.SetHost(b.announcement.Address)
+	}
 	out.Header.Set(announcer.HeaderCall, o.callID)
 	out.Header.Set(announcer.HeaderDeadline, strconv.FormatInt(max(1, o.limit.Milliseconds()), 10))
 	if req.GetKeyed() {
