Measure what control costs by size

A node that does not confirm yet no longer becomes a voter; before, each start of a cell cost the first coordinator its majority.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,7 @@
 	cd papayapass && go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_COUNT) ./internal/parser
 	cd papayapass && go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_COUNT) ./internal/messenger
 	cd shared && go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_COUNT) ./announcer
+
+capacity:
+	go build -o bin/capacity ./papayapass/cmd/capacity
+	bin/capacity
--- a/papayapass/internal/coordinator/plan.go
+++ b/papayapass/internal/coordinator/plan.go
@@ -121,13 +121,19 @@
 		return nil
 	}
 	for _, m := range c.table.Members() {
-		if !c.table.IsVoter(m.ID()) && !m.Lost() {
+		if !c.table.IsVoter(m.ID()) && !m.Lost() && c.confirms(m.ID(), now) {
 			return append(slices.Clone(voters), m.ID())
 		}
 	}
 	return nil
 }
 
+// confirms says whether a node confirms this coordinator now. One that does not
+// yet must not become a voter: the majority would need it.
+func (c *Coordinator) confirms(id assigner.NodeID, now timer.Instant) bool {
+	return id == c.self.ID() || now.Sub(c.peer(id).echo) < restartFreshness
+}
+
 func (c *Coordinator) forgotten(m assigner.Member, now timer.Instant) bool {
 	p := c.peer(m.ID())
 	if p.leaving && m.Lost() {
--- a/standin/internal/commander/commander.go
+++ b/standin/internal/commander/commander.go
@@ -21,7 +21,7 @@
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for the platform, backend servers and callers", SilenceUsage: true}
-	root.AddCommand(newPlatformCommand(), newBackendCommand(), newDemoCommand())
+	root.AddCommand(newPlatformCommand(), newBackendCommand(), newDemoCommand(), newBenchCommand())
 	root.SetArgs(args)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -82,6 +82,25 @@
 	return cmd
 }
 
+func newBenchCommand() *cobra.Command {
+	var programs, dir, only string
+	var runs int
+	cmd := &cobra.Command{
+		Use:   "bench",
+		Short: "Measure a site under failures, scenario by scenario",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p := orchestrator.Programs{Papayapass: filepath.Join(programs, "papayapass"), Standin: filepath.Join(programs, "standin")}
+			return orchestrator.Bench(cmd.Context(), os.Stdout, p, dir, only, runs)
+		},
+	}
+	cmd.Flags().StringVar(&programs, "programs", "bin", "directory of the two programs")
+	cmd.Flags().StringVar(&dir, "out", "out/bench", "directory for logs and journals; it is emptied first")
+	cmd.Flags().StringVar(&only, "only", "", "run the scenarios whose names begin so")
+	cmd.Flags().IntVar(&runs, "runs", 1, "runs of each scenario")
+	return cmd
+}
+
 func newDemoCommand() *cobra.Command {
 	var site, programs, dir string
 	var length time.Duration
@@ -95,7 +114,11 @@
 				return err
 			}
 			p := orchestrator.Programs{Papayapass: filepath.Join(programs, "papayapass"), Standin: filepath.Join(programs, "standin")}
-			outcome, err := orchestrator.Run(cmd.Context(), os.Stdout, s, p, dir, length, orchestrator.DemoSteps(s))
+			c, err := orchestrator.NewCluster(s, p, dir)
+			if err != nil {
+				return err
+			}
+			outcome, err := orchestrator.Run(cmd.Context(), os.Stdout, c, orchestrator.DemoLoad(s, length), orchestrator.DemoSteps(s))
 			if err != nil {
 				return err
 			}
--- a/standin/internal/loader/loader.go
+++ b/standin/internal/loader/loader.go
@@ -41,6 +41,11 @@
 	ShiftEvery time.Duration
 	// Seed fixes the sequence of requests.
 	Seed uint64
+	// Uniform makes all keys equally popular.
+	Uniform bool
+	// WatchKeys is the number of keys of each group, from the most popular on,
+	// whose time without an answer is measured.
+	WatchKeys int
 	// Name goes before the nonces, so that runs can be told apart.
 	Name string
 }
@@ -59,7 +64,7 @@
 func NewLoader(s Settings) *Loader {
 	return &Loader{
 		settings: s,
-		report:   newReport(s.Kinds),
+		report:   newReport(s.Kinds, s.WatchKeys),
 		client: &fasthttp.Client{
 			MaxConnsPerHost:           maxConnections,
 			MaxIdemponentCallAttempts: 1,
@@ -73,7 +78,7 @@
 // Run sends requests at the rate, whether or not earlier ones have been
 // answered, and returns what became of them.
 func (l *Loader) Run(ctx context.Context) *Report {
-	d := newDrawer(l.settings.Kinds, l.settings.Keys, l.settings.Seed, l.settings.Name+"-")
+	d := newDrawer(l.settings)
 	started := time.Now()
 	due := started
 	shift := 0
--- a/standin/internal/loader/report.go
+++ b/standin/internal/loader/report.go
@@ -11,9 +11,6 @@
 const (
 	maxLatency     = time.Minute
 	histogramScale = 3
-	// gapKeys is the number of keys of each group whose unavailable time is
-	// measured: the most popular ones, so that a gap is not a lack of requests.
-	gapKeys = 8
 )
 
 // Percentiles is the latency of answered requests.
@@ -47,6 +44,7 @@
 	GapMaxMillis   float64       `json:"gapMaxMillis"`
 	NotRunNonces   []string      `json:"-"`
 	mu             sync.Mutex
+	watchKeys      int
 	lastAnswered   map[string]time.Time
 	gaps           map[string]time.Duration
 	overall        *hdrhistogram.Histogram
@@ -57,8 +55,9 @@
 	return hdrhistogram.New(1, maxLatency.Microseconds(), histogramScale)
 }
 
-func newReport(kinds []Kind) *Report {
+func newReport(kinds []Kind, watchKeys int) *Report {
 	r := &Report{
+		watchKeys:    watchKeys,
 		lastAnswered: make(map[string]time.Time), gaps: make(map[string]time.Duration), overall: newHistogram(),
 	}
 	for _, k := range kinds {
@@ -94,7 +93,7 @@
 		k.Answered++
 		_ = k.histogram.RecordValue(min(res.latency, maxLatency).Microseconds())
 		_ = r.overall.RecordValue(min(res.latency, maxLatency).Microseconds())
-		if res.order.rank < gapKeys {
+		if res.order.rank < r.watchKeys {
 			r.noteAnswered(res.order.key)
 		}
 	case "not-run":
--- a/standin/internal/loader/workload.go
+++ b/standin/internal/loader/workload.go
@@ -28,18 +28,22 @@
 // Name returns the name in reports.
 func (k Kind) Name() string { return k.name }
 
-// keyMix draws keys whose popularity falls with their rank (Zipf, exponent 1).
-// Which keys are hot moves on by shifting the ranks.
+// keyMix draws keys that are equally popular, or whose popularity falls with
+// their rank (Zipf, exponent 1). Which keys are hot moves on by shifting ranks.
 type keyMix struct {
 	cumulative []float64
 	random     *rand.Rand
 }
 
-func newKeyMix(keys int, random *rand.Rand) *keyMix {
+func newKeyMix(keys int, uniform bool, random *rand.Rand) *keyMix {
 	m := &keyMix{cumulative: make([]float64, keys), random: random}
 	total := 0.0
 	for i := range keys {
-		total += 1 / float64(i+1)
+		weight := 1.0
+		if !uniform {
+			weight /= float64(i + 1)
+		}
+		total += weight
 		m.cumulative[i] = total
 	}
 	return m
@@ -71,10 +75,10 @@
 	sent   int
 }
 
-func newDrawer(kinds []Kind, keys int, seed uint64, prefix string) *drawer {
-	random := rand.New(rand.NewPCG(seed, seed+1))
-	d := &drawer{kinds: kinds, keys: newKeyMix(keys, random), random: random, prefix: prefix}
-	for _, k := range kinds {
+func newDrawer(s Settings) *drawer {
+	random := rand.New(rand.NewPCG(s.Seed, s.Seed+1))
+	d := &drawer{kinds: s.Kinds, keys: newKeyMix(s.Keys, s.Uniform, random), random: random, prefix: s.Name + "-"}
+	for _, k := range s.Kinds {
 		d.total += k.weight
 	}
 	return d
--- a/standin/internal/orchestrator/cluster.go
+++ b/standin/internal/orchestrator/cluster.go
@@ -294,6 +294,20 @@
 	}
 }
 
+// backendReports returns what the running backend servers tell of themselves.
+func (c *Cluster) backendReports() []worker.Report {
+	var out []worker.Report
+	for _, m := range c.instances {
+		var r worker.Report
+		code, body, err := fasthttp.GetTimeout(nil, "http://"+m.backendAddress()+worker.ReportPath, callTimeout)
+		if err == nil && code == fasthttp.StatusOK && json.Unmarshal(body, &r) == nil {
+			r.Server = m.id
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 func (c *Cluster) callerAddresses() []string {
 	var out []string
 	for _, m := range c.instances {
--- a/standin/internal/orchestrator/demo.go
+++ b/standin/internal/orchestrator/demo.go
@@ -11,6 +11,7 @@
 
 	"papayapass.dev/standin/internal/auditor"
 	"papayapass.dev/standin/internal/loader"
+	"papayapass.dev/standin/internal/worker"
 )
 
 // Step is something that happens at a moment of a run.
@@ -24,30 +25,44 @@
 type Outcome struct {
 	report   *loader.Report
 	findings auditor.Findings
+	backends []worker.Report
+}
+
+// Load is what callers send during a run.
+type Load struct {
+	kinds     []loader.Kind
+	rate      float64
+	length    time.Duration
+	keys      int
+	uniform   bool
+	watchKeys int
+	seed      uint64
 }
 
 const (
-	demoKeys = 2000
-	demoSeed = 1
+	demoKeys      = 2000
+	demoSeed      = 1
+	demoWatchKeys = 8
 )
 
-// Run starts a site, sends its load while the steps happen, stops it and checks
-// the journals.
-func Run(ctx context.Context, out io.Writer, site Site, programs Programs, dir string, length time.Duration, steps []Step) (Outcome, error) {
-	c, err := NewCluster(site, programs, dir)
-	if err != nil {
-		return Outcome{}, err
-	}
+// DemoLoad returns the load of the demo.
+func DemoLoad(site Site, length time.Duration) Load {
+	return Load{kinds: site.kinds, rate: site.rate, length: length, keys: demoKeys, watchKeys: demoWatchKeys, seed: demoSeed}
+}
+
+// Run starts a site, sends a load while the steps happen, stops the site and
+// checks the journals.
+func Run(ctx context.Context, out io.Writer, c *Cluster, load Load, steps []Step) (Outcome, error) {
 	defer c.Stop()
 	begun := time.Now()
 	if err := c.Start(ctx); err != nil {
-		return Outcome{}, errors.Wrapf(err, "start site %s, logs are in %s", site.name, dir)
+		return Outcome{}, errors.Wrapf(err, "start site %s, logs are in %s", c.site.name, c.dir)
 	}
 	fmt.Fprintf(out, "site %s: %d nodes, %d backend servers, ready after %.1f s\n",
-		site.name, len(c.instances), len(c.instances), time.Since(begun).Seconds())
+		c.site.name, len(c.instances), len(c.instances), time.Since(begun).Seconds())
 	l := loader.NewLoader(loader.Settings{
-		Nodes: c.callerAddresses(), Kinds: site.kinds, Rate: site.rate, Duration: length,
-		Keys: demoKeys, Seed: demoSeed, Name: site.name,
+		Nodes: c.callerAddresses(), Kinds: load.kinds, Rate: load.rate, Duration: load.length,
+		Keys: load.keys, Uniform: load.uniform, WatchKeys: load.watchKeys, Seed: load.seed, Name: c.site.name,
 	})
 	stepsDone := make(chan error, 1)
 	go func() { stepsDone <- c.play(ctx, out, steps) }()
@@ -55,12 +70,13 @@
 	if err := <-stepsDone; err != nil {
 		return Outcome{}, err
 	}
+	reports := c.backendReports()
 	c.Stop()
-	executions, err := auditor.ReadJournals(dir)
+	executions, err := auditor.ReadJournals(c.dir)
 	if err != nil {
 		return Outcome{}, err
 	}
-	return Outcome{report: report, findings: auditor.Audit(executions, report.NotRunNonces)}, nil
+	return Outcome{report: report, findings: auditor.Audit(executions, report.NotRunNonces), backends: reports}, nil
 }
 
 func (c *Cluster) play(ctx context.Context, out io.Writer, steps []Step) error {
--- /dev/null
+++ b/standin/internal/orchestrator/scenario.go
@@ -0,0 +1,254 @@
+package orchestrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"papayapass.dev/standin/internal/loader"
+	"papayapass.dev/standin/internal/storekeeper"
+	"papayapass.dev/standin/internal/worker"
+)
+
+// Scenario is a site, a load and what goes wrong.
+type Scenario struct {
+	name  string
+	site  Site
+	load  Load
+	steps []Step
+}
+
+// Times and rates of the scenarios.
+const (
+	probeRate     = 800
+	probeKeys     = 40
+	probeLength   = 12 * time.Second
+	failAt        = 3 * time.Second
+	freezeLength  = 3 * time.Second
+	shortFreeze   = 700 * time.Millisecond
+	longScenario  = 20 * time.Second
+	coldScenario  = 16 * time.Second
+	stragglerSlow = 10
+	overloadShare = 1.5
+	busyShare     = 0.7
+)
+
+// probe is a load of reads of keys spread over all slices of the divided pool,
+// each read 20 times a second, so that a time without an answer shows.
+func probe(site Site) Load {
+	k := site.kinds[0]
+	return Load{
+		kinds: []loader.Kind{k}, rate: probeRate, length: probeLength,
+		keys: probeKeys, uniform: true, watchKeys: probeKeys, seed: 1,
+	}
+}
+
+// share returns the site's mix at a share of what its slots bear.
+func (s Site) share(share float64, length time.Duration) Load {
+	rate := 0.0
+	for _, p := range s.pools {
+		rate += float64(p.servers*p.slots) / serviceTime.Seconds()
+	}
+	return Load{kinds: s.kinds, rate: rate * share, length: length, keys: demoKeys, watchKeys: demoWatchKeys, seed: 1}
+}
+
+// victims chooses what a failure hits.
+type victims func(c *Cluster) ([]*member, error)
+
+func owner(c *Cluster) ([]*member, error) {
+	coordinator, err := c.coordinator()
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range c.instances {
+		if m != coordinator && m.pool.divided {
+			return []*member{m}, nil
+		}
+	}
+	return nil, errors.New("no owner besides the coordinator")
+}
+
+func coordinatorOnly(c *Cluster) ([]*member, error) {
+	m, err := c.coordinator()
+	return []*member{m}, err
+}
+
+func ownerAndCoordinator(c *Cluster) ([]*member, error) {
+	first, err := owner(c)
+	if err != nil {
+		return nil, err
+	}
+	second, err := coordinatorOnly(c)
+	return append(first, second...), err
+}
+
+func kill(at time.Duration, choose victims) Step {
+	return Step{at: at, name: "kill", action: func(_ context.Context, c *Cluster) error {
+		list, err := choose(c)
+		if err != nil {
+			return err
+		}
+		for _, m := range list {
+			m.node.kill()
+			m.backend.kill()
+		}
+		return nil
+	}}
+}
+
+// freeze stops node and backend server for a while.
+func freeze(at, length time.Duration, choose victims) Step {
+	return Step{at: at, name: "freeze", action: func(_ context.Context, c *Cluster) error {
+		list, err := choose(c)
+		if err != nil {
+			return err
+		}
+		for _, s := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+			for _, m := range list {
+				if err := errors.CombineErrors(m.node.signal(s), m.backend.signal(s)); err != nil {
+					return err
+				}
+			}
+			if s == syscall.SIGSTOP {
+				time.Sleep(length)
+			}
+		}
+		return nil
+	}}
+}
+
+func platform(at time.Duration, f storekeeper.Faults) Step {
+	return Step{at: at, name: fmt.Sprintf("platform %+v", f), action: func(_ context.Context, c *Cluster) error {
+		return c.Platform(f)
+	}}
+}
+
+func operate(at time.Duration, args ...string) Step {
+	return Step{at: at, name: strings.Join(args, " "), action: func(ctx context.Context, c *Cluster) error {
+		return c.Operate(ctx, args...)
+	}}
+}
+
+// restartCold replaces one backend server by a cold one.
+func restartCold(at time.Duration, index int) Step {
+	return Step{at: at, name: "backend server restarts cold", action: func(_ context.Context, c *Cluster) error {
+		m := c.instances[index]
+		m.backend.kill()
+		return c.startBackend(m, true)
+	}}
+}
+
+func straggle(at time.Duration, pool string, slow float64) Step {
+	return Step{at: at, name: fmt.Sprintf("a third of %s straggles by %g", pool, slow), action: func(_ context.Context, c *Cluster) error {
+		for i, m := range c.instances {
+			if m.pool.name == pool && i%3 == 0 {
+				if err := c.Control(m, worker.Control{Slow: slow}); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}}
+}
+
+// rollingRestart stops and starts each node in an orderly way, one at a time.
+func rollingRestart(at time.Duration) Step {
+	return Step{at: at, name: "rolling restart of all nodes", action: func(ctx context.Context, c *Cluster) error {
+		for _, m := range c.instances {
+			if err := m.node.stop(); err != nil {
+				return errors.Wrap(err, m.id)
+			}
+			if err := c.startNode(m); err != nil {
+				return err
+			}
+			if err := c.waitReady(ctx, len(c.instances)); err != nil {
+				return errors.Wrap(err, m.id)
+			}
+		}
+		return nil
+	}}
+}
+
+// Scenarios returns all scenarios.
+func Scenarios() []Scenario {
+	l, n := luzon(), nordeste()
+	down := platform(failAt-time.Second, storekeeper.Faults{Down: true})
+	zone := l.zones[1]
+	return []Scenario{
+		{name: "lose owner", site: n, load: probe(n), steps: []Step{kill(failAt, owner)}},
+		{name: "lose coordinator", site: n, load: probe(n), steps: []Step{kill(failAt, coordinatorOnly)}},
+		{name: "lose owner and coordinator", site: n, load: probe(n), steps: []Step{kill(failAt, ownerAndCoordinator)}},
+		{name: "lose owner, platform down", site: n, load: probe(n), steps: []Step{down, kill(failAt, owner)}},
+		{name: "lose coordinator, platform down", site: n, load: probe(n), steps: []Step{down, kill(failAt, coordinatorOnly)}},
+		{name: "lose both, platform down", site: n, load: probe(n), steps: []Step{down, kill(failAt, ownerAndCoordinator)}},
+		{name: "freeze owner 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, owner)}},
+		{name: "freeze owner 0.7 s", site: n, load: probe(n), steps: []Step{freeze(failAt, shortFreeze, owner)}},
+		{name: "freeze coordinator 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, coordinatorOnly)}},
+		{name: "zone out and in at 70 %", site: l, load: l.share(busyShare*0.6, longScenario), steps: []Step{
+			operate(failAt, "zone", "out", zone, "--wait"), operate(failAt+8*time.Second, "zone", "in", zone, "--wait"),
+		}},
+		{name: "zone out and in, platform slow", site: l, load: l.share(busyShare*0.6, longScenario), steps: []Step{
+			platform(time.Second, storekeeper.Faults{SlowMillis: 200}),
+			operate(failAt, "zone", "out", zone, "--wait"), operate(failAt+8*time.Second, "zone", "in", zone, "--wait"),
+		}},
+		{name: "cold restart", site: l, load: l.share(busyShare*0.6, coldScenario), steps: []Step{restartCold(failAt, 1)}},
+		{name: "stragglers", site: n, load: n.share(busyShare*0.6, coldScenario), steps: []Step{straggle(failAt, "pecas", stragglerSlow)}},
+		{name: "overload 150 %", site: n, load: n.share(overloadShare, probeLength)},
+		{name: "rolling restart", site: l, load: l.share(busyShare*0.4, 2*longScenario), steps: []Step{rollingRestart(failAt)}},
+	}
+}
+
+// Bench runs scenarios and prints a row for each run.
+func Bench(ctx context.Context, out io.Writer, programs Programs, dir, only string, runs int) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "scenario\tsent\tanswered %\tnot run\tunknown\tfailed\tp50 ms\tp99 ms\tgap p50 ms\tgap max ms\tover\ttwice\tfalse not run\ttwo owners\twrong\t")
+	broken := 0
+	for _, s := range Scenarios() {
+		if !strings.HasPrefix(s.name, only) {
+			continue
+		}
+		for run := range runs {
+			s.load.seed = uint64(run + 1)
+			c, err := NewCluster(s.site, programs, dir)
+			if err != nil {
+				return err
+			}
+			o, err := Run(ctx, io.Discard, c, s.load, s.steps)
+			if err != nil {
+				return errors.Wrap(err, s.name)
+			}
+			o.row(w, s.name)
+			if !o.findings.Clean() {
+				broken++
+				fmt.Fprintln(out, s.name, o.findings.FirstExample)
+			}
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return errors.Newf("%d runs broke a promise", broken)
+	}
+	return nil
+}
+
+const percent = 100
+
+func (o Outcome) row(w io.Writer, name string) {
+	t := o.report.Totals()
+	over := 0.0
+	for _, b := range o.backends {
+		over = max(over, b.PeakOver)
+	}
+	fmt.Fprintf(w, "%s\t%d\t%.2f\t%d\t%d\t%d\t%.1f\t%.1f\t%.0f\t%.0f\t%.2f\t%d\t%d\t%d\t%d\t\n", name, t.Sent,
+		percent*float64(t.Answered)/float64(max(1, t.Sent)), t.NotRun, t.Unknown, t.Failed,
+		t.Percentiles.P50Millis, t.Percentiles.P99Millis, o.report.GapP50Millis, o.report.GapMaxMillis, over,
+		o.findings.RanTwice, o.findings.FalseNotRun, o.findings.TwoOwners, o.report.Wrong+o.report.Short)
+}
--- a/standin/internal/worker/warmth.go
+++ b/standin/internal/worker/warmth.go
@@ -105,6 +105,8 @@
 
 // Report is what a backend server tells a test bench of itself.
 type Report struct {
+	// Server is the name, filled in by who asked.
+	Server string `json:"server"`
 	// Bears is the number of requests that it bears at once now.
 	Bears int `json:"bears"`
 	// Running is the number of requests in progress.
