Keep slices with their owners while the coordinator's role moves

Leases ran out before a successor was found, and nodes that joined after the majority did not report what they held.

Change: T 2.0 s and claims after 0.85 s, so leases last until the successor renews them; each joining node reports what it holds with its next heartbeat; a new coordinator asks for heartbeats at once.

--- a/papayapass/internal/commander/commander.go
+++ b/papayapass/internal/commander/commander.go
@@ -141,14 +141,33 @@
 }
 
 func newSettingsCommand() *cobra.Command {
-	return &cobra.Command{
+	var markdown bool
+	cmd := &cobra.Command{
 		Use:   "settings",
 		Short: "List all settings of a node",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if markdown {
+				return writeSettingsPage(cmd.OutOrStdout())
+			}
 			return writeSettings(cmd.OutOrStdout())
 		},
 	}
+	cmd.Flags().BoolVar(&markdown, "markdown", false, "print the page docs/SETTINGS.md")
+	return cmd
+}
+
+func writeSettingsPage(out io.Writer) error {
+	_, err := fmt.Fprint(out, "# Settings\n\nWritten by `papayapass settings --markdown`. Flags (`--set name=value`) go before the\n"+
+		"environment, and that before the file.\n\n| setting | environment | default | unit | meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, o := range configurer.Options() {
+		initial := "`" + o.Default() + "`"
+		if o.Required() {
+			initial = "(required)"
+		}
+		fmt.Fprintf(out, "| `%s` | `%s` | %s | %s | %s |\n", o.Name(), o.Environment(), initial, o.Unit(), o.Help())
+	}
+	return err
 }
 
 func writeSettings(out io.Writer) error {
--- a/papayapass/internal/coordinator/coordinator.go
+++ b/papayapass/internal/coordinator/coordinator.go
@@ -120,6 +120,7 @@
 	}
 	planner.SetStandbys()
 	c.publish(t)
+	c.askAll(now)
 	return c
 }
 
@@ -472,14 +473,19 @@
 	if now.Before(latest) || !c.confirmed(now).Before(latest) || now.Sub(c.asked) < askInterval {
 		return
 	}
+	c.askAll(now)
+}
+
+// askAll calls for a heartbeat of each node.
+func (c *Coordinator) askAll(now timer.Instant) {
 	c.asked = now
-	for _, v := range c.table.Voters() {
-		if v == c.self.ID() {
+	for _, m := range c.table.Members() {
+		if m.Lost() || m.ID() == c.self.ID() {
 			continue
 		}
 		r := c.reply(now)
 		r.Ask = true
-		c.send(v, r)
+		c.send(m.ID(), r)
 	}
 }
 
--- a/papayapass/internal/holder/holder.go
+++ b/papayapass/internal/holder/holder.go
@@ -19,18 +19,20 @@
 	// BeatInterval is the time between two heartbeats of a node.
 	BeatInterval = 400 * time.Millisecond
 	// AuthorityTerm is how long a voter's confirmation counts, from when the
-	// coordinator sent the stamp that it echoes. No lease outlives it.
-	AuthorityTerm = 1600 * time.Millisecond
+	// coordinator sent the stamp that it echoes. No lease outlives it. It is
+	// above ClaimAfter plus two BeatInterval, so that leases last until a lost
+	// coordinator's successor renews them.
+	AuthorityTerm = 2 * time.Second
 	// ClaimAfter is the silence of a coordinator after which the first in the
 	// order of succession claims its role.
-	ClaimAfter = time.Second
+	ClaimAfter = 850 * time.Millisecond
 	// ClaimStagger is added for each place further down that order.
 	ClaimStagger = 150 * time.Millisecond
 	// LoyaltyTerm is how long after hearing its coordinator a voter refuses
 	// other candidates, so that one that is cut off cannot disturb the rest. It
 	// is below ClaimAfter less BeatInterval, else voters that were answered last
 	// would refuse the first candidate.
-	LoyaltyTerm = 500 * time.Millisecond
+	LoyaltyTerm = 450 * time.Millisecond
 )
 
 // rateMargin is how much faster one clock may run than another, as a divisor.
@@ -405,10 +407,11 @@
 	if !h.accepts(c, now) {
 		return r
 	}
+	r.Holdings = h.holdings(now)
+	h.carry(now)
 	h.join(assigner.Epoch(c.GetEpoch()), assigner.NodeID(c.GetCandidate()), c.GetAddress())
 	h.heard = now
 	r.Joined = true
-	r.Holdings = h.holdings(now)
 	return r
 }
 
--- a/papayapass/internal/negotiator/negotiator.go
+++ b/papayapass/internal/negotiator/negotiator.go
@@ -35,6 +35,7 @@
 	server        assigner.Server
 	leaving       bool
 	deferUntil    timer.Instant
+	leased        bool
 	lastBeat      timer.Instant
 	lastLoads     timer.Instant
 	reported      loadReport
@@ -243,6 +244,7 @@
 	if now.Sub(n.lastBeat) >= holder.BeatInterval {
 		n.beat(now)
 	}
+	n.watchLease(now)
 	n.tickCandidacy(now)
 	if n.mayClaim(now) && n.holder.ShouldClaim(now) {
 		n.probe(now, wall)
@@ -251,6 +253,20 @@
 	n.collectAt(now)
 }
 
+// watchLease notes when the lease begins and when it runs out.
+func (n *Negotiator) watchLease(now timer.Instant) {
+	leased := now.Before(n.holder.LeaseUntil())
+	if leased == n.leased {
+		return
+	}
+	n.leased = leased
+	if leased {
+		n.note("lease begins", "", n.holder.Epoch())
+		return
+	}
+	n.note("lease ran out", "", n.holder.Epoch())
+}
+
 func (n *Negotiator) tickCandidacy(now timer.Instant) {
 	switch {
 	case n.candidacy == nil:
--- a/papayapass/internal/runner/runner.go
+++ b/papayapass/internal/runner/runner.go
@@ -38,6 +38,9 @@
 	closeTime   = time.Second
 )
 
+// logTimeFormat is RFC 3339 with milliseconds.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Node is a running papayapass process.
 type Node struct {
 	settings  *configurer.Settings
@@ -80,6 +83,7 @@
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = logTimeFormat
 	logger := zerolog.New(os.Stderr)
 	if s.Text(configurer.LogFormat) == "console" {
 		logger = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr})
--- a/standin/internal/orchestrator/scenario.go
+++ b/standin/internal/orchestrator/scenario.go
@@ -36,6 +36,8 @@
 	stragglerSlow = 10
 	overloadShare = 1.5
 	busyShare     = 0.7
+	// reportedReasons is the count above which a reason is printed.
+	reportedReasons = 20
 )
 
 // probe is a load of reads of keys spread over all slices of the divided pool,
@@ -223,6 +225,7 @@
 				return errors.Wrap(err, s.name)
 			}
 			o.row(out, s.name)
+			o.reasons(out)
 			if !o.findings.Clean() {
 				broken++
 				fmt.Fprintln(out, s.name, o.findings.FirstExample)
@@ -248,3 +251,19 @@
 		t.Percentiles.P50Millis, t.Percentiles.P99Millis, o.report.GapP50Millis, o.report.GapMaxMillis, over,
 		o.findings.RanTwice, o.findings.FalseNotRun, o.findings.TwoOwners, o.report.Wrong+o.report.Short)
 }
+
+// reasons prints why requests were not answered.
+func (o Outcome) reasons(w io.Writer) {
+	for _, k := range o.report.Kinds {
+		for reason, n := range k.Reasons {
+			if n > reportedReasons {
+				fmt.Fprintf(w, "    %s: %d x %s\n", k.Kind, n, reason)
+			}
+		}
+	}
+	for _, b := range o.backends {
+		if b.Overloads > 0 {
+			fmt.Fprintf(w, "    %s: given too much %d times, bears %d\n", b.Server, b.Overloads, b.Bears)
+		}
+	}
+}
