Fill servers that join instead of waiting for the balance budget

Change: a pool is cut once its servers have settled; a server with less than half its share is filled, 8 moves on their way at a time, outside the budget of balancing. Shares go by what a server can bear now, so a cold one gets little.

--- a/papayapass/internal/assigner/planner.go
+++ b/papayapass/internal/assigner/planner.go
@@ -46,8 +46,11 @@
 	count  int
 }
 
-// ratio is the load for each slot.
-func (s share) ratio() float64 { return s.load / float64(max(1, s.member.server.slots)) }
+// weight is how much the member's backend server can bear now.
+func (s share) weight() float64 { return float64(max(1, s.member.server.allowance)) }
+
+// ratio is the load for each request that the backend server can bear at once.
+func (s share) ratio() float64 { return s.load / s.weight() }
 
 // baseLoad is what a slice without known load counts for, in requests a second.
 const baseLoad = 1.0
@@ -305,6 +308,44 @@
 	return true
 }
 
+// fillBelow is the part of the mean ratio below which a server counts as new and
+// is filled.
+const fillBelow = 0.5
+
+// Fill plans moves to servers that have far less than their share, because they
+// are new or back: at most limit moves are on their way to one target. It counts
+// as planned churn and not against the budget of Balance.
+func (p *Planner) Fill(limit int) {
+	for pi := range p.table.pools {
+		pool := &p.table.pools[pi]
+		for _, s := range p.shares(*pool) {
+			p.fillOne(pool, s.member.id, limit)
+		}
+	}
+}
+
+// fillOne plans moves to a member until it has its share. A member that is above
+// the threshold and has no move on its way is left to Balance.
+func (p *Planner) fillOne(pool *Pool, id NodeID, limit int) {
+	incoming := incomingMoves(*pool)
+	filling := incoming[id] > 0
+	for incoming[id] < limit {
+		shares := p.shares(*pool)
+		sort.Slice(shares, func(i, j int) bool { return shares[i].ratio() < shares[j].ratio() })
+		target := slices.IndexFunc(shares, func(s share) bool { return s.member.id == id })
+		mean := meanRatio(shares)
+		if target < 0 || shares[target].ratio() >= mean || !filling && shares[target].ratio() >= mean*fillBelow {
+			return
+		}
+		best := p.bestMove(*pool, shares[target], shares[len(shares)-1])
+		if best < 0 {
+			return
+		}
+		filling = true
+		p.plan(pool.name, &pool.slices[best], shares, incoming, id)
+	}
+}
+
 // bestMove returns the slice of the high member whose move to the low one
 // leaves the smaller maximum, or -1 when none lowers it.
 func (p *Planner) bestMove(pool Pool, low, high share) int {
@@ -325,12 +366,12 @@
 }
 
 func meanRatio(shares []share) float64 {
-	load, slots := 0.0, 0.0
+	load, weight := 0.0, 0.0
 	for _, s := range shares {
 		load += s.load
-		slots += float64(max(1, s.member.server.slots))
+		weight += s.weight()
 	}
-	return load / slots
+	return load / weight
 }
 
 // SetStandbys gives each owned slice a standby that may serve it, in another
--- a/papayapass/internal/coordinator/peer.go
+++ b/papayapass/internal/coordinator/peer.go
@@ -68,7 +68,7 @@
 const (
 	balanceMovesPerMinute = 24
 	balanceMovesBurst     = 16
-	evacuationsPerTarget  = 8
+	movesPerTarget        = 8
 )
 
 func (b *moveBudget) refill(now timer.Instant) int {
--- a/papayapass/internal/coordinator/plan.go
+++ b/papayapass/internal/coordinator/plan.go
@@ -52,11 +52,15 @@
 	}
 	t := c.table.Clone()
 	planner := c.planner(t)
-	planner.AddPools()
+	settled := !now.Before(c.quietUntil)
+	if settled {
+		planner.AddPools()
+	}
 	planner.Assign(c.held)
-	planner.Evacuate(evacuationsPerTarget)
+	planner.Evacuate(movesPerTarget)
 	urgent := planner.Changed()
-	if !now.Before(c.quietUntil) && !c.storeDown {
+	if settled && !c.storeDown {
+		planner.Fill(movesPerTarget)
 		c.budget.spend(planner.Balance(c.budget.refill(now)))
 	}
 	planner.SetStandbys()
