Resolve calls of silent links, and run named requests once

Cause: a call in flight on a link that went silent ended as unknown although its peer knew better, and a caller that repeated a request under the same Idempotency-Key could run it twice.

Change: the owner's node remembers calls that are not idempotent (20,000, 16 MiB, 5 minutes). After a lost link the router asks over a fresh one: it gets the answer, or a refusal that also holds when the call arrives late. A repeated Idempotency-Key gets the remembered answer.

Figures: tests with a proxy that silences a link: one run, answer delivered.

Conclusion: unknown is left for peers that are gone. The memory is not handed over with the keys yet.

--- a/papayapass/internal/executor/executor.go
+++ b/papayapass/internal/executor/executor.go
@@ -12,6 +12,7 @@
 	"papayapass.dev/papayapass/internal/gater"
 	"papayapass.dev/papayapass/internal/keeper"
 	"papayapass.dev/papayapass/internal/limiter"
+	"papayapass.dev/papayapass/internal/recaller"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/wirepb"
 	"papayapass.dev/shared/announcer"
@@ -43,6 +44,7 @@
 	clock       timer.Clock
 	maxWait     time.Duration
 	incarnation string
+	recaller    *recaller.Recaller
 	backend     atomic.Pointer[backend]
 	announced   atomic.Int64
 	leaving     atomic.Bool
@@ -53,7 +55,7 @@
 // longer than maxWait for it.
 func NewExecutor(o Ownership, clock timer.Clock, maxWait time.Duration, incarnation uint64) *Executor {
 	return &Executor{
-		ownership: o, clock: clock, maxWait: maxWait,
+		ownership: o, clock: clock, maxWait: maxWait, recaller: recaller.NewRecaller(clock),
 		incarnation: strconv.FormatUint(incarnation, 16) + "-",
 	}
 }
@@ -114,10 +116,55 @@
 	return b.limiter.Usage(), true
 }
 
+// Recaller returns the memory of calls that must not run twice.
+func (e *Executor) Recaller() *recaller.Recaller { return e.recaller }
+
 // Serve runs a request. The context ends when nobody waits for the answer.
 func (e *Executor) Serve(ctx context.Context, req *wirepb.Request) *wirepb.Answer {
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	if req.GetIdempotent() {
+		return e.serve(ctx, req)
+	}
+	return e.serveOnce(ctx, req, recaller.NewCallKey(req.GetOrigin(), req.GetCall()), func() *wirepb.Answer {
+		if len(req.GetIdempotencyKey()) == 0 {
+			return e.serve(ctx, req)
+		}
+		key := recaller.NewIdempotencyKey(req.GetPool(), req.GetAccount(), req.GetIdempotencyKey())
+		return e.serveOnce(ctx, req, key, func() *wirepb.Answer { return e.serve(ctx, req) })
+	})
+}
+
+// serveOnce runs a call unless one of the same name runs or has run; then it
+// waits for that one's answer.
+func (e *Executor) serveOnce(ctx context.Context, req *wirepb.Request, k recaller.Key, run func() *wirepb.Answer) *wirepb.Answer {
+	for {
+		done, fresh := e.recaller.Begin(k)
+		if fresh {
+			answer := run()
+			e.recaller.End(k, answer)
+			return answer
+		}
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return unknown(req, wirepb.Reason_REASON_DEADLINE)
+		}
+		if remembered := e.recaller.Look(k); remembered != nil {
+			return repeat(req, remembered)
+		}
+	}
+}
+
+// repeat returns a remembered answer as the answer to another call.
+func repeat(req *wirepb.Request, a *wirepb.Answer) *wirepb.Answer {
+	return &wirepb.Answer{
+		Call: req.GetCall(), Outcome: a.GetOutcome(), Reason: a.GetReason(), Status: a.GetStatus(),
+		Headers: a.GetHeaders(), Body: a.GetBody(),
+	}
+}
+
+func (e *Executor) serve(ctx context.Context, req *wirepb.Request) *wirepb.Answer {
 	b := e.backend.Load()
 	if b == nil || b.announcement.Pool != req.GetPool() {
 		return refuse(req, wirepb.Reason_REASON_NO_SERVER)
--- a/papayapass/internal/messenger/calls.go
+++ b/papayapass/internal/messenger/calls.go
@@ -91,12 +91,27 @@
 // mean that nothing was sent; after ErrLinkLost or the context's end the peer
 // may run the request. The end of the context cancels it there.
 func (l *Link) Call(ctx context.Context, req *wirepb.Request) (*wirepb.Answer, error) {
-	answer, err := l.calls.add(req.GetCall(), l.timers.Now())
+	answer, err := l.exchange(ctx, req.GetCall(), req)
+	if err != nil && ctx.Err() != nil {
+		_ = l.data.send(&wirepb.Cancel{Call: req.GetCall()}) // the deadline ends it there as well
+	}
+	return answer, err
+}
+
+// Resolve asks what became of a call that was sent on another link, and waits for
+// its answer. A call that the peer has not seen is refused, now and later.
+func (l *Link) Resolve(ctx context.Context, req *wirepb.Request) (*wirepb.Answer, error) {
+	return l.exchange(ctx, req.GetCall(), &wirepb.Resolve{Call: req.GetCall(), Origin: req.GetOrigin()})
+}
+
+// exchange sends a message and waits for the answer of its call.
+func (l *Link) exchange(ctx context.Context, call uint64, m proto.Message) (*wirepb.Answer, error) {
+	answer, err := l.calls.add(call, l.timers.Now())
 	if err != nil {
 		return nil, err
 	}
-	if err := l.data.send(req); err != nil {
-		l.calls.remove(req.GetCall())
+	if err := l.data.send(m); err != nil {
+		l.calls.remove(call)
 		return nil, err
 	}
 	select {
@@ -106,8 +121,7 @@
 		}
 		return m, nil
 	case <-ctx.Done():
-		l.calls.remove(req.GetCall())
-		_ = l.data.send(&wirepb.Cancel{Call: req.GetCall()}) // the deadline ends it there as well
+		l.calls.remove(call)
 		return nil, ctx.Err()
 	}
 }
--- a/papayapass/internal/messenger/codec.go
+++ b/papayapass/internal/messenger/codec.go
@@ -29,7 +29,6 @@
 	kindAnswer
 	kindCancel
 	kindResolve
-	kindResolution
 	kindPing
 	kindPong
 	kindBeat
@@ -53,8 +52,6 @@
 		return kindCancel
 	case *wirepb.Resolve:
 		return kindResolve
-	case *wirepb.Resolution:
-		return kindResolution
 	case *wirepb.Ping:
 		return kindPing
 	case *wirepb.Pong:
@@ -86,8 +83,6 @@
 		return &wirepb.Cancel{}
 	case kindResolve:
 		return &wirepb.Resolve{}
-	case kindResolution:
-		return &wirepb.Resolution{}
 	case kindPing:
 		return &wirepb.Ping{}
 	case kindPong:
--- a/papayapass/internal/messenger/codec_test.go
+++ b/papayapass/internal/messenger/codec_test.go
@@ -18,7 +18,6 @@
 		&wirepb.Answer{Call: 7, Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: 200},
 		&wirepb.Cancel{Call: 7},
 		&wirepb.Resolve{Call: 7},
-		&wirepb.Resolution{Call: 7, State: wirepb.CallState_CALL_STATE_RUNNING},
 		&wirepb.Ping{Stamp: 1},
 		&wirepb.Pong{Stamp: 1},
 		&wirepb.Beat{Node: "a", Sequence: 3},
--- /dev/null
+++ b/papayapass/internal/recaller/recaller.go
@@ -0,0 +1,169 @@
+// Package recaller remembers calls that must not run twice, within a bound of
+// entries and time: what runs, and the answers of what has ended.
+package recaller
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// Bounds of the memory.
+const (
+	// MaxEntries is the number of calls that are remembered.
+	MaxEntries = 20_000
+	// MaxBytes is the size of all answers that are remembered.
+	MaxBytes = 16 << 20
+	// Retention is how long an ended call is remembered.
+	Retention = 5 * time.Minute
+)
+
+// Key names a call: by the node and number that sent it, or by the account and
+// the idempotency key that its caller gave it.
+type Key struct {
+	origin  uint64
+	call    uint64
+	account string
+	name    string
+}
+
+// NewCallKey returns the name of a call on the wire.
+func NewCallKey(origin, call uint64) Key { return Key{origin: origin, call: call} }
+
+// NewIdempotencyKey returns the name that a caller gave its request.
+func NewIdempotencyKey(pool string, account, name []byte) Key {
+	return Key{account: pool + "/" + string(account), name: string(name)}
+}
+
+// entry is a remembered call. Done is closed at its end.
+type entry struct {
+	key    Key
+	answer *wirepb.Answer
+	done   chan struct{}
+	ended  timer.Instant
+	size   int
+}
+
+// Recaller remembers calls.
+type Recaller struct {
+	clock   timer.Clock
+	mu      sync.Mutex
+	entries map[Key]*list.Element
+	order   *list.List
+	bytes   int
+}
+
+// NewRecaller returns an empty memory.
+func NewRecaller(clock timer.Clock) *Recaller {
+	return &Recaller{clock: clock, entries: make(map[Key]*list.Element), order: list.New()}
+}
+
+// Begin notes the start of a call. When the call is remembered it returns false,
+// and a channel that is closed at its end.
+func (r *Recaller) Begin(k Key) (<-chan struct{}, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if element, ok := r.entries[k]; ok {
+		return element.Value.(*entry).done, false
+	}
+	r.makeRoom()
+	e := &entry{key: k, done: make(chan struct{})}
+	r.entries[k] = r.order.PushBack(e)
+	return e.done, true
+}
+
+// End notes the answer of a call that began here. One that certainly did not run
+// is forgotten, so that it may be sent again.
+func (r *Recaller) End(k Key, answer *wirepb.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	element, ok := r.entries[k]
+	if !ok {
+		return
+	}
+	e := element.Value.(*entry)
+	close(e.done)
+	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
+		r.forget(element)
+		return
+	}
+	e.answer = answer
+	e.ended = r.clock.Now()
+	e.size = len(answer.GetBody())
+	r.bytes += e.size
+	r.order.MoveToBack(element)
+}
+
+// Refuse notes that a call that was never seen must not be run when it arrives
+// late. It says false when the call is remembered already.
+func (r *Recaller) Refuse(k Key) bool {
+	if _, fresh := r.Begin(k); !fresh {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[k].Value.(*entry)
+	e.answer = &wirepb.Answer{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Reason: wirepb.Reason_REASON_LOST_CONNECTION}
+	e.ended = r.clock.Now()
+	close(e.done)
+	return true
+}
+
+// Ending returns a channel that is closed at the end of a call; it says false
+// when the call is not remembered.
+func (r *Recaller) Ending(k Key) (<-chan struct{}, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	element, ok := r.entries[k]
+	if !ok {
+		return nil, false
+	}
+	return element.Value.(*entry).done, true
+}
+
+// Look returns the answer of a call that has ended, or nil.
+func (r *Recaller) Look(k Key) *wirepb.Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	element, ok := r.entries[k]
+	if !ok {
+		return nil
+	}
+	return element.Value.(*entry).answer
+}
+
+// Len returns the number of calls that are remembered.
+func (r *Recaller) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.order.Len()
+}
+
+// makeRoom forgets ended calls that are too old, and the oldest ones beyond the
+// bounds. Calls that run are never forgotten. The lock is held.
+func (r *Recaller) makeRoom() {
+	now := r.clock.Now()
+	element := r.order.Front()
+	for element != nil {
+		next := element.Next()
+		e := element.Value.(*entry)
+		full := r.order.Len() >= MaxEntries || r.bytes > MaxBytes
+		if e.answer != nil && !full && now.Sub(e.ended) < Retention {
+			return
+		}
+		if e.answer != nil {
+			r.forget(element)
+		}
+		element = next
+	}
+}
+
+func (r *Recaller) forget(element *list.Element) {
+	e := element.Value.(*entry)
+	r.order.Remove(element)
+	delete(r.entries, e.key)
+	r.bytes -= e.size
+}
--- a/papayapass/internal/receiver/receiver.go
+++ b/papayapass/internal/receiver/receiver.go
@@ -72,7 +72,6 @@
 	tracer      *tracer.Tracer
 	logger      zerolog.Logger
 	incarnation uint64
-	calls       atomic.Uint64
 	book        atomic.Pointer[ruleBook]
 	accounts    accounts
 }
@@ -200,7 +199,6 @@
 		caller = []byte(ctx.RemoteAddr().String())
 	}
 	return &wirepb.Request{
-		Call:           rc.calls.Add(1),
 		Origin:         rc.incarnation,
 		Pool:           rule.Pool(),
 		Keyed:          rule.Key().Source() != matcher.KeyNone,
--- a/papayapass/internal/responder/responder.go
+++ b/papayapass/internal/responder/responder.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
+	"google.golang.org/protobuf/proto"
 
 	"papayapass.dev/papayapass/internal/messenger"
+	"papayapass.dev/papayapass/internal/recaller"
 	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/papayapass/internal/wirepb"
 )
@@ -19,6 +21,16 @@
 	Serve(ctx context.Context, req *wirepb.Request) *wirepb.Answer
 }
 
+// Recalls remembers calls that must not run twice.
+type Recalls interface {
+	// Ending returns a channel that is closed at the end of a remembered call.
+	Ending(k recaller.Key) (<-chan struct{}, bool)
+	// Refuse notes that a call must not be run when it arrives late.
+	Refuse(k recaller.Key) bool
+	// Look returns the answer of a call that has ended, or nil.
+	Look(k recaller.Key) *wirepb.Answer
+}
+
 // callKey names a call of a link.
 type callKey struct {
 	link *messenger.Link
@@ -30,6 +42,7 @@
 type Responder struct {
 	ctx     context.Context
 	local   Local
+	recalls Recalls
 	tracer  *tracer.Tracer
 	mu      sync.Mutex
 	cancels map[callKey]context.CancelFunc
@@ -37,8 +50,8 @@
 }
 
 // NewResponder returns a responder whose work ends with the context.
-func NewResponder(ctx context.Context, local Local, t *tracer.Tracer) *Responder {
-	return &Responder{ctx: ctx, local: local, tracer: t, cancels: make(map[callKey]context.CancelFunc)}
+func NewResponder(ctx context.Context, local Local, recalls Recalls, t *tracer.Tracer) *Responder {
+	return &Responder{ctx: ctx, local: local, recalls: recalls, tracer: t, cancels: make(map[callKey]context.CancelFunc)}
 }
 
 // Request starts a peer's request; it does not block.
@@ -81,5 +94,35 @@
 	}
 }
 
+// Resolve answers what became of a call that came on another link. One that was
+// never seen is refused for good.
+func (r *Responder) Resolve(l *messenger.Link, m *wirepb.Resolve) {
+	r.work.Add(1)
+	go func() {
+		defer r.work.Done()
+		if answer := r.resolve(l, recaller.NewCallKey(m.GetOrigin(), m.GetCall())); answer != nil {
+			copied := proto.CloneOf(answer)
+			copied.Call = m.GetCall()
+			_ = l.SendData(copied) // a peer whose link is gone asks on another
+		}
+	}()
+}
+
+// resolve waits for the end of a call; nil means that the asking link has gone.
+func (r *Responder) resolve(l *messenger.Link, k recaller.Key) *wirepb.Answer {
+	r.recalls.Refuse(k)
+	if done, ok := r.recalls.Ending(k); ok {
+		select {
+		case <-done:
+		case <-l.Done():
+			return nil
+		}
+	}
+	if answer := r.recalls.Look(k); answer != nil {
+		return answer
+	}
+	return &wirepb.Answer{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Reason: wirepb.Reason_REASON_LOST_CONNECTION}
+}
+
 // Wait returns when no request is in progress.
 func (r *Responder) Wait() { r.work.Wait() }
--- /dev/null
+++ b/papayapass/internal/responder/responder_test.go
@@ -0,0 +1,187 @@
+package responder
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"papayapass.dev/papayapass/internal/messenger"
+	"papayapass.dev/papayapass/internal/recaller"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// slowLocal runs each call once and waits for the test to release it.
+type slowLocal struct {
+	recalls *recaller.Recaller
+	release chan struct{}
+	runs    atomic.Int64
+}
+
+func (s *slowLocal) Serve(_ context.Context, req *wirepb.Request) *wirepb.Answer {
+	k := recaller.NewCallKey(req.GetOrigin(), req.GetCall())
+	if _, fresh := s.recalls.Begin(k); !fresh {
+		return &wirepb.Answer{Call: req.GetCall(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN}
+	}
+	s.runs.Add(1)
+	<-s.release
+	answer := &wirepb.Answer{Call: req.GetCall(), Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: 200, Body: []byte("receipt")}
+	s.recalls.End(k, answer)
+	return answer
+}
+
+// silentProxy passes bytes on until it is silenced; connections opened later work.
+type silentProxy struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	silent   []*atomic.Bool
+}
+
+func newSilentProxy(t *testing.T, target string) *silentProxy {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &silentProxy{listener: listener, target: target}
+	t.Cleanup(func() { _ = listener.Close() })
+	go p.accept()
+	return p
+}
+
+func (p *silentProxy) accept() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", p.target)
+		if err != nil {
+			return
+		}
+		silent := &atomic.Bool{}
+		p.mu.Lock()
+		p.silent = append(p.silent, silent)
+		p.mu.Unlock()
+		go pass(in, out, silent)
+		go pass(out, in, silent)
+	}
+}
+
+func pass(from, to net.Conn, silent *atomic.Bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil && err != io.EOF {
+			return
+		}
+	}
+}
+
+// silence stops all connections of now for good.
+func (p *silentProxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.silent {
+		s.Store(true)
+	}
+}
+
+// pair is a connector that reaches a responder through the proxy.
+type pair struct {
+	connector *messenger.Connector
+	proxy     *silentProxy
+	local     *slowLocal
+}
+
+func newPair(t *testing.T) *pair {
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	timers := timer.NewService(timer.BootClock{})
+	group.Go(func() error { return timers.Run(ctx) })
+	recalls := recaller.NewRecaller(timers)
+	local := &slowLocal{recalls: recalls, release: make(chan struct{})}
+	spans, err := tracer.NewTracer(ctx, "", 0, "test")
+	require.NoError(t, err)
+	r := NewResponder(ctx, local, recalls, spans)
+	handle := func(l *messenger.Link, m proto.Message) {
+		switch m := m.(type) {
+		case *wirepb.Request:
+			r.Request(l, m)
+		case *wirepb.Resolve:
+			r.Resolve(l, m)
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	hello := &wirepb.Hello{Format: messenger.FormatVersion, Cell: "cell", Node: "b"}
+	server := messenger.NewConnector(ctx, group, hello, timers, handle)
+	group.Go(func() error { return server.Serve(listener) })
+	client := messenger.NewConnector(ctx, group, &wirepb.Hello{Format: messenger.FormatVersion, Cell: "cell", Node: "a"}, timers, handle)
+	t.Cleanup(func() {
+		cancel()
+		_ = listener.Close()
+		_ = group.Wait()
+	})
+	return &pair{connector: client, proxy: newSilentProxy(t, listener.Addr().String()), local: local}
+}
+
+func (p *pair) link(t *testing.T) *messenger.Link {
+	l, err := p.connector.Link(t.Context(), p.proxy.listener.Addr().String())
+	require.NoError(t, err)
+	return l
+}
+
+func renewal() *wirepb.Request {
+	return &wirepb.Request{Call: 1, Origin: 7, Pool: "permits", TimeLeftMicros: uint32(time.Minute.Microseconds())}
+}
+
+// TestSilentLinkIsResolved silences a link while a call runs: the link is given
+// up, and the answer of the call arrives over a fresh one.
+func TestSilentLinkIsResolved(t *testing.T) {
+	p := newPair(t)
+	first := p.link(t)
+	lost := make(chan error, 1)
+	go func() {
+		_, err := first.Call(t.Context(), renewal())
+		lost <- err
+	}()
+	require.Eventually(t, func() bool { return p.local.runs.Load() == 1 }, time.Minute, time.Millisecond)
+	p.proxy.silence()
+	require.ErrorIs(t, <-lost, messenger.ErrLinkLost)
+	fresh := p.link(t)
+	require.NotSame(t, first, fresh)
+	close(p.local.release)
+	answer, err := fresh.Resolve(t.Context(), renewal())
+	require.NoError(t, err)
+	require.Equal(t, "receipt", string(answer.GetBody()))
+	require.EqualValues(t, 1, p.local.runs.Load())
+}
+
+// TestUnseenCallIsRefusedForGood asks about a call that never arrived: it is not
+// run, and not when it arrives late either.
+func TestUnseenCallIsRefusedForGood(t *testing.T) {
+	p := newPair(t)
+	close(p.local.release)
+	l := p.link(t)
+	answer, err := l.Resolve(t.Context(), renewal())
+	require.NoError(t, err)
+	require.Equal(t, wirepb.Outcome_OUTCOME_NOT_RUN, answer.GetOutcome())
+	answer, err = l.Call(t.Context(), renewal())
+	require.NoError(t, err)
+	require.Equal(t, wirepb.Outcome_OUTCOME_NOT_RUN, answer.GetOutcome())
+	require.Zero(t, p.local.runs.Load())
+}
--- a/papayapass/internal/router/router.go
+++ b/papayapass/internal/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,7 @@
 	balancer *balancer.Balancer
 	clock    timer.Clock
 	budget   *Budget
+	calls    atomic.Uint64
 }
 
 // NewRouter returns a router.
@@ -131,6 +133,7 @@
 }
 
 func (r *Router) try(ctx context.Context, view *keeper.View, a *attempt) verdict {
+	a.req.Call = r.calls.Add(1)
 	target, ok := r.target(view, a)
 	if !ok {
 		a.last = notRun(a.req, wirepb.Reason_REASON_NO_SERVER)
@@ -248,12 +251,30 @@
 	case errors.Is(err, messenger.ErrRingFull):
 		return notRun(req, wirepb.Reason_REASON_OVERLOADED)
 	case errors.Is(err, messenger.ErrLinkLost):
-		return &wirepb.Answer{Call: req.GetCall(), Reason: wirepb.Reason_REASON_LOST_CONNECTION}
+		return r.resolve(ctx, target, req)
 	default:
 		return &wirepb.Answer{Call: req.GetCall(), Reason: wirepb.Reason_REASON_DEADLINE}
 	}
 }
 
+// resolve asks the peer, over a fresh link, what became of a call whose link was
+// lost. Idempotent work is not asked about: it is sent again.
+func (r *Router) resolve(ctx context.Context, target assigner.Member, req *wirepb.Request) *wirepb.Answer {
+	lost := &wirepb.Answer{Call: req.GetCall(), Reason: wirepb.Reason_REASON_LOST_CONNECTION}
+	if req.GetIdempotent() {
+		return lost
+	}
+	link, err := r.link(ctx, target.Address())
+	if err != nil {
+		return lost
+	}
+	answer, err := link.Resolve(ctx, req)
+	if err != nil {
+		return lost
+	}
+	return answer
+}
+
 func (r *Router) link(ctx context.Context, address string) (*messenger.Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
--- a/papayapass/internal/runner/runner.go
+++ b/papayapass/internal/runner/runner.go
@@ -140,7 +140,7 @@
 		return nil, err
 	}
 	n.executor = executor.NewExecutor(n.keeper, n.timers, s.Duration(configurer.LimitQueueTime), incarnation)
-	n.responder = responder.NewResponder(ctx, n.executor, n.tracer)
+	n.responder = responder.NewResponder(ctx, n.executor, n.executor.Recaller(), n.tracer)
 	choice := balancer.NewBalancer(n.timers, self.Zone(), incarnation)
 	route := router.NewRouter(n.keeper, n.executor, n.connector, choice, n.timers)
 	m := meter.NewMeter()
@@ -169,6 +169,8 @@
 	switch m := m.(type) {
 	case *wirepb.Request:
 		n.responder.Request(l, m)
+	case *wirepb.Resolve:
+		n.responder.Resolve(l, m)
 	case *wirepb.Cancel:
 		n.responder.Cancel(l, m.GetCall())
 	default:
