--- a/papayapass/internal/coordinator/coordinator.go
+++ b/papayapass/internal/coordinator/coordinator.go
@@ -23,6 +23,8 @@
 	// restartFreshness is how long a restarted node counts as present after a
 	// heartbeat that could not be given a lease yet.
 	restartFreshness = 2 * holder.BeatInterval
+	// planInterval is the time between two plans of an unchanged table.
+	planInterval = 250 * time.Millisecond
 	// askInterval is the least time between two calls for heartbeats.
 	askInterval = 50 * time.Millisecond
 	// historyTables is how many published tables are kept, to send only what
@@ -50,6 +52,8 @@
 	readyAt       timer.Instant
 	asked         timer.Instant
 	quietUntil    timer.Instant
+	planned       *assigner.Table
+	plannedAt     timer.Instant
 	restriction   assigner.Restriction
 	configuration *wirepb.Configuration
 	loads         loadTable
@@ -159,6 +163,7 @@
 	}
 	c.configuration = cfg
 	c.restriction = assigner.NewRestriction(cfg.GetZonesOut(), cfg.GetServersOut())
+	c.planned = nil
 	for _, m := range c.table.Members() {
 		r := c.reply(0)
 		r.Configuration = cfg
--- a/papayapass/internal/coordinator/plan.go
+++ b/papayapass/internal/coordinator/plan.go
@@ -47,7 +47,7 @@
 // plan assigns what has no owner, moves slices off servers that may get no new
 // work, and balances load within the budget.
 func (c *Coordinator) plan(now timer.Instant) {
-	if c.draft != nil || !c.ready {
+	if c.draft != nil || !c.ready || !c.planDue(now) {
 		return
 	}
 	t := c.table.Clone()
@@ -76,6 +76,16 @@
 	c.propose(t)
 }
 
+// planDue says whether the table has changed since it was last planned, or long
+// enough ago that loads and the budget have.
+func (c *Coordinator) planDue(now timer.Instant) bool {
+	if c.planned == c.table && now.Sub(c.plannedAt) < planInterval {
+		return false
+	}
+	c.planned, c.plannedAt = c.table, now
+	return true
+}
+
 // propose writes a changed table down; it comes into force when that is done.
 func (c *Coordinator) propose(t *assigner.Table) {
 	c.stamp(t)
--- a/standin/internal/commander/commander.go
+++ b/standin/internal/commander/commander.go
@@ -21,7 +21,7 @@
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for the platform, backend servers and callers", SilenceUsage: true}
-	root.AddCommand(newPlatformCommand(), newBackendCommand(), newDemoCommand(), newBenchCommand())
+	root.AddCommand(newPlatformCommand(), newBackendCommand(), newDemoCommand(), newBenchCommand(), newPathCommand())
 	root.SetArgs(args)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -77,7 +77,7 @@
 	f.BoolVar(&s.ChecksTokens, "checks-tokens", true, "refuse older fencing tokens")
 	f.BoolVar(&s.Cold, "cold", false, "start cold")
 	f.DurationVar(&s.ServiceTime, "service-time", 5*time.Millisecond, "mean time of a request")
-	f.StringVar(&s.Journal, "journal", os.DevNull, "file for executions")
+	f.StringVar(&s.Journal, "journal", "", "file for executions")
 	f.Uint64Var(&s.Seed, "seed", 1, "seed of the service times")
 	return cmd
 }
@@ -101,6 +101,22 @@
 	return cmd
 }
 
+func newPathCommand() *cobra.Command {
+	var programs, dir string
+	cmd := &cobra.Command{
+		Use:   "path",
+		Short: "Measure what one and two hops cost against a direct call",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p := orchestrator.Programs{Papayapass: filepath.Join(programs, "papayapass"), Standin: filepath.Join(programs, "standin")}
+			return orchestrator.MeasurePath(cmd.Context(), os.Stdout, p, dir)
+		},
+	}
+	cmd.Flags().StringVar(&programs, "programs", "bin", "directory of the two programs")
+	cmd.Flags().StringVar(&dir, "out", "out/path", "directory for logs; it is emptied first")
+	return cmd
+}
+
 func newDemoCommand() *cobra.Command {
 	var site, programs, dir string
 	var length time.Duration
--- a/standin/internal/orchestrator/cluster.go
+++ b/standin/internal/orchestrator/cluster.go
@@ -110,12 +110,21 @@
 		"--name", m.id, "--pool", m.pool.name, "--zone", m.zone, "--listen", m.backendAddress(), "--announce", m.status,
 		"--slots", strconv.Itoa(m.pool.slots), "--connections", strconv.Itoa(m.pool.connections),
 		"--divided="+strconv.FormatBool(m.pool.divided), "--checks-tokens="+strconv.FormatBool(m.pool.divided),
-		"--cold="+strconv.FormatBool(cold || c.coldBoot), "--service-time", serviceTime.String(),
-		"--journal", c.file(fmt.Sprintf("journal-%s-%d.jsonl", m.id, m.starts)), "--seed", strconv.Itoa(m.starts),
+		"--cold="+strconv.FormatBool(cold || c.coldBoot), "--service-time", c.site.serviceTime.String(),
+		"--journal", c.journal(m), "--seed", strconv.Itoa(m.starts),
 	)
 	return err
 }
 
+// journal returns the file for a backend server's executions, or none where the
+// site is measured for speed.
+func (c *Cluster) journal(m *member) string {
+	if c.site.serviceTime == 0 {
+		return ""
+	}
+	return c.file(fmt.Sprintf("journal-%s-%d.jsonl", m.id, m.starts))
+}
+
 func (m *member) backendAddress() string { return m.instance.backend }
 
 func (c *Cluster) startNode(m *member) error {
--- /dev/null
+++ b/standin/internal/orchestrator/path.go
@@ -0,0 +1,180 @@
+package orchestrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"papayapass.dev/standin/internal/loader"
+)
+
+// Parameters of the measurement of the path.
+const (
+	pathSlots       = 400
+	pathConnections = 500
+	pathLength      = 4 * time.Second
+	clockTicks      = 100
+	kibiPerMebi     = 1024
+)
+
+// pathSite is a site of two nodes whose backend servers answer at once.
+func pathSite() Site {
+	return Site{
+		name:      "path",
+		zones:     []string{"a", "b", "c"},
+		pools:     []Pool{{name: "permits", servers: 2, slots: pathSlots, connections: pathConnections, divided: true}},
+		rulesFile: "rules/luzon.rules",
+		kinds:     []loader.Kind{loader.NewKind("permit status", 1, "GET", "/permits/", "", "permit")},
+		queueTime: 2 * time.Second,
+	}
+}
+
+// pathResult is the measurement of one way to the backend server.
+type pathResult struct {
+	rate   float64
+	p50    float64
+	p99    float64
+	cpu    float64
+	failed int
+}
+
+// MeasurePath measures requests a second and latency of direct calls, of calls
+// through the owner's node and of calls through another node, in one run.
+func MeasurePath(ctx context.Context, out io.Writer, programs Programs, dir string) error {
+	c, err := NewCluster(pathSite(), programs, dir)
+	if err != nil {
+		return err
+	}
+	defer c.Stop()
+	if err := c.Start(ctx); err != nil {
+		return err
+	}
+	idle := c.residentMebi(0)
+	owner, other := c.instances[0], c.instances[1]
+	keys, err := c.keysOf(owner)
+	if err != nil {
+		return err
+	}
+	ways := []struct{ name, address string }{
+		{"direct", owner.backendAddress()}, {"one hop", owner.callers}, {"two hops", other.callers},
+	}
+	fmt.Fprintf(out, "%-10s %11s %10s %8s %8s %22s %7s\n", "way", "connections", "requests/s", "p50 us", "p99 us", "owner's node CPU us/rq", "failed")
+	for _, connections := range []int{1, 16, 64, 256} {
+		for _, way := range ways {
+			r := c.drive(way.address, keys, connections)
+			fmt.Fprintf(out, "%-10s %11d %10.0f %8.0f %8.0f %22.1f %7d\n", way.name, connections, r.rate, r.p50, r.p99, r.cpu, r.failed)
+		}
+	}
+	fmt.Fprintf(out, "resident memory of an idle node %.1f MiB, after the load %.1f MiB\n", idle, c.residentMebi(0))
+	return nil
+}
+
+// keysOf returns keys that belong to a member.
+func (c *Cluster) keysOf(m *member) ([]string, error) {
+	const wanted = 64
+	var out []string
+	for i := 0; len(out) < wanted && i < wanted*wanted; i++ {
+		key := "permit-" + strconv.Itoa(i)
+		code, body, err := fasthttp.GetTimeout(nil, "http://"+m.status+"/v1/owner?pool=permits&key="+key, callTimeout)
+		if err != nil || code != fasthttp.StatusOK {
+			return nil, errors.Newf("ask for an owner: status %d, %v", code, err)
+		}
+		if strings.Contains(string(body), `"owner":"`+m.id+`"`) {
+			out = append(out, key)
+		}
+	}
+	return out, nil
+}
+
+// drive sends requests over a number of connections, each as soon as the one
+// before is answered.
+func (c *Cluster) drive(address string, keys []string, connections int) pathResult {
+	client := &fasthttp.HostClient{Addr: address, MaxConns: connections, MaxIdemponentCallAttempts: 1}
+	defer client.CloseIdleConnections()
+	histogram := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	failed, total := 0, 0
+	cpu := c.processorTime(0)
+	begun := time.Now()
+	for w := range connections {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			latencies, bad := driveOne(client, address, keys, w, begun.Add(pathLength))
+			mu.Lock()
+			defer mu.Unlock()
+			failed += bad
+			total += len(latencies)
+			for _, l := range latencies {
+				_ = histogram.RecordValue(l.Microseconds())
+			}
+		}()
+	}
+	work.Wait()
+	elapsed := time.Since(begun)
+	cpu = c.processorTime(0) - cpu
+	return pathResult{
+		rate: float64(total) / elapsed.Seconds(), failed: failed,
+		p50: float64(histogram.ValueAtQuantile(50)), p99: float64(histogram.ValueAtQuantile(99)), //nolint:mnd // percentiles
+		cpu: float64(cpu.Microseconds()) / float64(max(1, total)),
+	}
+}
+
+func driveOne(client *fasthttp.HostClient, address string, keys []string, w int, end time.Time) ([]time.Duration, int) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	var latencies []time.Duration
+	failed := 0
+	for i := w; time.Now().Before(end); i++ {
+		req.SetRequestURI("http://" + address + "/permits/" + keys[i%len(keys)])
+		begun := time.Now()
+		if err := client.Do(req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+			failed++
+			continue
+		}
+		latencies = append(latencies, time.Since(begun))
+	}
+	return latencies, failed
+}
+
+// processorTime returns the processor time of an instance's node so far.
+func (c *Cluster) processorTime(i int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.instances[i].node.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	const user, system = 11, 12
+	ticks := 0
+	for _, f := range []int{user, system} {
+		n, _ := strconv.Atoi(fields[f]) // the kernel writes numbers
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / clockTicks
+}
+
+// residentMebi returns the resident memory of an instance's node, in MiB.
+func (c *Cluster) residentMebi(i int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.instances[i].node.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kibi, _ := strconv.Atoi(strings.Fields(rest)[0]) // the kernel writes a number
+			return float64(kibi) / kibiPerMebi
+		}
+	}
+	return 0
+}
--- a/standin/internal/orchestrator/scenario.go
+++ b/standin/internal/orchestrator/scenario.go
@@ -89,8 +89,8 @@
 	return append(first, second...), err
 }
 
-func kill(at time.Duration, choose victims) Step {
-	return Step{at: at, name: "kill", action: func(_ context.Context, c *Cluster) error {
+func kill(choose victims) Step {
+	return Step{at: failAt, name: "kill", action: func(_ context.Context, c *Cluster) error {
 		list, err := choose(c)
 		if err != nil {
 			return err
@@ -182,12 +182,12 @@
 	down := platform(failAt-time.Second, storekeeper.Faults{Down: true})
 	zone := l.zones[1]
 	return []Scenario{
-		{name: "lose owner", site: n, load: probe(n), steps: []Step{kill(failAt, owner)}},
-		{name: "lose coordinator", site: n, load: probe(n), steps: []Step{kill(failAt, coordinatorOnly)}},
-		{name: "lose owner and coordinator", site: n, load: probe(n), steps: []Step{kill(failAt, ownerAndCoordinator)}},
-		{name: "lose owner, platform down", site: n, load: probe(n), steps: []Step{down, kill(failAt, owner)}},
-		{name: "lose coordinator, platform down", site: n, load: probe(n), steps: []Step{down, kill(failAt, coordinatorOnly)}},
-		{name: "lose both, platform down", site: n, load: probe(n), steps: []Step{down, kill(failAt, ownerAndCoordinator)}},
+		{name: "lose owner", site: n, load: probe(n), steps: []Step{kill(owner)}},
+		{name: "lose coordinator", site: n, load: probe(n), steps: []Step{kill(coordinatorOnly)}},
+		{name: "lose owner and coordinator", site: n, load: probe(n), steps: []Step{kill(ownerAndCoordinator)}},
+		{name: "lose owner, platform down", site: n, load: probe(n), steps: []Step{down, kill(owner)}},
+		{name: "lose coordinator, platform down", site: n, load: probe(n), steps: []Step{down, kill(coordinatorOnly)}},
+		{name: "lose both, platform down", site: n, load: probe(n), steps: []Step{down, kill(ownerAndCoordinator)}},
 		{name: "freeze owner 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, owner)}},
 		{name: "freeze owner 0.7 s", site: n, load: probe(n), steps: []Step{freeze(failAt, shortFreeze, owner)}},
 		{name: "freeze coordinator 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, coordinatorOnly)}},
--- a/standin/internal/orchestrator/site.go
+++ b/standin/internal/orchestrator/site.go
@@ -29,6 +29,8 @@
 	kinds     []loader.Kind
 	rate      float64
 	queueTime time.Duration
+	// serviceTime is the mean time of a request at a backend server.
+	serviceTime time.Duration
 }
 
 // serviceTime is the mean time of a request at a backend server.
@@ -65,7 +67,7 @@
 			loader.NewKind("grade lookup", 10, "GET", "/grades/", "", "grade"),
 		},
 		rate:      2000,
-		queueTime: 2 * time.Second,
+		queueTime: 2 * time.Second, serviceTime: serviceTime,
 	}
 }
 
@@ -85,7 +87,7 @@
 			loader.NewKind("stock lookup", 20, "GET", "/parts/stock/", "", "part"),
 		},
 		rate:      1200,
-		queueTime: 300 * time.Millisecond,
+		queueTime: 300 * time.Millisecond, serviceTime: serviceTime,
 	}
 }
 
--- a/standin/internal/worker/worker.go
+++ b/standin/internal/worker/worker.go
@@ -59,9 +59,9 @@
 
 // NewWorker returns a backend server.
 func NewWorker(s Settings) (*Worker, error) {
-	journal, err := os.OpenFile(s.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	journal, err := openJournal(s.Journal)
 	if err != nil {
-		return nil, errors.Wrap(err, "open journal")
+		return nil, err
 	}
 	w := &Worker{
 		settings: s, warmth: newWarmth(s.Slots, s.Cold), journal: journal,
@@ -73,6 +73,15 @@
 	return w, nil
 }
 
+// openJournal opens the file for executions; an empty name is for none.
+func openJournal(name string) (*os.File, error) {
+	if name == "" {
+		return nil, nil //nolint:nilnil // no journal is a regular setting
+	}
+	journal, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return journal, errors.Wrap(err, "open journal")
+}
+
 // Run serves and announces until the context ends.
 func (w *Worker) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", w.settings.Listen)
@@ -250,17 +259,25 @@
 		Idempotent: ctx.IsGet(), Keyed: w.settings.Divided, StartNanos: time.Now().UnixNano(),
 	})
 	duration, count := w.draw(key)
-	working, cancel := context.WithTimeout(context.Background(), duration)
-	w.cancels.Store(call, cancel)
-	<-working.Done()
-	w.cancels.Delete(call)
-	cancel()
+	w.work(call, duration)
 	body := nonce + " " + key + " " + w.settings.Name + " " + strconv.Itoa(count) + "\n"
 	body += strings.Repeat(".", max(0, bodyBytes-len(body)))
 	ctx.Response.Header.Set(HeaderSum, strconv.FormatUint(uint64(crc32.ChecksumIEEE([]byte(body))), 16))
 	ctx.SetBodyString(body)
 }
 
+// work takes the time of a request, unless the request is cancelled.
+func (w *Worker) work(call string, duration time.Duration) {
+	if duration == 0 {
+		return
+	}
+	working, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	w.cancels.Store(call, cancel)
+	defer w.cancels.Delete(call)
+	<-working.Done()
+}
+
 // draw returns the duration of a request and the count of its key's requests.
 func (w *Worker) draw(key string) (time.Duration, int) {
 	w.mu.Lock()
@@ -274,6 +291,9 @@
 }
 
 func (w *Worker) note(e auditor.Execution) {
+	if w.journal == nil {
+		return
+	}
 	line, err := json.Marshal(e)
 	if err != nil {
 		return
