Give hot keys slices of their own

Cause: a key that takes a tenth of the load cannot be moved without its neighbours, and no balance is found around it.

Change: the owner's node ranks keys in 256 counters; keys above a twentieth of a server's mean load get a slice, which is balanced like any other and merged again when it has been cool for a minute. Gates go by ranges, so a part is released only when no request of its parent runs; holdings are told by range. A leaving coordinator hands its slices over before its role.

--- a/papayapass/internal/assigner/planner.go
+++ b/papayapass/internal/assigner/planner.go
@@ -169,10 +169,11 @@
 	}
 }
 
-// Hold writes down who holds a slice under which token.
-func (p *Planner) Hold(pool string, start uint64, owner NodeID, token Token) {
+// Hold writes down who holds a slice under which token. The slice must have the
+// same range here.
+func (p *Planner) Hold(pool string, start, last uint64, owner NodeID, token Token) {
 	s := p.slice(pool, start)
-	if s == nil || s.owner == owner && s.token == token {
+	if s == nil || p.table.Last(pool, start) != last || s.owner == owner && s.token == token {
 		return
 	}
 	s.owner, s.token = owner, token
@@ -308,6 +309,20 @@
 	return true
 }
 
+// MeanLoad returns the mean load of the servers of a pool, in requests a second.
+func (p *Planner) MeanLoad(name string) float64 {
+	pool := p.pool(name)
+	if pool == nil {
+		return 0
+	}
+	shares := p.shares(*pool)
+	total := 0.0
+	for _, s := range shares {
+		total += s.load
+	}
+	return total / float64(max(1, len(shares)))
+}
+
 // fillBelow is the part of the mean ratio below which a server counts as new and
 // is filled.
 const fillBelow = 0.5
--- a/papayapass/internal/assigner/slice.go
+++ b/papayapass/internal/assigner/slice.go
@@ -58,6 +58,14 @@
 	return sort.Search(len(p.slices), func(i int) bool { return p.slices[i].start > point }) - 1
 }
 
+// Last returns the last point of the slice of an index.
+func (p Pool) Last(i int) uint64 {
+	if i+1 < len(p.slices) {
+		return p.slices[i+1].start - 1
+	}
+	return ^uint64(0)
+}
+
 // divide returns slices of equal size over the whole hash space.
 func divide(count int) []Slice {
 	step := ^uint64(0)/uint64(count) + 1
--- /dev/null
+++ b/papayapass/internal/assigner/splitter.go
@@ -0,0 +1,88 @@
+package assigner
+
+import "slices"
+
+// MaxHotSlices bounds the slices of one key of a pool.
+const MaxHotSlices = 64
+
+// Split gives a key a slice of its own, with the owner, standby and token of the
+// slice that it lay in. It says false when the key has one, or its slice is on
+// its way, or the pool has too many.
+func (p *Planner) Split(pool string, point uint64) bool {
+	target := p.pool(pool)
+	if target == nil || target.hotSlices() >= MaxHotSlices {
+		return false
+	}
+	i := target.Find(point)
+	if i < 0 || target.slices[i].owner == "" || target.slices[i].next != "" {
+		return false
+	}
+	whole := target.slices[i]
+	if whole.start == point && target.Last(i) == point {
+		return false
+	}
+	var parts []Slice
+	if whole.start < point {
+		parts = append(parts, whole)
+	}
+	hot := whole
+	hot.start = point
+	parts = append(parts, hot)
+	if point < target.Last(i) {
+		rest := whole
+		rest.start = point + 1
+		parts = append(parts, rest)
+	}
+	target.slices = slices.Replace(target.slices, i, i+1, parts...)
+	p.changed = true
+	return true
+}
+
+// Merge joins slices that are no longer hot with their left neighbours, where both
+// have one owner and neither is on its way. The joined slice has a token of its
+// own. Cool says whether a key's slice may go.
+func (p *Planner) Merge(cool func(pool string, point uint64) bool) {
+	for pi := range p.table.pools {
+		pool := &p.table.pools[pi]
+		for i := len(pool.slices) - 1; i > 0; i-- {
+			s, left := pool.slices[i], &pool.slices[i-1]
+			if !pool.wasSplit(i) || s.owner == "" || s.owner != left.owner || s.next != "" || left.next != "" {
+				continue
+			}
+			if !cool(pool.name, s.start) {
+				continue
+			}
+			left.token = p.token()
+			pool.slices = slices.Delete(pool.slices, i, i+1)
+			p.changed = true
+		}
+	}
+}
+
+// pool returns a pool that can be changed, or nil.
+func (p *Planner) pool(name string) *Pool {
+	for i := range p.table.pools {
+		if p.table.pools[i].name == name {
+			return &p.table.pools[i]
+		}
+	}
+	return nil
+}
+
+// wasSplit says whether the slice of an index does not begin where the pool was
+// first divided.
+func (p Pool) wasSplit(i int) bool {
+	const step = ^uint64(0)/SlicesPerPool + 1
+	return p.slices[i].start%step != 0
+}
+
+// hotSlices returns the number of slices of one key.
+func (p Pool) hotSlices() int {
+	n := 0
+	for i := range p.slices {
+		if p.slices[i].start == p.Last(i) {
+			n++
+		}
+	}
+	return n
+}
--- a/papayapass/internal/assigner/table.go
+++ b/papayapass/internal/assigner/table.go
@@ -98,6 +98,15 @@
 	return p.slices[p.Find(point)], true
 }
 
+// Last returns the last point of the slice of a pool that begins at start.
+func (t *Table) Last(pool string, start uint64) uint64 {
+	p, ok := t.Pool(pool)
+	if !ok || p.Len() == 0 {
+		return start
+	}
+	return p.Last(p.Find(start))
+}
+
 // IsVoter says whether a node counts for the majority.
 func (t *Table) IsVoter(id NodeID) bool { return slices.Contains(t.voters, id) }
 
--- a/papayapass/internal/coordinator/coordinator.go
+++ b/papayapass/internal/coordinator/coordinator.go
@@ -57,6 +57,7 @@
 	restriction   assigner.Restriction
 	configuration *wirepb.Configuration
 	loads         loadTable
+	hot           map[loadKey]timer.Instant
 	budget        moveBudget
 	ready         bool
 	resigned      bool
@@ -71,6 +72,7 @@
 		restriction:   assigner.NewRestriction(nil, nil),
 		configuration: &wirepb.Configuration{},
 		loads:         make(loadTable),
+		hot:           make(map[loadKey]timer.Instant),
 		budget:        moveBudget{left: balanceMovesBurst, last: now},
 	}
 }
@@ -112,7 +114,7 @@
 			p.confirm(timer.Instant(r.GetStamp()))
 		}
 		for _, h := range r.GetHoldings() {
-			planner.Hold(h.GetPool(), h.GetStart(), id, assigner.Token(h.GetToken()))
+			planner.Hold(h.GetPool(), h.GetStart(), h.GetLast(), id, assigner.Token(h.GetToken()))
 		}
 	}
 	for _, m := range t.Members() {
@@ -353,6 +355,7 @@
 		}
 	}
 	c.loads.take(b.GetLoads())
+	c.splitHotKeys(b.GetHotKeys(), now)
 	c.updateMember(id, b)
 	c.takeHoldings(id, b.GetHoldings())
 	c.takeReleases(id, b.GetReleased())
@@ -421,7 +424,7 @@
 	planner := c.planner(t)
 	for _, h := range held {
 		if s, ok := t.Lookup(h.GetPool(), h.GetStart()); ok && s.Owner() == "" {
-			planner.Hold(h.GetPool(), h.GetStart(), id, assigner.Token(h.GetToken()))
+			planner.Hold(h.GetPool(), h.GetStart(), h.GetLast(), id, assigner.Token(h.GetToken()))
 		}
 	}
 	if planner.Changed() {
--- a/papayapass/internal/coordinator/plan.go
+++ b/papayapass/internal/coordinator/plan.go
@@ -60,6 +60,7 @@
 	planner.Evacuate(movesPerTarget)
 	urgent := planner.Changed()
 	if settled && !c.storeDown {
+		planner.Merge(c.cool(planner, now))
 		planner.Fill(movesPerTarget)
 		c.budget.spend(planner.Balance(c.budget.refill(now)))
 	}
--- a/papayapass/internal/executor/executor.go
+++ b/papayapass/internal/executor/executor.go
@@ -12,6 +12,7 @@
 	"papayapass.dev/papayapass/internal/gater"
 	"papayapass.dev/papayapass/internal/keeper"
 	"papayapass.dev/papayapass/internal/limiter"
+	"papayapass.dev/papayapass/internal/ranker"
 	"papayapass.dev/papayapass/internal/recaller"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/wirepb"
@@ -35,6 +36,8 @@
 	Now() timer.Instant
 	// Gates returns the gates that requests pass.
 	Gates() *gater.Gater
+	// Ranks returns the ranking of keys.
+	Ranks() *ranker.Ranker
 }
 
 // Executor runs requests on the backend server beside the node, within what the
@@ -172,23 +175,28 @@
 	if !req.GetKeyed() {
 		return e.run(ctx, b, req, assigner.Slice{})
 	}
-	s, ok := e.owned(req)
+	s, last, ok := e.owned(req)
 	if !ok {
 		return e.notOwner(req, s)
 	}
-	key := gater.NewKey(req.GetPool(), s.Start())
-	if !e.ownership.Gates().Enter(key, s.Token()) {
+	area := gater.NewRange(req.GetPool(), s.Start(), last)
+	if !e.ownership.Gates().Enter(area, req.GetKeyHash(), s.Token()) {
 		return e.notOwner(req, s)
 	}
-	defer e.ownership.Gates().Leave(key)
+	defer e.ownership.Gates().Leave(area)
+	e.ownership.Ranks().Observe(req.GetPool(), req.GetKeyHash())
 	return e.run(ctx, b, req, s)
 }
 
-// owned returns the slice of a request's key when the node owns it now.
-func (e *Executor) owned(req *wirepb.Request) (assigner.Slice, bool) {
+// owned returns the slice of a request's key, and its last point, when the node
+// owns it now.
+func (e *Executor) owned(req *wirepb.Request) (assigner.Slice, uint64, bool) {
 	v := e.ownership.View()
 	s, ok := v.Slice(req.GetPool(), req.GetKeyHash())
-	return s, ok && s.Owner() == v.Self() && s.Next() == "" && e.ownership.Now().Before(v.LeaseUntil())
+	if !ok {
+		return s, 0, false
+	}
+	return s, v.Table().Last(req.GetPool(), s.Start()), s.Owner() == v.Self() && s.Next() == "" && e.ownership.Now().Before(v.LeaseUntil())
 }
 
 // notOwner refuses a request and names the node that the slice belongs to or is
--- a/papayapass/internal/gater/gater.go
+++ b/papayapass/internal/gater/gater.go
@@ -1,8 +1,11 @@
 // Package gater counts the work in progress of each slice, so that a slice that
-// moves away is released when its last request has ended and not before.
+// moves away is released when its last request has ended and not before. Slices
+// are split and merged while requests run, so gates go by ranges of the hash
+// space.
 package gater
 
 import (
+	"slices"
 	"sync"
 
 	"papayapass.dev/papayapass/internal/assigner"
@@ -14,52 +17,110 @@
 	start uint64
 }
 
-// NewKey returns the name of the slice of a pool that begins at start.
-func NewKey(pool string, start uint64) Key { return Key{pool: pool, start: start} }
-
 // Pool returns the name of the pool.
 func (k Key) Pool() string { return k.pool }
 
 // Start returns the first point of the slice.
 func (k Key) Start() uint64 { return k.start }
 
-type gate struct {
-	running int
-	closed  assigner.Token
+// Range is the part of a pool's hash space that a slice covers. Last is its last
+// point.
+type Range struct {
+	pool  string
+	start uint64
+	last  uint64
+}
+
+// NewRange returns the range of a pool from its first to its last point.
+func NewRange(pool string, start, last uint64) Range {
+	return Range{pool: pool, start: start, last: last}
+}
+
+func (r Range) overlaps(other Range) bool {
+	return r.pool == other.pool && r.start <= other.last && other.start <= r.last
 }
 
-// Gater holds a gate for each slice that has work or is closed.
+// closure is a range that lets nothing in under a token or an earlier one.
+type closure struct {
+	area  Range
+	token assigner.Token
+}
+
+// maxClosures bounds the closed ranges that are remembered. One counts only for
+// requests that looked the table up before it was closed.
+const maxClosures = 1024
+
+// Gater counts the requests in progress by the slices that they entered.
 type Gater struct {
 	mu      sync.Mutex
-	gates   map[Key]*gate
+	running map[Range]int
 	counts  map[Key]uint32
-	drained func(Key)
+	closed  []closure
+	drained func()
 }
 
-// NewGater returns a gater that calls drained when the last request of a closed
-// slice has ended.
-func NewGater(drained func(Key)) *Gater {
-	return &Gater{gates: make(map[Key]*gate), counts: make(map[Key]uint32), drained: drained}
+// NewGater returns a gater that calls drained when a request has ended in a range
+// that is closed.
+func NewGater(drained func()) *Gater {
+	return &Gater{running: make(map[Range]int), counts: make(map[Key]uint32), drained: drained}
 }
 
-// Enter counts a request of a slice in, unless the slice was closed under the
-// same or a later token.
-func (g *Gater) Enter(k Key, token assigner.Token) bool {
+// Enter counts a request of a point in, unless a range with the point was closed
+// under the same or a later token.
+func (g *Gater) Enter(area Range, point uint64, token assigner.Token) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	current, ok := g.gates[k]
-	if !ok {
-		current = &gate{}
-		g.gates[k] = current
+	for _, c := range g.closed {
+		if token <= c.token && c.area.overlaps(Range{pool: area.pool, start: point, last: point}) {
+			return false
+		}
 	}
-	if token <= current.closed {
+	g.running[area]++
+	g.counts[Key{pool: area.pool, start: area.start}]++
+	return true
+}
+
+// Leave counts a request out.
+func (g *Gater) Leave(area Range) {
+	if g.leave(area) {
+		g.drained()
+	}
+}
+
+func (g *Gater) leave(area Range) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running[area]--
+	if g.running[area] > 0 {
 		return false
 	}
-	current.running++
-	g.counts[k]++
+	delete(g.running, area)
+	return slices.ContainsFunc(g.closed, func(c closure) bool { return c.area.overlaps(area) })
+}
+
+// Close lets no more requests of a range in under a token or an earlier one, and
+// says whether none is running.
+func (g *Gater) Close(area Range, token assigner.Token) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.note(closure{area: area, token: token})
+	for r := range g.running {
+		if r.overlaps(area) {
+			return false
+		}
+	}
 	return true
 }
 
+// note remembers a closed range, in place of an older closing of the same one.
+func (g *Gater) note(c closure) {
+	g.closed = slices.DeleteFunc(g.closed, func(old closure) bool { return old.area == c.area && old.token <= c.token })
+	g.closed = append(g.closed, c)
+	if len(g.closed) > maxClosures {
+		g.closed = g.closed[1:]
+	}
+}
+
 // Count is the number of requests that entered a slice.
 type Count struct {
 	key   Key
@@ -72,7 +133,8 @@
 // Count returns the number of requests.
 func (c Count) Count() uint32 { return c.count }
 
-// TakeCounts returns the requests that entered each slice since the last call.
+// TakeCounts returns the requests that entered each slice since the last call. A
+// slice that none entered is returned once more, with zero.
 func (g *Gater) TakeCounts() []Count {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -87,50 +149,3 @@
 	}
 	return out
 }
-
-// Leave counts a request out.
-func (g *Gater) Leave(k Key) {
-	if g.leave(k) {
-		g.drained(k)
-	}
-}
-
-func (g *Gater) leave(k Key) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	current := g.gates[k]
-	current.running--
-	if current.running > 0 {
-		return false
-	}
-	if current.closed == 0 {
-		delete(g.gates, k)
-		return false
-	}
-	return true
-}
-
-// Close lets no more requests of a slice in under a token or an earlier one, and
-// says whether none is running.
-func (g *Gater) Close(k Key, token assigner.Token) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	current, ok := g.gates[k]
-	if !ok {
-		current = &gate{}
-		g.gates[k] = current
-	}
-	current.closed = max(current.closed, token)
-	return current.running == 0
-}
-
-// Running returns the number of requests in progress.
-func (g *Gater) Running() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	total := 0
-	for _, current := range g.gates {
-		total += current.running
-	}
-	return total
-}
--- a/papayapass/internal/holder/holder.go
+++ b/papayapass/internal/holder/holder.go
@@ -443,7 +443,7 @@
 			if s.Owner() != h.self.id || h.hasReleased(p.Name(), s) {
 				continue
 			}
-			out = append(out, &wirepb.Holding{Pool: p.Name(), Start: s.Start(), Token: uint64(s.Token())})
+			out = append(out, &wirepb.Holding{Pool: p.Name(), Start: s.Start(), Last: p.Last(i), Token: uint64(s.Token())})
 		}
 	}
 	return out
@@ -476,6 +476,22 @@
 	return !h.informed || h.address == "" || now.Sub(h.heard) >= ClaimAfter
 }
 
+// OwnsAny says whether the table names this node as the owner of any slice, or as
+// the target of a move.
+func (h *Holder) OwnsAny() bool {
+	if h.table == nil {
+		return false
+	}
+	for _, p := range h.table.Pools() {
+		for i := range p.Len() {
+			if s := p.At(i); s.Owner() == h.self.id || s.Next() == h.self.id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Leaving returns the slices that are to be given up and are not released yet:
 // those that move to another node, or all when there is no backend server.
 func (h *Holder) Leaving(all bool) []*wirepb.Holding {
--- a/papayapass/internal/keeper/event.go
+++ b/papayapass/internal/keeper/event.go
@@ -5,7 +5,6 @@
 
 	"papayapass.dev/papayapass/internal/assigner"
 	"papayapass.dev/papayapass/internal/coordinator"
-	"papayapass.dev/papayapass/internal/gater"
 	"papayapass.dev/papayapass/internal/messenger"
 	"papayapass.dev/papayapass/internal/wirepb"
 )
@@ -38,9 +37,7 @@
 	server assigner.Server
 }
 
-type drainedEvent struct {
-	key gater.Key
-}
+type drainedEvent struct{}
 
 type leaveEvent struct{}
 
--- a/papayapass/internal/keeper/keeper.go
+++ b/papayapass/internal/keeper/keeper.go
@@ -18,6 +18,7 @@
 	"papayapass.dev/papayapass/internal/holder"
 	"papayapass.dev/papayapass/internal/messenger"
 	"papayapass.dev/papayapass/internal/negotiator"
+	"papayapass.dev/papayapass/internal/ranker"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/wirepb"
 )
@@ -39,6 +40,7 @@
 	watcher     *configurationWatcher
 	connector   *messenger.Connector
 	gates       *gater.Gater
+	ranks       *ranker.Ranker
 	events      chan event
 	writes      chan *assigner.Table
 	view        atomic.Pointer[View]
@@ -47,6 +49,7 @@
 	links       map[assigner.NodeID]*messenger.Link
 	dialling    sync.Map
 	lastReset   timer.Instant
+	left        atomic.Bool
 	moves       moveLog
 }
 
@@ -61,19 +64,25 @@
 		writes:      make(chan *assigner.Table, 1),
 		restriction: assigner.NewRestriction(nil, nil),
 		links:       make(map[assigner.NodeID]*messenger.Link),
+		ranks:       ranker.NewRanker(),
 	}
-	k.gates = gater.NewGater(func(key gater.Key) { k.post(drainedEvent{key: key}) })
-	k.negotiator = negotiator.NewNegotiator(self, seeds, workload{gates: k.gates}, timers.Now())
+	k.gates = gater.NewGater(func() { k.post(drainedEvent{}) })
+	k.negotiator = negotiator.NewNegotiator(self, seeds, workload{gates: k.gates, ranks: k.ranks}, timers.Now())
 	k.watcher = newConfigurationWatcher(watch, k)
 	k.publish(true)
 	return k
 }
 
-// workload shows the gates to the lease protocol.
+// workload shows the gates and the ranking to the lease protocol.
 type workload struct {
 	gates *gater.Gater
+	ranks *ranker.Ranker
 }
 
+// hotRate is the rate above which a key is reported on its own, in requests a
+// second.
+const hotRate = 10
+
 const milli = 1000
 
 // Loads returns the load of each slice since the last call.
@@ -87,9 +96,19 @@
 	return out
 }
 
+// HotKeys returns the hottest keys since the last call.
+func (w workload) HotKeys(elapsed time.Duration) []*wirepb.SliceLoad {
+	var out []*wirepb.SliceLoad
+	for _, item := range w.ranks.Take(uint64(hotRate * elapsed.Seconds())) {
+		rate := float64(item.Count()) * milli / elapsed.Seconds()
+		out = append(out, &wirepb.SliceLoad{Pool: item.Pool(), Start: item.Point(), RateMilli: uint32(rate)})
+	}
+	return out
+}
+
 // Close lets no more requests of a slice in.
-func (w workload) Close(pool string, start uint64, token assigner.Token) bool {
-	return w.gates.Close(gater.NewKey(pool, start), token)
+func (w workload) Close(pool string, start, last uint64, token assigner.Token) bool {
+	return w.gates.Close(gater.NewRange(pool, start, last), token)
 }
 
 func writerName(self holder.Identity) string {
@@ -102,6 +121,9 @@
 // Gates returns the gates that requests pass.
 func (k *Keeper) Gates() *gater.Gater { return k.gates }
 
+// Ranks returns the ranking of keys.
+func (k *Keeper) Ranks() *ranker.Ranker { return k.ranks }
+
 // View returns the newest view.
 func (k *Keeper) View() *View { return k.view.Load() }
 
@@ -120,7 +142,7 @@
 // Left tells when it is over.
 func (k *Keeper) Leave() { k.post(leaveEvent{}) }
 
-// Left says whether the node owns no slice any more and the others know that it
+// Left says whether the node owns no slice any more, and the others know that it
 // leaves.
 func (k *Keeper) Left() bool {
 	v := k.View()
@@ -128,17 +150,7 @@
 		return true
 	}
 	m, ok := v.table.Member(v.self)
-	if ok && m.Server().State() == assigner.ServerUp {
-		return false
-	}
-	for _, p := range v.table.Pools() {
-		for i := range p.Len() {
-			if p.At(i).Owner() == v.self {
-				return false
-			}
-		}
-	}
-	return true
+	return k.left.Load() && (!ok || m.Server().State() != assigner.ServerUp)
 }
 
 // Status returns the state of the lease protocol.
@@ -272,6 +284,7 @@
 	for _, a := range k.negotiator.Take() {
 		changed = k.perform(ctx, a, from) || changed
 	}
+	k.left.Store(k.negotiator.Left())
 	k.publish(changed)
 }
 
--- a/papayapass/internal/negotiator/negotiator.go
+++ b/papayapass/internal/negotiator/negotiator.go
@@ -20,7 +20,10 @@
 	// Loads returns the load of each slice over the time since the last call.
 	Loads(elapsed time.Duration) []*wirepb.SliceLoad
 	// Close lets no more requests of a slice in, and says whether none runs.
-	Close(pool string, start uint64, token assigner.Token) bool
+	Close(pool string, start, last uint64, token assigner.Token) bool
+	// HotKeys returns the keys with the most load, by their points in the hash
+	// space, over the time since the last call.
+	HotKeys(elapsed time.Duration) []*wirepb.SliceLoad
 }
 
 // Negotiator is the state of one node.
@@ -222,16 +225,31 @@
 	n.collectAt(now)
 }
 
-// Leave starts the handing over of all slices, and of the coordinator's role to
-// the next in the order of succession.
+// Leave starts the handing over of all slices. A coordinator gives its role up
+// when it owns none any more: a successor could move none before older leases
+// have run out.
 func (n *Negotiator) Leave(now timer.Instant) {
 	n.leaving = true
 	n.beat(now)
 	n.collectAt(now)
-	if n.coordinator != nil && len(n.coordinator.Table().Voters()) > 1 {
+}
+
+// Left says whether nothing depends on the node any more.
+func (n *Negotiator) Left() bool {
+	return n.leaving && !n.holder.OwnsAny() && n.loneOrPlain()
+}
+
+// loneOrPlain says whether the node has no role that others wait for.
+func (n *Negotiator) loneOrPlain() bool {
+	return n.coordinator == nil || len(n.coordinator.Table().Voters()) == 1
+}
+
+// abdicate gives the coordinator's role of a leaving node to the next in the order
+// of succession.
+func (n *Negotiator) abdicate() {
+	if n.leaving && !n.loneOrPlain() && !n.holder.OwnsAny() {
 		n.coordinator.Abdicate()
 	}
-	n.collectAt(now)
 }
 
 // Tick does what has become due. Epochs follow the wall clock where they can, so
@@ -239,6 +257,7 @@
 func (n *Negotiator) Tick(now timer.Instant, wall time.Time) {
 	if n.coordinator != nil {
 		n.coordinator.Tick(now)
+		n.abdicate()
 	}
 	n.collectAt(now)
 	if now.Sub(n.lastBeat) >= holder.BeatInterval {
@@ -320,6 +339,7 @@
 	b := n.holder.Beat(n.self.Member().WithServer(n.server), n.leaving, now)
 	b.ConfigurationVersion = n.configuration.GetVersion()
 	if now.Sub(n.lastLoads) >= loadInterval {
+		b.HotKeys = n.workload.HotKeys(now.Sub(n.lastLoads))
 		b.Loads = n.reported.changes(n.workload.Loads(now.Sub(n.lastLoads)))
 		n.lastLoads = now
 	}
@@ -359,7 +379,8 @@
 func (n *Negotiator) ReleaseDrained(now timer.Instant) {
 	released := false
 	for _, h := range n.holder.Leaving(n.server.State() == assigner.ServerAbsent) {
-		if !n.workload.Close(h.GetPool(), h.GetStart(), assigner.Token(h.GetToken())) {
+		last := n.holder.Table().Last(h.GetPool(), h.GetStart())
+		if !n.workload.Close(h.GetPool(), h.GetStart(), last, assigner.Token(h.GetToken())) {
 			continue
 		}
 		n.holder.Release(h.GetPool(), h.GetStart(), assigner.Token(h.GetToken()))
--- a/papayapass/internal/negotiator/protocol_test.go
+++ b/papayapass/internal/negotiator/protocol_test.go
@@ -112,6 +112,7 @@
 
 // play runs a schedule of faults and heals all at its end.
 func play(w *world, faults []fault) {
+	w.hot = true
 	for w.now < faultsEnd+longestCut && w.broken == "" {
 		for _, f := range faults {
 			if f.at > w.now && f.at <= w.now+step {
@@ -162,7 +163,7 @@
 	w := newWorld(seed, count)
 	w.run(formed)
 	require.Empty(t, w.broken)
-	require.Equal(t, assigner.SlicesPerPool, w.served())
+	require.Equal(t, pointCount, w.served())
 	c := w.coordinatorNode()
 	require.NotNil(t, c)
 	require.Len(t, c.negotiator.Coordinator().Table().Voters(), count)
@@ -174,7 +175,7 @@
 	begun := w.now
 	for w.now-begun < limit && w.broken == "" {
 		w.advance()
-		if w.served() == assigner.SlicesPerPool {
+		if w.served() == pointCount {
 			return w.now - begun
 		}
 	}
@@ -184,7 +185,7 @@
 func TestTakeoverWithinTarget(t *testing.T) {
 	other := func(w *world) *simNode {
 		for _, n := range w.nodes {
-			if n != w.coordinatorNode() && len(n.owned(w.now)) > 0 {
+			if n != w.coordinatorNode() && len(w.owned(n)) > 0 {
 				return n
 			}
 		}
@@ -208,7 +209,7 @@
 				if tt.platformDown {
 					w.platform.down = true
 					w.run(w.now + 10*time.Second)
-					require.Equal(t, assigner.SlicesPerPool, w.served(), "renewals need no platform")
+					require.Equal(t, pointCount, w.served(), "renewals need no platform")
 				}
 				for _, n := range tt.lose(w) {
 					n.down = true
@@ -230,7 +231,7 @@
 	before := make(map[uint64]assigner.NodeID)
 	served := make(map[uint64]time.Duration)
 	for _, n := range w.nodes {
-		for start := range n.owned(w.now) {
+		for start := range w.owned(n) {
 			if n != lead {
 				before[start], served[start] = n.id, w.now
 			}
@@ -239,16 +240,16 @@
 	for end := w.now + serveWithin; w.now < end; {
 		w.advance()
 		for _, n := range w.nodes {
-			for start := range n.owned(w.now) {
+			for start := range w.owned(n) {
 				if before[start] == n.id {
-					require.Less(t, w.now-served[start], renewalGap, "slice %x", start)
+					require.Less(t, w.now-served[start], renewalGap, "point %x", start)
 					served[start] = w.now
 				}
 			}
 		}
 	}
 	for start, last := range served {
-		require.Less(t, w.now-last, renewalGap, "slice %x", start)
+		require.Less(t, w.now-last, renewalGap, "point %x", start)
 	}
 	require.Empty(t, w.broken)
 }
@@ -260,24 +261,24 @@
 	frozen := w.nodes[2]
 	frozen.paused = true
 	w.run(w.now + 3*time.Second)
-	require.Equal(t, assigner.SlicesPerPool, w.served(), "others took over")
+	require.Equal(t, pointCount, w.served(), "others took over")
 	frozen.paused = false
 	w.run(w.now + 3*time.Second)
 	require.Empty(t, w.broken)
-	require.Equal(t, assigner.SlicesPerPool, w.served())
+	require.Equal(t, pointCount, w.served())
 }
 
 // TestShortFreezeMovesNothing freezes an owner for less than its lease.
 func TestShortFreezeMovesNothing(t *testing.T) {
 	w := form(t, 1, 5)
 	frozen := w.nodes[2]
-	before := frozen.owned(w.now)
+	before := w.owned(frozen)
 	require.NotEmpty(t, before)
 	frozen.paused = true
 	w.run(w.now + 700*time.Millisecond)
 	frozen.paused = false
 	w.run(w.now + 3*time.Second)
-	require.Equal(t, before, frozen.owned(w.now))
+	require.Equal(t, before, w.owned(frozen))
 }
 
 // TestCutOffCoordinatorStops cuts the coordinator off from all others: it gives
@@ -289,7 +290,7 @@
 	w.run(w.now + serveWithin)
 	require.Nil(t, old.negotiator.Coordinator())
 	require.NotNil(t, w.coordinatorNode())
-	require.Equal(t, assigner.SlicesPerPool, w.served())
+	require.Equal(t, pointCount, w.served())
 	require.Empty(t, w.broken)
 }
 
@@ -299,7 +300,7 @@
 	w := form(t, 4, 5)
 	before := make(map[uint64]assigner.NodeID)
 	for _, n := range w.nodes {
-		for start := range n.owned(w.now) {
+		for start := range w.owned(n) {
 			before[start] = n.id
 		}
 		n.down = true
@@ -312,7 +313,7 @@
 	require.Empty(t, w.broken)
 	moved := 0
 	for _, n := range w.nodes {
-		for start := range n.owned(w.now) {
+		for start := range w.owned(n) {
 			if before[start] != n.id {
 				moved++
 			}
@@ -344,8 +345,8 @@
 			w.carry(n, "")
 			w.run(w.now + 3*time.Second)
 			require.Empty(t, w.broken)
-			require.Empty(t, n.owned(w.now))
-			require.Equal(t, assigner.SlicesPerPool, w.served())
+			require.Empty(t, w.owned(n))
+			require.Equal(t, pointCount, w.served())
 		})
 	}
 }
@@ -365,8 +366,7 @@
 		w.advance()
 	}
 	w.cut = func(a, b assigner.NodeID) bool { return (a == owner.id) != (b == owner.id) }
-	lead.negotiator.Leave(lead.local(w.now))
-	w.carry(lead, "")
+	lead.negotiator.Coordinator().Abdicate()
 	w.run(w.now + serveWithin)
 }
 
@@ -374,7 +374,32 @@
 	w := form(t, 7, 5)
 	playTakeoverWhileCutOff(w)
 	require.Empty(t, w.broken)
-	require.Equal(t, assigner.SlicesPerPool, w.served())
+	require.Equal(t, pointCount, w.served())
+}
+
+// TestHotKeyGetsASliceOfItsOwn makes keys hot: each is split from its neighbours,
+// and merged again when it has been cool for long.
+func TestHotKeyGetsASliceOfItsOwn(t *testing.T) {
+	w := form(t, 8, 3)
+	w.loss = 0
+	w.hot = true
+	w.run(w.now + 30*time.Second)
+	require.Empty(t, w.broken)
+	table := w.coordinatorNode().negotiator.Coordinator().Table()
+	p, ok := table.Pool("pool")
+	require.True(t, ok)
+	for _, point := range w.points[:hotCount] {
+		s, _ := table.Lookup("pool", point)
+		require.Equal(t, point, s.Start())
+		require.Equal(t, point, table.Last("pool", point))
+	}
+	split := p.Len()
+	w.hot = false
+	w.run(w.now + 2*time.Minute)
+	p, _ = w.coordinatorNode().negotiator.Coordinator().Table().Pool("pool")
+	require.Less(t, p.Len(), split)
+	require.Empty(t, w.broken)
+	require.Equal(t, pointCount, w.served())
 }
 
 func TestSecondCoordinatorNeedsMajority(t *testing.T) {
--- a/papayapass/internal/negotiator/world_test.go
+++ b/papayapass/internal/negotiator/world_test.go
@@ -29,6 +29,12 @@
 	// maxSkew is the largest deviation of a clock's rate; two clocks differ by at
 	// most twice that, which the margin of leases covers.
 	maxSkew = 0.009
+	// pointCount is the number of keys that are watched; the first hotCount of
+	// them are hot at times, so that their slices are split.
+	pointCount = 96
+	hotCount   = 8
+	hotChance  = 0.3
+	hotMilli   = 50_000
 )
 
 // memoryPlatform is an object API with faults.
@@ -63,13 +69,27 @@
 	return p.object.Version(), nil
 }
 
-// idle is a workload in which nothing runs.
-type idle struct{}
+// hotWork is a workload in which nothing runs and some keys are hot.
+type hotWork struct {
+	world *world
+	node  *simNode
+}
+
+func (hotWork) Loads(time.Duration) []*wirepb.SliceLoad           { return nil }
+func (hotWork) Close(string, uint64, uint64, assigner.Token) bool { return true }
+func (h hotWork) HotKeys(time.Duration) []*wirepb.SliceLoad {
+	var out []*wirepb.SliceLoad
+	for _, point := range h.world.points[:hotCount] {
+		_, owns := h.world.owned(h.node)[point]
+		if owns && h.world.hot && h.world.random.Float64() < hotChance {
+			out = append(out, &wirepb.SliceLoad{Pool: "pool", Start: point, RateMilli: hotMilli})
+		}
+	}
+	return out
+}
 
-func (idle) Loads(time.Duration) []*wirepb.SliceLoad   { return nil }
-func (idle) Close(string, uint64, assigner.Token) bool { return true }
-func never(assigner.NodeID, assigner.NodeID) bool      { return false }
-func wallOf(now time.Duration) time.Time               { return time.Unix(1_000_000, 0).Add(now) }
+func never(assigner.NodeID, assigner.NodeID) bool { return false }
+func wallOf(now time.Duration) time.Time          { return time.Unix(1_000_000, 0).Add(now) }
 func (w *world) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(w.random.Int64N(int64(high-low)))
 }
@@ -121,6 +141,8 @@
 	cut      func(a, b assigner.NodeID) bool
 	loss     float64
 	owners   map[uint64]ownership
+	points   []uint64
+	hot      bool
 	broken   string
 }
 
@@ -134,6 +156,9 @@
 		random: rand.New(rand.NewPCG(seed, seed)), platform: &memoryPlatform{},
 		cut: never, loss: 0.02, owners: make(map[uint64]ownership),
 	}
+	for range pointCount {
+		w.points = append(w.points, w.random.Uint64())
+	}
 	for i := range count {
 		n := &simNode{
 			id: assigner.NodeID("n" + strconv.Itoa(i)), zone: "z" + strconv.Itoa(i%3),
@@ -150,7 +175,7 @@
 	n.incarnation++
 	n.down, n.paused, n.informed, n.inbox = false, false, false, nil
 	now := n.local(w.now)
-	n.negotiator = NewNegotiator(identityOf(n), nil, idle{}, now)
+	n.negotiator = NewNegotiator(identityOf(n), nil, hotWork{world: w, node: n}, now)
 	n.archive = archiver.NewArchiver(w.platform, "cell", string(n.id)+"-"+strconv.FormatUint(n.incarnation, 10))
 	n.negotiator.SetServer(assigner.NewServer("pool", 10, 10, true, true), now)
 }
@@ -281,7 +306,8 @@
 	}
 }
 
-// check asserts that no key has two owners and that no token goes back.
+// check asserts that no key has two owners and that no token goes back, for the
+// points of the world.
 func (w *world) check() {
 	if !w.changed() {
 		return
@@ -291,18 +317,18 @@
 		if n.down {
 			continue
 		}
-		for start, token := range n.owned(w.now) {
-			if other, ok := held[start]; ok {
-				w.broken = fmt.Sprintf("two owners of %x: %s and %s at %s", start, other, n.id, w.now)
+		for point, token := range w.owned(n) {
+			if other, ok := held[point]; ok {
+				w.broken = fmt.Sprintf("two owners of %x: %s and %s at %s", point, other, n.id, w.now)
 				return
 			}
-			held[start] = n.id
-			last := w.owners[start]
+			held[point] = n.id
+			last := w.owners[point]
 			if token < last.token || token == last.token && n.id != last.owner {
-				w.broken = fmt.Sprintf("token of %x went back at %s at %s", start, n.id, w.now)
+				w.broken = fmt.Sprintf("token of %x went back at %s at %s", point, n.id, w.now)
 				return
 			}
-			w.owners[start] = ownership{token: token, owner: n.id}
+			w.owners[point] = ownership{token: token, owner: n.id}
 		}
 	}
 }
@@ -319,10 +345,10 @@
 	return changed
 }
 
-// owned returns the slices that a node may serve at a moment.
-func (n *simNode) owned(now time.Duration) map[uint64]assigner.Token {
+// owned returns the points that a node may serve now.
+func (w *world) owned(n *simNode) map[uint64]assigner.Token {
 	h := n.negotiator.Holder()
-	if h.Table() == nil || !n.local(now).Before(h.LeaseUntil()) {
+	if h.Table() == nil || !n.local(w.now).Before(h.LeaseUntil()) {
 		return nil
 	}
 	key := holding{revision: h.Revision(), incarnation: n.incarnation, valid: true}
@@ -330,23 +356,21 @@
 		return n.cached
 	}
 	out := make(map[uint64]assigner.Token)
-	for _, p := range h.Table().Pools() {
-		for i := range p.Len() {
-			if s, ok := h.Owns(p.Name(), p.At(i).Start(), n.local(now)); ok {
-				out[s.Start()] = s.Token()
-			}
+	for _, point := range w.points {
+		if s, ok := h.Owns("pool", point, n.local(w.now)); ok {
+			out[point] = s.Token()
 		}
 	}
 	n.cached, n.cachedFor = out, key
 	return out
 }
 
-// served returns how many slices have an owner.
+// served returns how many points have an owner.
 func (w *world) served() int {
 	total := 0
 	for _, n := range w.nodes {
 		if !n.down && !n.paused {
-			total += len(n.owned(w.now))
+			total += len(w.owned(n))
 		}
 	}
 	return total
@@ -376,7 +400,7 @@
 		now := n.local(w.now)
 		out += fmt.Sprintf("\n%s start %d down %t paused %t: epoch %d of %s at %q, heard %s ago, lease %s, quiet %t, coordinates %t, owns %d",
 			n.id, n.incarnation, n.down, n.paused, h.Epoch(), id, address, now.Sub(h.Heard()), h.LeaseUntil().Sub(now),
-			h.Quiet(now), n.negotiator.Coordinator() != nil, len(n.owned(w.now)))
+			h.Quiet(now), n.negotiator.Coordinator() != nil, len(w.owned(n)))
 		if t := h.Table(); t != nil {
 			out += fmt.Sprintf(", table %d/%d, voters %v", t.Epoch(), t.Version(), t.Voters())
 		}
--- /dev/null
+++ b/papayapass/internal/ranker/ranker.go
@@ -0,0 +1,115 @@
+// Package ranker finds the hottest keys with bounded memory, by the
+// space-saving algorithm: it keeps a fixed number of counters, and a key that has
+// none takes over the smallest one.
+package ranker
+
+import (
+	"container/heap"
+	"sync"
+)
+
+// capacity is the number of counters. A key with more than a 256th of the
+// requests is certain to have one.
+const capacity = 256
+
+// Item is a key's point in a pool's hash space, and how often it was seen. Count
+// is too high by at most slack.
+type Item struct {
+	pool  string
+	point uint64
+	count uint64
+	slack uint64
+	index int
+}
+
+// Pool returns the name of the pool.
+func (i Item) Pool() string { return i.pool }
+
+// Point returns the key's point in the hash space.
+func (i Item) Point() uint64 { return i.point }
+
+// Count returns how often the key was certainly seen.
+func (i Item) Count() uint64 { return i.count - i.slack }
+
+type itemKey struct {
+	pool  string
+	point uint64
+}
+
+// Ranker counts keys.
+type Ranker struct {
+	mu    sync.Mutex
+	items map[itemKey]*Item
+	order itemHeap
+}
+
+// NewRanker returns a ranker without counts.
+func NewRanker() *Ranker {
+	return &Ranker{items: make(map[itemKey]*Item, capacity)}
+}
+
+// Observe counts a key.
+func (r *Ranker) Observe(pool string, point uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := itemKey{pool: pool, point: point}
+	if item, ok := r.items[k]; ok {
+		item.count++
+		heap.Fix(&r.order, item.index)
+		return
+	}
+	if len(r.order) < capacity {
+		item := &Item{pool: pool, point: point, count: 1}
+		r.items[k] = item
+		heap.Push(&r.order, item)
+		return
+	}
+	smallest := r.order[0]
+	delete(r.items, itemKey{pool: smallest.pool, point: smallest.point})
+	smallest.pool, smallest.point = pool, point
+	smallest.slack = smallest.count
+	smallest.count++
+	r.items[k] = smallest
+	heap.Fix(&r.order, 0)
+}
+
+// Take returns the keys that were certainly seen at least a number of times since
+// the last call, and forgets all counts.
+func (r *Ranker) Take(least uint64) []Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Item
+	for _, item := range r.order {
+		if item.Count() >= least {
+			out = append(out, *item)
+		}
+	}
+	clear(r.items)
+	r.order = r.order[:0]
+	return out
+}
+
+// itemHeap has the smallest count first.
+type itemHeap []*Item
+
+func (h itemHeap) Len() int           { return len(h) }
+func (h itemHeap) Less(i, j int) bool { return h[i].count < h[j].count }
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push adds an item, for package heap.
+func (h *itemHeap) Push(x any) {
+	item := x.(*Item)
+	item.index = len(*h)
+	*h = append(*h, item)
+}
+
+// Pop removes the last item, for package heap.
+func (h *itemHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- a/papayapass/internal/sizer/cell.go
+++ b/papayapass/internal/sizer/cell.go
@@ -88,8 +88,11 @@
 	return out
 }
 
+// HotKeys returns none.
+func (busySlices) HotKeys(time.Duration) []*wirepb.SliceLoad { return nil }
+
 // Close says that nothing runs.
-func (busySlices) Close(string, uint64, assigner.Token) bool { return true }
+func (busySlices) Close(string, uint64, uint64, assigner.Token) bool { return true }
 
 // NewCell returns a cell of a number of nodes that has formed.
 func NewCell(count int) *Cell {
--- a/papayapass/internal/sizer/report.go
+++ b/papayapass/internal/sizer/report.go
@@ -133,13 +133,13 @@
 // memory they leave behind.
 func reportKeys(out io.Writer) {
 	t := tableOf(1, nodeSlices)
-	g := gater.NewGater(func(gater.Key) {})
+	g := gater.NewGater(func() {})
 	before := heapBytes()
 	for i := range keyCount {
 		s, _ := t.Lookup("permits", hasher.KeyString("permit-"+strconv.Itoa(i)))
-		key := gater.NewKey("permits", s.Start())
-		if g.Enter(key, s.Token()+1) {
-			g.Leave(key)
+		area := gater.NewRange("permits", s.Start(), t.Last("permits", s.Start()))
+		if g.Enter(area, s.Start(), s.Token()+1) {
+			g.Leave(area)
 		}
 		if i == keyCount/kilo || i == keyCount/10 || i == keyCount-1 {
 			fmt.Fprintf(out, "memory after %d distinct keys: %+.1f KB\n", i+1, float64(heapBytes()-before)/kilo)
