Choose among five and hedge idempotent requests of shared pools

Cause: with a third of a shared pool straggling, two random choices were both stragglers for one request in six, and nothing was done about a late answer.

--- a/papayapass/internal/balancer/balancer.go
+++ b/papayapass/internal/balancer/balancer.go
@@ -2,6 +2,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,9 +13,12 @@
 
 // Parameters of the choice.
 const (
+	// choices is how many random candidates are compared. Of two, both are
+	// stragglers too often when a third of the pool is.
+	choices       = 5
 	latencyGain   = 0.2
 	startLatency  = time.Millisecond
-	forgetHalf    = 2 * time.Second
+	forgetHalf    = 5 * time.Second
 	failurePause  = 250 * time.Millisecond
 	zoneAdvantage = 0.8
 )
@@ -46,7 +50,7 @@
 	}
 }
 
-// Pick chooses the better of two random candidates, and counts the request to
+// Pick chooses the best of some random candidates, and counts the request to
 // it. Tried ones are left out while there are others. It says false when there
 // is no candidate.
 func (b *Balancer) Pick(candidates []assigner.Member, tried []assigner.NodeID) (assigner.Member, bool) {
@@ -57,12 +61,11 @@
 	if len(open) == 0 {
 		return assigner.Member{}, false
 	}
-	i := b.random.IntN(len(open))
-	chosen := open[i]
-	if len(open) > 1 {
-		j := (i + 1 + b.random.IntN(len(open)-1)) % len(open)
-		if b.score(open[j], now) < b.score(chosen, now) {
-			chosen = open[j]
+	b.random.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
+	chosen := open[0]
+	for _, m := range open[1:min(choices, len(open))] {
+		if b.score(m, now) < b.score(chosen, now) {
+			chosen = m
 		}
 	}
 	b.state(chosen.ID()).outstanding++
@@ -88,7 +91,7 @@
 	case len(untried) > 0:
 		return untried
 	default:
-		return candidates
+		return append([]assigner.Member(nil), candidates...)
 	}
 }
 
@@ -115,7 +118,7 @@
 func (b *Balancer) score(m assigner.Member, now timer.Instant) float64 {
 	s := b.state(m.ID())
 	age := now.Sub(s.updated)
-	weight := 1 / (1 + float64(age)/float64(forgetHalf))
+	weight := math.Exp2(-float64(age) / float64(forgetHalf))
 	latency := float64(startLatency) + weight*float64(s.latency-startLatency)
 	load := float64(s.outstanding) + weight*float64(s.reported)
 	score := latency * (1 + load/float64(max(1, m.Server().Slots())))
@@ -137,6 +140,19 @@
 	s.updated = b.clock.Now()
 }
 
+// Cancelled takes the end of a request whose answer was not waited for. It took at
+// least as long as it was waited for.
+func (b *Balancer) Cancelled(id assigner.NodeID, waited time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	s.outstanding--
+	if waited > s.latency {
+		s.latency += time.Duration(latencyGain * float64(waited-s.latency))
+	}
+	s.updated = b.clock.Now()
+}
+
 // Failed takes the end of a request that was not answered. The backend server
 // gets no other for a moment.
 func (b *Balancer) Failed(id assigner.NodeID) {
--- /dev/null
+++ b/papayapass/internal/limiter/limiter_test.go
@@ -0,0 +1,165 @@
+package limiter
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+const slots = 20
+
+// serve reports a number of answers at the full allowance, each after a time.
+func serve(a *Allowance, clock *timer.ManualClock, answers int, latency time.Duration) {
+	for range answers {
+		clock.Advance(latency / time.Duration(a.Limit()))
+		a.Observe(ResultOK, latency, a.Limit(), clock.Now())
+	}
+}
+
+// TestColdRampStaysBelowWhatIsBorne runs a ramp against a server that bears one
+// more with each ten answers and each 200 ms: the allowance is never above.
+func TestColdRampStaysBelowWhatIsBorne(t *testing.T) {
+	clock := &timer.ManualClock{}
+	a := NewAllowance(slots, true, clock.Now())
+	bears, served := slots/coldDivisor, 0
+	stepped := clock.Now()
+	for !a.Warm() {
+		require.LessOrEqual(t, a.Limit(), bears)
+		serve(a, clock, 1, 20*time.Millisecond)
+		served++
+		if served >= 10 && clock.Now().Sub(stepped) >= 200*time.Millisecond {
+			bears, served, stepped = bears+1, 0, clock.Now()
+		}
+		require.Less(t, time.Duration(clock.Now()), time.Minute, "the ramp comes to its end")
+	}
+	require.Equal(t, slots, a.Limit())
+}
+
+func TestAllowance(t *testing.T) {
+	tests := map[string]struct {
+		cold bool
+		act  func(a *Allowance, clock *timer.ManualClock)
+		want int
+	}{
+		"warm server gets its slots":          {act: func(*Allowance, *timer.ManualClock) {}, want: slots},
+		"cold server gets a tenth":            {cold: true, act: func(*Allowance, *timer.ManualClock) {}, want: slots / coldDivisor},
+		"idle cold server stays there":        {cold: true, act: func(a *Allowance, c *timer.ManualClock) { c.Advance(time.Hour) }, want: slots / coldDivisor},
+		"unused allowance proves nothing":     {cold: true, act: func(a *Allowance, c *timer.ManualClock) { observe(a, c, ResultOK, 1, 500) }, want: slots / coldDivisor},
+		"a refusal halves":                    {act: func(a *Allowance, c *timer.ManualClock) { observe(a, c, ResultShed, slots, 1) }, want: slots / cutDivisor},
+		"refusals at once count as one":       {act: func(a *Allowance, c *timer.ManualClock) { a.shed(time1); a.shed(time1) }, want: slots / cutDivisor},
+		"three failures are a cold start":     {act: func(a *Allowance, c *timer.ManualClock) { observe(a, c, ResultFailed, slots, coldFailures) }, want: slots / coldDivisor},
+		"cancelled calls say nothing":         {act: func(a *Allowance, c *timer.ManualClock) { observe(a, c, ResultIgnored, slots, 100) }, want: slots},
+		"a tail of one in fifty cuts nothing": {act: func(a *Allowance, c *timer.ManualClock) { tail(a, c) }, want: slots},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := &timer.ManualClock{}
+			clock.Advance(time.Hour)
+			a := NewAllowance(slots, tt.cold, clock.Now())
+			tt.act(a, clock)
+			require.Equal(t, tt.want, a.Limit())
+		})
+	}
+}
+
+const time1 = timer.Instant(2 * time.Hour)
+
+func observe(a *Allowance, clock *timer.ManualClock, r Result, used, times int) {
+	for range times {
+		clock.Advance(time.Millisecond)
+		a.Observe(r, 20*time.Millisecond, used, clock.Now())
+	}
+}
+
+func tail(a *Allowance, clock *timer.ManualClock) {
+	for i := range 5000 {
+		latency := 20 * time.Millisecond
+		if i%50 == 0 {
+			latency *= 4
+		}
+		clock.Advance(time.Millisecond)
+		a.Observe(ResultOK, latency, slots, clock.Now())
+	}
+}
+
+// fill takes all places of a limiter.
+func fill(t *testing.T, l *Limiter) []*Ticket {
+	var out []*Ticket
+	for l.Usage().Running() < l.Usage().Limit() {
+		ticket, err := l.Acquire(t.Context(), wirepb.Class_CLASS_NORMAL, "x")
+		require.NoError(t, err)
+		out = append(out, ticket)
+	}
+	return out
+}
+
+// TestClassesAndCallersTakeTurns queues bulk first and a greedy caller, and lets
+// them in one at a time.
+func TestClassesAndCallersTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLimiter(timer.BootClock{}, 1, false, time.Hour)
+		held := fill(t, l)
+		order := make(chan string, 16)
+		wait := func(class wirepb.Class, caller string) {
+			go func() {
+				ticket, err := l.Acquire(context.Background(), class, caller)
+				if err == nil {
+					order <- class.String()[len("CLASS_"):] + " " + caller
+					ticket.Release(ResultOK)
+				}
+			}()
+			synctest.Wait()
+		}
+		wait(wirepb.Class_CLASS_BULK, "a")
+		wait(wirepb.Class_CLASS_NORMAL, "greedy")
+		wait(wirepb.Class_CLASS_NORMAL, "greedy")
+		wait(wirepb.Class_CLASS_NORMAL, "modest")
+		wait(wirepb.Class_CLASS_URGENT, "a")
+		held[0].Release(ResultOK)
+		for _, want := range []string{"URGENT a", "NORMAL greedy", "NORMAL modest", "NORMAL greedy", "BULK a"} {
+			require.Equal(t, want, <-order)
+		}
+	})
+}
+
+func TestFullQueueShedsBulkFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLimiter(timer.BootClock{}, 1, false, time.Hour)
+		held := fill(t, l)
+		shed := make(chan error, 1)
+		go func() {
+			_, err := l.Acquire(context.Background(), wirepb.Class_CLASS_BULK, "b")
+			shed <- err
+		}()
+		synctest.Wait()
+		for range queueFactor {
+			go func() {
+				ticket, err := l.Acquire(context.Background(), wirepb.Class_CLASS_NORMAL, "n")
+				if err == nil {
+					ticket.Release(ResultOK)
+				}
+			}()
+			synctest.Wait()
+		}
+		require.ErrorIs(t, <-shed, ErrOverloaded)
+		held[0].Release(ResultOK)
+	})
+}
+
+func TestWaitIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLimiter(timer.BootClock{}, 1, false, 300*time.Millisecond)
+		fill(t, l)
+		begun := time.Now()
+		_, err := l.Acquire(t.Context(), wirepb.Class_CLASS_URGENT, "u")
+		require.ErrorIs(t, err, ErrWaited)
+		require.Equal(t, 300*time.Millisecond, time.Since(begun))
+		require.Zero(t, l.Usage().Waiting())
+	})
+}
--- a/papayapass/internal/router/router.go
+++ b/papayapass/internal/router/router.go
@@ -55,12 +55,13 @@
 	balancer *balancer.Balancer
 	clock    timer.Clock
 	budget   *Budget
+	delays   *delayTable
 	calls    atomic.Uint64
 }
 
 // NewRouter returns a router.
 func NewRouter(v Views, local Local, links Links, b *balancer.Balancer, clock timer.Clock) *Router {
-	return &Router{views: v, local: local, links: links, balancer: b, clock: clock, budget: NewBudget()}
+	return &Router{views: v, local: local, links: links, balancer: b, clock: clock, budget: NewBudget(), delays: newDelayTable()}
 }
 
 // verdict is what to do after an attempt.
@@ -139,20 +140,28 @@
 		a.last = notRun(a.req, wirepb.Reason_REASON_NO_SERVER)
 		return verdictWait
 	}
-	started := r.clock.Now()
-	a.last = r.send(ctx, view, target, a.req)
-	if !a.req.GetKeyed() {
+	switch {
+	case a.req.GetKeyed():
+		a.last = r.send(ctx, view, target, a.req)
+	case a.req.GetIdempotent():
+		target, a.last = r.sendHedged(ctx, view, target, a)
+	default:
+		started := r.clock.Now()
+		a.last = r.send(ctx, view, target, a.req)
 		r.report(target.ID(), a.last, r.clock.Now().Sub(started))
 	}
 	return r.judge(target, a)
 }
 
 func (r *Router) report(id assigner.NodeID, answer *wirepb.Answer, latency time.Duration) {
-	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_ANSWERED {
+	switch {
+	case answer.GetOutcome() == wirepb.Outcome_OUTCOME_ANSWERED:
 		r.balancer.Done(id, latency, answer.GetInFlight())
-		return
+	case answer.GetReason() == wirepb.Reason_REASON_DEADLINE:
+		r.balancer.Cancelled(id, latency)
+	default:
+		r.balancer.Failed(id)
 	}
-	r.balancer.Failed(id)
 }
 
 // judge decides what follows an attempt. Work that is not idempotent is sent
--- a/standin/internal/orchestrator/scenario.go
+++ b/standin/internal/orchestrator/scenario.go
@@ -252,8 +252,15 @@
 		o.findings.RanTwice, o.findings.FalseNotRun, o.findings.TwoOwners, o.report.Wrong+o.report.Short)
 }
 
-// reasons prints why requests were not answered.
+// reasons prints the latency of each kind, and why requests were not answered.
 func (o Outcome) reasons(w io.Writer) {
+	if len(o.report.Kinds) > 1 {
+		for _, k := range o.report.Kinds {
+			fmt.Fprintf(w, "    %s: p50 %.1f, p99 %.1f ms, answered %.2f%%;", k.Kind, k.Percentiles.P50Millis, k.Percentiles.P99Millis,
+				percent*float64(k.Answered)/float64(max(1, k.Sent)))
+		}
+		fmt.Fprintln(w)
+	}
 	for _, k := range o.report.Kinds {
 		for reason, n := range k.Reasons {
 			if n > reportedReasons {
