Secure links by mutual TLS, and let callers go before a node stops

Change: TLS 1.3 with certificates of the site's issuers, read again when the files change; a stopping node answers with Connection: close for 1.5 s first. A naive router (ring of equal arcs, random choice, retries) for comparison.

--- /dev/null
+++ b/papayapass/internal/authenticator/authenticator.go
@@ -0,0 +1,130 @@
+// Package authenticator secures links between nodes by mutual TLS. Certificate,
+// key and trust roots are read from files, and read again when they change.
+package authenticator
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// checkInterval is the least time between two looks at the files.
+const checkInterval = time.Second
+
+// ErrNoRoots means that the file of trust roots holds no certificate.
+var ErrNoRoots = errors.New("no certificate in the file of trust roots")
+
+// Files are the names of the PEM files.
+type Files struct {
+	certificate string
+	key         string
+	roots       string
+}
+
+// NewFiles returns the names of the files of certificate, key and trust roots.
+func NewFiles(certificate, key, roots string) Files {
+	return Files{certificate: certificate, key: key, roots: roots}
+}
+
+// Authenticator makes TLS connections by the newest files.
+type Authenticator struct {
+	files   Files
+	mu      sync.Mutex
+	config  *tls.Config
+	stamp   time.Time
+	checked time.Time
+}
+
+// NewAuthenticator returns an authenticator, or an error when the files cannot be
+// used.
+func NewAuthenticator(f Files) (*Authenticator, error) {
+	a := &Authenticator{files: f}
+	config, err := f.load()
+	if err != nil {
+		return nil, err
+	}
+	a.config, a.stamp, a.checked = config, f.changed(), time.Now()
+	return a, nil
+}
+
+// Client returns the TLS side of a connection that this node opened.
+func (a *Authenticator) Client(conn net.Conn) net.Conn { return tls.Client(conn, a.current()) }
+
+// Server returns the TLS side of a connection that a peer opened.
+func (a *Authenticator) Server(conn net.Conn) net.Conn { return tls.Server(conn, a.current()) }
+
+// current returns the configuration of the newest files that can be used.
+func (a *Authenticator) current() *tls.Config {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if now.Sub(a.checked) < checkInterval {
+		return a.config
+	}
+	a.checked = now
+	stamp := a.files.changed()
+	if !stamp.After(a.stamp) {
+		return a.config
+	}
+	if config, err := a.files.load(); err == nil {
+		a.config, a.stamp = config, stamp
+	}
+	return a.config
+}
+
+// changed returns when the newest of the files was written.
+func (f Files) changed() time.Time {
+	var newest time.Time
+	for _, name := range []string{f.certificate, f.key, f.roots} {
+		if info, err := os.Stat(name); err == nil && info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest
+}
+
+func (f Files) load() (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(f.certificate, f.key)
+	if err != nil {
+		return nil, errors.Wrap(err, "load certificate and key")
+	}
+	text, err := os.ReadFile(f.roots)
+	if err != nil {
+		return nil, errors.Wrap(err, "load trust roots")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, errors.Wrap(ErrNoRoots, f.roots)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// Peers are known by IP addresses that change, so the chain is checked and
+		// the name is not.
+		InsecureSkipVerify: true,
+		VerifyConnection:   verifier(roots),
+	}, nil
+}
+
+// verifier checks that a peer's certificate was issued by one of the roots.
+func verifier(roots *x509.CertPool) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		if len(state.PeerCertificates) == 0 {
+			return errors.New("peer has no certificate")
+		}
+		between := x509.NewCertPool()
+		for _, c := range state.PeerCertificates[1:] {
+			between.AddCert(c)
+		}
+		_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+			Roots: roots, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+		})
+		return errors.Wrap(err, "peer's certificate")
+	}
+}
--- a/papayapass/internal/configurer/option.go
+++ b/papayapass/internal/configurer/option.go
@@ -26,6 +26,9 @@
 	LimitBodyTime   = "limits.bodyTime"
 	LimitQueueTime  = "limits.queueTime"
 	LimitConns      = "limits.callerConnections"
+	TLSCertificate  = "tls.certificate"
+	TLSKey          = "tls.key"
+	TLSRoots        = "tls.roots"
 	StopTimeout     = "stop.timeout"
 	LogLevel        = "log.level"
 	LogFormat       = "log.format"
@@ -96,6 +99,9 @@
 		{name: LimitBodyTime, initial: "10s", unit: "duration", help: "time that a caller has to send a request", validate: isDuration(10*time.Millisecond, time.Minute)},
 		{name: LimitQueueTime, initial: "2s", unit: "duration", help: "longest wait for the backend server; long favours an answer, short favours the tail", validate: isDuration(time.Millisecond, time.Minute)},
 		{name: LimitConns, initial: "4096", unit: "connections", help: "open connections of callers", validate: isInteger(1, 1_000_000)},
+		{name: TLSCertificate, unit: "PEM file", help: "this node's certificate for links between nodes; none leaves them open to all", validate: anything},
+		{name: TLSKey, unit: "PEM file", help: "key of the certificate", validate: anything},
+		{name: TLSRoots, unit: "PEM file", help: "issuers of the certificates of this site's nodes; read again when changed, like the others", validate: anything},
 		{name: StopTimeout, initial: "15s", unit: "duration", help: "longest time that a graceful stop waits for requests in progress", validate: isDuration(0, 10*time.Minute)},
 		{name: LogLevel, initial: "info", unit: "debug, info, warn or error", help: "least level that is logged", validate: isOneOf("debug", "info", "warn", "error")},
 		{name: LogFormat, initial: "json", unit: "json or console", help: "form of the log", validate: isOneOf("json", "console")},
--- a/papayapass/internal/messenger/connector.go
+++ b/papayapass/internal/messenger/connector.go
@@ -32,6 +32,7 @@
 	self    *wirepb.Hello
 	timers  *timer.Service
 	handler Handler
+	secure  Security
 	group   *errgroup.Group
 	ctx     context.Context
 	mu      sync.Mutex
@@ -49,9 +50,9 @@
 
 // NewConnector returns a connector. Its links run in the group until the context
 // ends.
-func NewConnector(ctx context.Context, group *errgroup.Group, self *wirepb.Hello, timers *timer.Service, handler Handler) *Connector {
+func NewConnector(ctx context.Context, group *errgroup.Group, self *wirepb.Hello, timers *timer.Service, security Security, handler Handler) *Connector {
 	return &Connector{
-		self: self, timers: timers, handler: handler, group: group, ctx: ctx,
+		self: self, timers: timers, handler: handler, secure: security, group: group, ctx: ctx,
 		links: make(map[*Link]struct{}),
 	}
 }
@@ -93,7 +94,7 @@
 	if s.failed != 0 && now.Sub(s.failed) < dialBackoff {
 		return nil, ErrBackoff
 	}
-	l, err := Dial(ctx, address, c.self, c.timers, c)
+	l, err := Dial(ctx, address, c.self, c.timers, c.secure, c)
 	if err != nil {
 		s.failed = c.timers.Now()
 		return nil, err
@@ -142,7 +143,7 @@
 			return errors.Wrap(err, "accept peer")
 		}
 		c.group.Go(func() error {
-			l, err := Accept(conn, c.self, c.timers, c)
+			l, err := Accept(conn, c.self, c.timers, c.secure, c)
 			if err == nil {
 				c.start(l)
 			}
--- a/papayapass/internal/messenger/link.go
+++ b/papayapass/internal/messenger/link.go
@@ -58,13 +58,31 @@
 	lastPing atomic.Int64
 }
 
+// Security makes the secure side of connections between nodes.
+type Security interface {
+	// Client secures a connection that this node opened.
+	Client(conn net.Conn) net.Conn
+	// Server secures a connection that a peer opened.
+	Server(conn net.Conn) net.Conn
+}
+
+// Plain leaves connections as they are.
+type Plain struct{}
+
+// Client returns the connection.
+func (Plain) Client(conn net.Conn) net.Conn { return conn }
+
+// Server returns the connection.
+func (Plain) Server(conn net.Conn) net.Conn { return conn }
+
 // Dial opens a link to a peer.
-func Dial(ctx context.Context, address string, self *wirepb.Hello, timers *timer.Service, receiver Receiver) (*Link, error) {
+func Dial(ctx context.Context, address string, self *wirepb.Hello, timers *timer.Service, security Security, receiver Receiver) (*Link, error) {
 	dialer := net.Dialer{Timeout: handshakeLimit}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
+	conn = security.Client(conn)
 	l, err := newLink(conn, self, timers, receiver, openLanes)
 	if err != nil {
 		return nil, errors.CombineErrors(err, conn.Close())
@@ -73,7 +91,8 @@
 }
 
 // Accept makes a link of a connection that a peer opened.
-func Accept(conn net.Conn, self *wirepb.Hello, timers *timer.Service, receiver Receiver) (*Link, error) {
+func Accept(conn net.Conn, self *wirepb.Hello, timers *timer.Service, security Security, receiver Receiver) (*Link, error) {
+	conn = security.Server(conn)
 	l, err := newLink(conn, self, timers, receiver, acceptLanes)
 	if err != nil {
 		return nil, errors.CombineErrors(err, conn.Close())
--- a/papayapass/internal/receiver/receiver.go
+++ b/papayapass/internal/receiver/receiver.go
@@ -74,6 +74,7 @@
 	incarnation uint64
 	book        atomic.Pointer[ruleBook]
 	accounts    accounts
+	draining    atomic.Bool
 }
 
 // NewReceiver returns a receiver. Serve starts it.
@@ -99,6 +100,10 @@
 	return errors.Wrap(rc.server.Serve(listener), "serve callers")
 }
 
+// Drain closes each caller's connection after its next answer, so that callers go
+// to other nodes before Stop.
+func (rc *Receiver) Drain() { rc.draining.Store(true) }
+
 // Stop takes no new connections and waits for the requests in progress.
 func (rc *Receiver) Stop(ctx context.Context) error {
 	return rc.server.ShutdownWithContext(ctx)
@@ -143,6 +148,9 @@
 
 func (rc *Receiver) handle(ctx *fasthttp.RequestCtx) {
 	started := time.Now()
+	if rc.draining.Load() {
+		ctx.SetConnectionClose()
+	}
 	if !rc.configured() {
 		rc.refuse(ctx, fasthttp.StatusServiceUnavailable, wirepb.Reason_REASON_STARTING)
 		return
--- a/papayapass/internal/responder/responder_test.go
+++ b/papayapass/internal/responder/responder_test.go
@@ -128,9 +128,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	hello := &wirepb.Hello{Format: messenger.FormatVersion, Cell: "cell", Node: "b"}
-	server := messenger.NewConnector(ctx, group, hello, timers, handle)
+	server := messenger.NewConnector(ctx, group, hello, timers, messenger.Plain{}, handle)
 	group.Go(func() error { return server.Serve(listener) })
-	client := messenger.NewConnector(ctx, group, &wirepb.Hello{Format: messenger.FormatVersion, Cell: "cell", Node: "a"}, timers, handle)
+	client := messenger.NewConnector(ctx, group, &wirepb.Hello{Format: messenger.FormatVersion, Cell: "cell", Node: "a"}, timers, messenger.Plain{}, handle)
 	t.Cleanup(func() {
 		cancel()
 		_ = listener.Close()
--- a/papayapass/internal/runner/runner.go
+++ b/papayapass/internal/runner/runner.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/authenticator"
 	"papayapass.dev/papayapass/internal/balancer"
 	"papayapass.dev/papayapass/internal/configurer"
 	"papayapass.dev/papayapass/internal/executor"
@@ -36,6 +37,9 @@
 	serverCheck = 50 * time.Millisecond
 	drainCheck  = 50 * time.Millisecond
 	closeTime   = time.Second
+	// lameDuckTime is how long a stopping node goes on to answer callers, so that
+	// they close their connections before it does.
+	lameDuckTime = 1500 * time.Millisecond
 )
 
 // logTimeFormat is RFC 3339 with milliseconds.
@@ -132,9 +136,12 @@
 		Format: messenger.FormatVersion, Cell: self.Cell(), Node: string(self.ID()),
 		Incarnation: incarnation, Address: self.Address(), Zone: self.Zone(),
 	}
-	n.connector = messenger.NewConnector(ctx, group, hello, n.timers, n.receive)
+	security, err := newSecurity(s)
+	if err != nil {
+		return nil, err
+	}
+	n.connector = messenger.NewConnector(ctx, group, hello, n.timers, security, n.receive)
 	n.keeper.Attach(n.connector)
-	var err error
 	n.tracer, err = tracer.NewTracer(ctx, s.Text(configurer.TraceEndpoint), s.Share(configurer.TraceShare), string(self.ID()))
 	if err != nil {
 		return nil, err
@@ -151,6 +158,15 @@
 	return n, nil
 }
 
+// newSecurity returns mutual TLS between nodes, or none when no certificate is set.
+func newSecurity(s *configurer.Settings) (messenger.Security, error) {
+	if s.Text(configurer.TLSCertificate) == "" {
+		return messenger.Plain{}, nil
+	}
+	files := authenticator.NewFiles(s.Text(configurer.TLSCertificate), s.Text(configurer.TLSKey), s.Text(configurer.TLSRoots))
+	return authenticator.NewAuthenticator(files)
+}
+
 func (n *Node) addGauges(m *meter.Meter) {
 	m.Gauge("papayapass_control_bytes", func() float64 { return float64(n.connector.ControlBytes()) })
 	m.Gauge("papayapass_running", func() float64 { return float64(n.executor.Running()) })
@@ -211,8 +227,11 @@
 	n.logger.Info().Msg("node stops")
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Duration(configurer.StopTimeout))
 	defer cancel()
+	n.receiver.Drain()
 	n.executor.Leave()
 	n.keeper.Leave()
+	lameDuck := time.NewTimer(lameDuckTime)
+	defer lameDuck.Stop()
 	tick := n.timers.Subscribe(drainCheck)
 	defer tick.Stop()
 	for !n.keeper.Left() {
@@ -223,6 +242,10 @@
 		case <-tick.C():
 		}
 	}
+	select {
+	case <-lameDuck.C:
+	case <-ctx.Done():
+	}
 	if err := n.receiver.Stop(ctx); err != nil {
 		n.logger.Warn().Err(err).Msg("stop of the callers' port")
 	}
--- a/standin/internal/auditor/auditor.go
+++ b/standin/internal/auditor/auditor.go
@@ -20,6 +20,7 @@
 	TwoOwners    int            `json:"twoOwners"`
 	FalseNotRun  int            `json:"falseNotRun"`
 	PerServer    map[string]int `json:"perServer"`
+	Imbalance    float64        `json:"imbalance"`
 	FirstExample string         `json:"firstExample"`
 }
 
@@ -82,9 +83,28 @@
 		}
 	}
 	f.auditOwners(executions)
+	f.Imbalance = imbalance(executions)
 	return f
 }
 
+// imbalance returns the largest part of the divided pool's executions that a
+// server had in the second half of the run, over the mean.
+func imbalance(executions []Execution) float64 {
+	counts := make(map[string]int)
+	total := 0
+	for _, e := range executions[len(executions)/2:] {
+		if e.Keyed {
+			counts[e.Server]++
+			total++
+		}
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	return float64(most*len(counts)) / float64(max(1, total))
+}
+
 // auditOwners checks that the fencing tokens of a key never go back over time,
 // and that no token is used by two servers.
 func (f *Findings) auditOwners(executions []Execution) {
--- a/standin/internal/commander/commander.go
+++ b/standin/internal/commander/commander.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"papayapass.dev/standin/internal/orchestrator"
+	"papayapass.dev/standin/internal/ringrouter"
 	"papayapass.dev/standin/internal/storekeeper"
 	"papayapass.dev/standin/internal/worker"
 )
@@ -21,7 +22,7 @@
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for the platform, backend servers and callers", SilenceUsage: true}
-	root.AddCommand(newPlatformCommand(), newBackendCommand(), newDemoCommand(), newBenchCommand(), newPathCommand())
+	root.AddCommand(newPlatformCommand(), newBackendCommand(), newDemoCommand(), newBenchCommand(), newPathCommand(), newNaiveCommand())
 	root.SetArgs(args)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -85,19 +86,46 @@
 func newBenchCommand() *cobra.Command {
 	var programs, dir, only string
 	var runs int
+	var naive bool
 	cmd := &cobra.Command{
 		Use:   "bench",
 		Short: "Measure a site under failures, scenario by scenario",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			p := orchestrator.Programs{Papayapass: filepath.Join(programs, "papayapass"), Standin: filepath.Join(programs, "standin")}
-			return orchestrator.Bench(cmd.Context(), os.Stdout, p, dir, only, runs)
+			return orchestrator.Bench(cmd.Context(), os.Stdout, p, dir, only, runs, naive)
 		},
 	}
 	cmd.Flags().StringVar(&programs, "programs", "bin", "directory of the two programs")
 	cmd.Flags().StringVar(&dir, "out", "out/bench", "directory for logs and journals; it is emptied first")
 	cmd.Flags().StringVar(&only, "only", "", "run the scenarios whose names begin so")
 	cmd.Flags().IntVar(&runs, "runs", 1, "runs of each scenario")
+	cmd.Flags().BoolVar(&naive, "naive", false, "run the naive router after papayapass, where the scenario suits it")
+	return cmd
+}
+
+func newNaiveCommand() *cobra.Command {
+	var listen string
+	var routes []string
+	cmd := &cobra.Command{
+		Use:   "naive",
+		Short: "Run the naive router that papayapass is measured against",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			parsed, err := orchestrator.ParseRoutes(routes)
+			if err != nil {
+				return err
+			}
+			listener, err := net.Listen("tcp", listen)
+			if err != nil {
+				return err
+			}
+			context.AfterFunc(cmd.Context(), func() { _ = listener.Close() })
+			return ringrouter.NewRingRouter(parsed).Serve(listener)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7001", "address to listen on")
+	cmd.Flags().StringArrayVar(&routes, "route", nil, "PREFIX|keyed or any|CONNECTIONS|ADDRESS,ADDRESS")
 	return cmd
 }
 
--- a/standin/internal/loader/workload.go
+++ b/standin/internal/loader/workload.go
@@ -25,8 +25,11 @@
 	return Kind{name: name, weight: weight, method: method, prefix: prefix, suffix: suffix, group: group}
 }
 
-// Name returns the name in reports.
-func (k Kind) Name() string { return k.name }
+// Prefix returns the beginning of the path.
+func (k Kind) Prefix() string { return k.prefix }
+
+// Group returns the name of the keys.
+func (k Kind) Group() string { return k.group }
 
 // keyMix draws keys that are equally popular, or whose popularity falls with
 // their rank (Zipf, exponent 1). Which keys are hot moves on by shifting ranks.
--- a/standin/internal/orchestrator/cluster.go
+++ b/standin/internal/orchestrator/cluster.go
@@ -32,6 +32,7 @@
 	platform  *process
 	instances []*member
 	coldBoot  bool
+	naive     bool
 }
 
 // member is an instance with its two processes.
@@ -74,6 +75,9 @@
 			return err
 		}
 	}
+	if c.naive {
+		return c.waitNaive(ctx)
+	}
 	if err := c.waitReady(ctx, len(c.instances)); err != nil {
 		return err
 	}
@@ -109,7 +113,7 @@
 	m.backend, err = start(c.file("backend-"+m.id+".log"), c.programs.Standin, "backend",
 		"--name", m.id, "--pool", m.pool.name, "--zone", m.zone, "--listen", m.backendAddress(), "--announce", m.status,
 		"--slots", strconv.Itoa(m.pool.slots), "--connections", strconv.Itoa(m.pool.connections),
-		"--divided="+strconv.FormatBool(m.pool.divided), "--checks-tokens="+strconv.FormatBool(m.pool.divided && c.site.serviceTime > 0),
+		"--divided="+strconv.FormatBool(m.pool.divided), "--checks-tokens="+strconv.FormatBool(m.pool.divided && c.site.serviceTime > 0 && !c.naive),
 		"--cold="+strconv.FormatBool(cold || c.coldBoot), "--service-time", c.site.serviceTime.String(),
 		"--journal", c.journal(m), "--seed", strconv.Itoa(m.starts),
 	)
@@ -128,6 +132,9 @@
 func (m *member) backendAddress() string { return m.instance.backend }
 
 func (c *Cluster) startNode(m *member) error {
+	if c.naive {
+		return c.startNaive(m)
+	}
 	settings := c.file("node-" + m.id + ".toml")
 	text := fmt.Sprintf(`[node]
 id = %q
--- a/standin/internal/orchestrator/scenario.go
+++ b/standin/internal/orchestrator/scenario.go
@@ -21,6 +21,8 @@
 	site  Site
 	load  Load
 	steps []Step
+	// naive says that the scenario also suits the naive router.
+	naive bool
 }
 
 // Times and rates of the scenarios.
@@ -64,7 +66,7 @@
 
 func owner(c *Cluster) ([]*member, error) {
 	coordinator, err := c.coordinator()
-	if err != nil {
+	if err != nil && !c.naive {
 		return nil, err
 	}
 	for _, m := range c.instances {
@@ -185,13 +187,13 @@
 	down := platform(failAt-time.Second, storekeeper.Faults{Down: true})
 	zone := l.zones[1]
 	return []Scenario{
-		{name: "lose owner", site: n, load: probe(n), steps: []Step{kill(owner)}},
+		{naive: true, name: "lose owner", site: n, load: probe(n), steps: []Step{kill(owner)}},
 		{name: "lose coordinator", site: n, load: probe(n), steps: []Step{kill(coordinatorOnly)}},
 		{name: "lose owner and coordinator", site: n, load: probe(n), steps: []Step{kill(ownerAndCoordinator)}},
 		{name: "lose owner, platform down", site: n, load: probe(n), steps: []Step{down, kill(owner)}},
 		{name: "lose coordinator, platform down", site: n, load: probe(n), steps: []Step{down, kill(coordinatorOnly)}},
 		{name: "lose both, platform down", site: n, load: probe(n), steps: []Step{down, kill(ownerAndCoordinator)}},
-		{name: "freeze owner 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, owner)}},
+		{naive: true, name: "freeze owner 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, owner)}},
 		{name: "freeze owner 0.7 s", site: n, load: probe(n), steps: []Step{freeze(failAt, shortFreeze, owner)}},
 		{name: "freeze coordinator 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, coordinatorOnly)}},
 		{name: "zone out and in at 70 %", site: l, load: l.share(busyShare*0.6, longScenario), steps: []Step{
@@ -201,18 +203,18 @@
 			platform(time.Second, storekeeper.Faults{SlowMillis: 200}),
 			operate(failAt, "zone", "out", zone, "--wait"), operate(failAt+8*time.Second, "zone", "in", zone, "--wait"),
 		}},
-		{name: "cold restart", site: l, load: l.share(busyShare*0.6, coldScenario), steps: []Step{restartCold(failAt, 1)}},
-		{name: "no stragglers", site: n, load: n.share(busyShare*0.6, coldScenario)},
-		{name: "stragglers", site: n, load: n.share(busyShare*0.6, coldScenario), steps: []Step{straggle(failAt, "pecas", stragglerSlow)}},
-		{name: "overload 150 %", site: n, load: n.share(overloadShare, probeLength)},
+		{naive: true, name: "cold restart", site: l, load: l.share(busyShare*0.6, coldScenario), steps: []Step{restartCold(failAt, 1)}},
+		{naive: true, name: "no stragglers", site: n, load: n.share(busyShare*0.6, coldScenario)},
+		{naive: true, name: "stragglers", site: n, load: n.share(busyShare*0.6, coldScenario), steps: []Step{straggle(failAt, "pecas", stragglerSlow)}},
+		{naive: true, name: "overload 150 %", site: n, load: n.share(overloadShare, probeLength)},
 		{name: "rolling restart", site: l, load: l.share(busyShare*0.4, 2*longScenario), steps: []Step{rollingRestart(failAt)}},
 	}
 }
 
 // Bench runs scenarios and prints a row for each run.
-func Bench(ctx context.Context, out io.Writer, programs Programs, dir, only string, runs int) error {
-	fmt.Fprintf(out, "%-34s %7s %9s %7s %7s %6s %7s %8s %8s %8s %5s %6s %7s %7s %6s\n", "scenario", "sent", "answered",
-		"notRun", "unknown", "failed", "p50 ms", "p99 ms", "gap p50", "gap max", "over", "twice", "notRun!", "owners!", "wrong")
+func Bench(ctx context.Context, out io.Writer, programs Programs, dir, only string, runs int, naive bool) error {
+	fmt.Fprintf(out, "%-34s %7s %9s %7s %7s %6s %7s %8s %8s %8s %5s %6s %6s %7s %7s %6s\n", "scenario", "sent", "answered",
+		"notRun", "unknown", "failed", "p50 ms", "p99 ms", "gap p50", "gap max", "over", "imbal", "twice", "notRun!", "owners!", "wrong")
 	broken := 0
 	for _, s := range Scenarios() {
 		if !strings.HasPrefix(s.name, only) {
@@ -220,19 +222,17 @@
 		}
 		for run := range runs {
 			s.load.seed = uint64(run + 1)
-			c, err := NewCluster(s.site, programs, dir)
+			clean, err := s.run(ctx, out, programs, dir, false)
 			if err != nil {
 				return err
 			}
-			o, err := Run(ctx, io.Discard, c, s.load, s.steps)
-			if err != nil {
-				return errors.Wrap(err, s.name)
-			}
-			o.row(out, s.name)
-			o.reasons(out)
-			if !o.findings.Clean() {
+			if !clean {
 				broken++
-				fmt.Fprintln(out, s.name, o.findings.FirstExample)
+			}
+			if naive && s.naive {
+				if _, err := s.run(ctx, out, programs, dir, true); err != nil {
+					return err
+				}
 			}
 		}
 	}
@@ -242,6 +242,29 @@
 	return nil
 }
 
+// run runs a scenario once, prints its row and says whether all promises held.
+func (s Scenario) run(ctx context.Context, out io.Writer, programs Programs, dir string, naive bool) (bool, error) {
+	c, err := NewCluster(s.site, programs, dir)
+	if err != nil {
+		return false, err
+	}
+	name := s.name
+	if naive {
+		c.naive = true
+		name += " (naive)"
+	}
+	o, err := Run(ctx, io.Discard, c, s.load, s.steps)
+	if err != nil {
+		return false, errors.Wrap(err, name)
+	}
+	o.row(out, name)
+	o.reasons(out)
+	if !o.findings.Clean() {
+		fmt.Fprintln(out, "   ", o.findings.FirstExample)
+	}
+	return o.findings.Clean(), nil
+}
+
 const percent = 100
 
 func (o Outcome) row(w io.Writer, name string) {
@@ -250,9 +273,9 @@
 	for _, b := range o.backends {
 		over = max(over, b.PeakOver)
 	}
-	fmt.Fprintf(w, "%-34s %7d %8.2f%% %7d %7d %6d %7.1f %8.1f %8.0f %8.0f %5.2f %6d %7d %7d %6d\n", name, t.Sent,
+	fmt.Fprintf(w, "%-34s %7d %8.2f%% %7d %7d %6d %7.1f %8.1f %8.0f %8.0f %5.2f %6.2f %6d %7d %7d %6d\n", name, t.Sent,
 		percent*float64(t.Answered)/float64(max(1, t.Sent)), t.NotRun, t.Unknown, t.Failed,
-		t.Percentiles.P50Millis, t.Percentiles.P99Millis, o.report.GapP50Millis, o.report.GapMaxMillis, over,
+		t.Percentiles.P50Millis, t.Percentiles.P99Millis, o.report.GapP50Millis, o.report.GapMaxMillis, over, o.findings.Imbalance,
 		o.findings.RanTwice, o.findings.FalseNotRun, o.findings.TwoOwners, o.report.Wrong+o.report.Short)
 }
 
