--- a/papayapass/internal/limiter/limiter_test.go
+++ b/papayapass/internal/limiter/limiter_test.go
@@ -49,10 +49,10 @@
 	}{
 		"warm server gets its slots":          {act: func(*Allowance, *timer.ManualClock) {}, want: slots},
 		"cold server gets a tenth":            {cold: true, act: func(*Allowance, *timer.ManualClock) {}, want: slots / coldDivisor},
-		"idle cold server stays there":        {cold: true, act: func(a *Allowance, c *timer.ManualClock) { c.Advance(time.Hour) }, want: slots / coldDivisor},
+		"idle cold server stays there":        {cold: true, act: func(_ *Allowance, c *timer.ManualClock) { c.Advance(time.Hour) }, want: slots / coldDivisor},
 		"unused allowance proves nothing":     {cold: true, act: func(a *Allowance, c *timer.ManualClock) { observe(a, c, ResultOK, 1, 500) }, want: slots / coldDivisor},
 		"a refusal halves":                    {act: func(a *Allowance, c *timer.ManualClock) { observe(a, c, ResultShed, slots, 1) }, want: slots / cutDivisor},
-		"refusals at once count as one":       {act: func(a *Allowance, c *timer.ManualClock) { a.shed(time1); a.shed(time1) }, want: slots / cutDivisor},
+		"refusals at once count as one":       {act: func(a *Allowance, _ *timer.ManualClock) { a.shed(shedAt); a.shed(shedAt) }, want: slots / cutDivisor},
 		"three failures are a cold start":     {act: func(a *Allowance, c *timer.ManualClock) { observe(a, c, ResultFailed, slots, coldFailures) }, want: slots / coldDivisor},
 		"cancelled calls say nothing":         {act: func(a *Allowance, c *timer.ManualClock) { observe(a, c, ResultIgnored, slots, 100) }, want: slots},
 		"a tail of one in fifty cuts nothing": {act: func(a *Allowance, c *timer.ManualClock) { tail(a, c) }, want: slots},
@@ -68,7 +68,7 @@
 	}
 }
 
-const time1 = timer.Instant(2 * time.Hour)
+const shedAt = timer.Instant(2 * time.Hour)
 
 func observe(a *Allowance, clock *timer.ManualClock, r Result, used, times int) {
 	for range times {
