Take the load of a slice from its owner only

A slice's former owner reported it idle after the move, and the smoothed load then stayed at half, so hot slices looked light.

Change: reports count when the reporter owns the slice, and are taken as they are, since only changes of a fifth are sent.

--- a/papayapass/internal/coordinator/coordinator.go
+++ b/papayapass/internal/coordinator/coordinator.go
@@ -354,7 +354,7 @@
 			p.confirm(timer.Instant(b.GetEcho()))
 		}
 	}
-	c.loads.take(b.GetLoads())
+	c.loads.take(c.table, id, b.GetLoads())
 	c.splitHotKeys(b.GetHotKeys(), now)
 	c.updateMember(id, b)
 	c.takeHoldings(id, b.GetHoldings())
--- a/papayapass/internal/coordinator/peer.go
+++ b/papayapass/internal/coordinator/peer.go
@@ -33,27 +33,25 @@
 	start uint64
 }
 
-// loadTable keeps the reported load of slices, smoothed.
+// loadTable keeps the reported load of slices, in requests a second.
 type loadTable map[loadKey]float64
 
-const loadSmoothing = 0.5
-
-// Load returns the load of a slice, in requests a second.
+// Load returns the load of a slice.
 func (t loadTable) Load(pool string, start uint64) float64 {
 	return t[loadKey{pool: pool, start: start}]
 }
 
 const milli = 1000.0
 
-func (t loadTable) take(reports []*wirepb.SliceLoad) {
+// take takes a node's reports of the slices that it owns. A former owner reports
+// that a slice is idle, which says nothing of it any more.
+func (t loadTable) take(table *assigner.Table, id assigner.NodeID, reports []*wirepb.SliceLoad) {
 	for _, r := range reports {
-		key := loadKey{pool: r.GetPool(), start: r.GetStart()}
-		rate := float64(r.GetRateMilli()) / milli
-		old, ok := t[key]
-		if !ok {
-			old = rate
+		s, ok := table.Lookup(r.GetPool(), r.GetStart())
+		if !ok || s.Owner() != id || s.Start() != r.GetStart() {
+			continue
 		}
-		t[key] = old + loadSmoothing*(rate-old)
+		t[loadKey{pool: r.GetPool(), start: r.GetStart()}] = float64(r.GetRateMilli()) / milli
 	}
 }
 
--- /dev/null
+++ b/papayapass/internal/coordinator/peer_test.go
@@ -0,0 +1,20 @@
+package coordinator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// TestFormerOwnerSaysNothingOfLoad moves a slice: the idle report of its former
+// owner must not hide the load that the new owner reported.
+func TestFormerOwnerSaysNothingOfLoad(t *testing.T) {
+	table := assigner.Decode(&wirepb.Table{Pools: []*wirepb.Pool{{Name: "pool", Slices: []*wirepb.Slice{{Start: 0, Owner: "new"}}}}})
+	loads := make(loadTable)
+	loads.take(table, "new", []*wirepb.SliceLoad{{Pool: "pool", RateMilli: 50_000}})
+	loads.take(table, "old", []*wirepb.SliceLoad{{Pool: "pool"}})
+	require.Equal(t, 50.0, loads.Load("pool", 0))
+}
