Split the lease protocol's large files by theme

Change: votes and holdings, authority and heartbeats have files of their own; no line of code differs.

--- /dev/null
+++ b/papayapass/internal/coordinator/authority.go
@@ -0,0 +1,81 @@
+package coordinator
+
+import (
+	"sort"
+	"time"
+
+	"papayapass.dev/papayapass/internal/holder"
+	"papayapass.dev/papayapass/internal/mutator"
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+// confirmed returns the newest instant as of which a majority of the voters has
+// confirmed that it knows of no newer coordinator.
+func (c *Coordinator) confirmed(now timer.Instant) timer.Instant {
+	voters := c.table.Voters()
+	echoes := make([]timer.Instant, 0, len(voters))
+	for _, v := range voters {
+		if v == c.self.ID() {
+			echoes = append(echoes, now)
+			continue
+		}
+		echoes = append(echoes, c.peer(v).echo)
+	}
+	sort.Slice(echoes, func(i, j int) bool { return echoes[i] > echoes[j] })
+	return echoes[len(voters)/2]
+}
+
+// authorityEnd returns the instant at which the coordinator's authority ends.
+func (c *Coordinator) authorityEnd(now timer.Instant) timer.Instant {
+	return c.confirmed(now).Add(holder.AuthorityTerm)
+}
+
+// ended says whether a node's lease has certainly run out, and no newer
+// coordinator can have renewed it: a majority has confirmed this one since.
+// Without the second part a coordinator that is cut off could give slices away
+// that its successor has left with their owners.
+func (c *Coordinator) ended(p *peer, now timer.Instant) bool {
+	if mutator.Active(mutator.StaleConfirmation) {
+		return !now.Before(p.leaseEnd)
+	}
+	return !c.confirmed(now).Before(p.leaseEnd)
+}
+
+// lease returns how long a lease given now may last; zero is none.
+func (c *Coordinator) lease(now timer.Instant) time.Duration {
+	left := min(holder.AuthorityTerm, c.authorityEnd(now).Sub(now))
+	return max(0, left).Truncate(time.Millisecond)
+}
+
+// held says whether someone may still hold a slice under an older epoch's
+// lease.
+func (c *Coordinator) held(string, uint64) bool { return c.resigned || !c.ready }
+
+// ask calls for heartbeats when a lease has run out and only a confirmation from
+// after its end is missing, so that the loss need not wait for the next regular
+// ones.
+func (c *Coordinator) ask(now timer.Instant) {
+	latest := c.readyAt
+	for _, m := range c.table.Members() {
+		if end := c.peer(m.ID()).leaseEnd; !m.Lost() && end <= now {
+			latest = max(latest, end)
+		}
+	}
+	if now.Before(latest) || !c.confirmed(now).Before(latest) || now.Sub(c.asked) < askInterval {
+		return
+	}
+	c.askAll(now)
+}
+
+// askAll calls for a heartbeat of each node.
+func (c *Coordinator) askAll(now timer.Instant) {
+	c.asked = now
+	for _, m := range c.table.Members() {
+		if m.Lost() || m.ID() == c.self.ID() {
+			continue
+		}
+		r := c.reply(now)
+		r.Ask = true
+		c.send(m.ID(), r)
+	}
+}
--- /dev/null
+++ b/papayapass/internal/coordinator/beats.go
@@ -0,0 +1,173 @@
+package coordinator
+
+import (
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/holder"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// Beat takes a heartbeat and replies to it.
+func (c *Coordinator) Beat(b *wirepb.Beat, now timer.Instant) {
+	if c.resigned {
+		return
+	}
+	if assigner.Epoch(b.GetEpoch()) > c.epoch {
+		c.resign("a node has joined a newer epoch")
+		return
+	}
+	id := assigner.NodeID(b.GetNode())
+	p := c.peer(id)
+	if b.GetIncarnation() < p.incarnation {
+		return
+	}
+	current := c.admit(id, p, b, now)
+	r := c.reply(now)
+	p.sentVersion = b.GetTableVersion()
+	r.Sequence = b.GetSequence()
+	if assigner.Epoch(b.GetEpoch()) != c.epoch {
+		p.sentVersion = 0
+		r.CoordinatorAddress = c.self.Address()
+	}
+	r.Incarnation = b.GetIncarnation()
+	if current {
+		c.renew(p, r, b, now)
+	}
+	c.attach(r, p)
+	r.TableVersion = c.table.Version()
+	if b.GetConfigurationVersion() < c.configuration.GetVersion() {
+		r.Configuration = c.configuration
+	}
+	c.send(id, r)
+}
+
+// admit notes what a heartbeat says of its node and returns whether the node's
+// present start is the one that the table knows.
+func (c *Coordinator) admit(id assigner.NodeID, p *peer, b *wirepb.Beat, now timer.Instant) bool {
+	if p.incarnation != b.GetIncarnation() {
+		p.heard = now
+		p.successor = b
+		if !c.ended(p, now) {
+			return false
+		}
+		c.restart(id, p)
+	}
+	p.heard = now
+	p.tableVersion = b.GetTableVersion()
+	p.configuration = b.GetConfigurationVersion()
+	p.leaving = p.leaving || b.GetProfile().GetLeaving()
+	if assigner.Epoch(b.GetEpoch()) == c.epoch {
+		p.votersVersion = b.GetVotersVersion()
+		if !b.GetQuiet() && b.GetEcho() != 0 {
+			p.confirm(timer.Instant(b.GetEcho()))
+		}
+	}
+	c.loads.take(c.table, id, b.GetLoads())
+	c.splitHotKeys(b.GetHotKeys(), now)
+	c.updateMember(id, b)
+	c.takeHoldings(id, b.GetHoldings())
+	c.takeReleases(id, b.GetReleased())
+	return true
+}
+
+// restartMembers replaces the former starts of nodes as soon as their leases
+// have run out, so that a node that is back is not given up.
+func (c *Coordinator) restartMembers(now timer.Instant) {
+	for _, m := range c.table.Members() {
+		p := c.peer(m.ID())
+		if p.successor != nil && now.Sub(p.heard) < restartFreshness && c.ended(p, now) {
+			c.restart(m.ID(), p)
+		}
+	}
+}
+
+// restart replaces a node's former start, whose lease has run out. The slices
+// stay where the backend server has outlived its node.
+func (c *Coordinator) restart(id assigner.NodeID, p *peer) {
+	b := p.successor
+	p.successor = nil
+	p.incarnation = b.GetIncarnation()
+	p.renew(p.heard.Add(restartFreshness))
+	if _, ok := c.table.Member(id); !ok || b.GetProfile() == nil {
+		return
+	}
+	t := c.table.Clone()
+	planner := c.planner(t)
+	m := assigner.DecodeProfile(id, b.GetIncarnation(), b.GetProfile())
+	if m.Server().State() == assigner.ServerUp {
+		planner.Regrant(id)
+	} else {
+		planner.Vacate(id)
+	}
+	t.SetMember(m)
+	planner.Assign(c.held)
+	planner.SetStandbys()
+	c.publish(t)
+}
+
+func (c *Coordinator) updateMember(id assigner.NodeID, b *wirepb.Beat) {
+	old, ok := c.table.Member(id)
+	m := old.WithLost(false)
+	if b.GetProfile() != nil {
+		m = assigner.DecodeProfile(id, b.GetIncarnation(), b.GetProfile())
+	}
+	if m.ID() == "" || ok && old == m {
+		return
+	}
+	t := c.table.Clone()
+	t.SetMember(m)
+	c.publish(t)
+	if !ok || old.Server().State() != m.Server().State() {
+		c.quietUntil = c.peers[id].heard.Add(settleTime)
+	}
+}
+
+// takeHoldings leaves slices with a node that joined late and holds them under a
+// lease of an older epoch. Nobody else can have been given one that has no owner.
+func (c *Coordinator) takeHoldings(id assigner.NodeID, held []*wirepb.Holding) {
+	if len(held) == 0 || c.ready {
+		return
+	}
+	t := c.table.Clone()
+	planner := c.planner(t)
+	for _, h := range held {
+		if s, ok := t.Lookup(h.GetPool(), h.GetStart()); ok && s.Owner() == "" {
+			planner.Hold(h.GetPool(), h.GetStart(), h.GetLast(), id, assigner.Token(h.GetToken()))
+		}
+	}
+	if planner.Changed() {
+		c.publish(t)
+	}
+}
+
+// takeReleases puts moves into force whose owner has released the slice, and
+// gives slices away that an owner without a backend server released.
+func (c *Coordinator) takeReleases(id assigner.NodeID, released []*wirepb.Holding) {
+	if len(released) == 0 {
+		return
+	}
+	t := c.table.Clone()
+	planner := c.planner(t)
+	for _, h := range released {
+		token := assigner.Token(h.GetToken())
+		planner.Complete(h.GetPool(), h.GetStart(), id, token)
+		planner.GiveUp(h.GetPool(), h.GetStart(), id, token)
+	}
+	planner.Assign(c.held)
+	if planner.Changed() {
+		c.publish(t)
+	}
+}
+
+// renew gives the lease that a heartbeat asks for.
+func (c *Coordinator) renew(p *peer, r *wirepb.BeatReply, b *wirepb.Beat, now timer.Instant) {
+	if assigner.Epoch(b.GetEpoch()) != c.epoch {
+		return
+	}
+	lease := c.lease(now)
+	if lease <= 0 {
+		return
+	}
+	r.LeaseMillis = uint32(lease.Milliseconds())
+	p.renew(now.Add(holder.WithMargin(lease)))
+}
--- a/papayapass/internal/holder/holder.go
+++ b/papayapass/internal/holder/holder.go
@@ -5,7 +5,6 @@
 package holder
 
 import (
-	"slices"
 	"time"
 
 	"papayapass.dev/papayapass/internal/assigner"
@@ -135,15 +134,6 @@
 // LeaseUntil returns the instant at which the lease ends.
 func (h *Holder) LeaseUntil() timer.Instant { return h.leaseUntil }
 
-// Quiet says whether the node may not yet confirm a coordinator. What it
-// confirmed before its start has run out by the time that it speaks.
-func (h *Holder) Quiet(now timer.Instant) bool {
-	if mutator.Active(mutator.NoQuietStart) {
-		return false
-	}
-	return !h.informed || now.Sub(h.started) < WithMargin(AuthorityTerm)
-}
-
 // Inform gives the node a table read from the platform. A node that knows it,
 // or has heard from most voters, knows the epochs that went before.
 func (h *Holder) Inform(t *assigner.Table) {
@@ -227,17 +217,6 @@
 	return ok && m == self
 }
 
-func (h *Holder) releasedHoldings() []*wirepb.Holding {
-	if len(h.released) == 0 {
-		return nil
-	}
-	out := make([]*wirepb.Holding, 0, len(h.released))
-	for key, token := range h.released {
-		out = append(out, &wirepb.Holding{Pool: key.pool, Start: key.start, Token: uint64(token)})
-	}
-	return out
-}
-
 // Reply takes a coordinator's reply or push and says whether the table changed.
 // Only the candidate that won an epoch sends any, so a voter that had joined
 // another candidate of the epoch follows the winner.
@@ -264,44 +243,6 @@
 	return changed
 }
 
-// Redirect returns the answer to a heartbeat that another coordinator should
-// get.
-func (h *Holder) Redirect(now timer.Instant) *wirepb.BeatReply {
-	return &wirepb.BeatReply{
-		Redirect:           true,
-		From:               string(h.self.id),
-		Quiet:              h.Quiet(now),
-		Epoch:              uint64(h.epoch),
-		Coordinator:        string(h.coordinator),
-		CoordinatorAddress: h.address,
-	}
-}
-
-// Abandon notes that the node's own coordinator's role has ended, so that it
-// looks for the next coordinator at once.
-func (h *Holder) Abandon(now timer.Instant) {
-	if h.coordinator == h.self.id {
-		h.address = ""
-		h.heard = min(h.heard, now-timer.Instant(LoyaltyTerm))
-	}
-}
-
-// Redirected takes another node's word for who the coordinator is. It renews
-// nothing.
-func (h *Holder) Redirected(r *wirepb.BeatReply, now timer.Instant) {
-	epoch := assigner.Epoch(r.GetEpoch())
-	unknown := h.coordinator == "" || h.address == ""
-	if r.GetCoordinator() != "" && (epoch > h.epoch || epoch == h.epoch && unknown) {
-		if epoch > h.epoch {
-			h.carry(now)
-			h.join(epoch, "", "")
-		}
-		h.coordinator = assigner.NodeID(r.GetCoordinator())
-		h.address = r.GetCoordinatorAddress()
-	}
-	h.HeardOther(assigner.NodeID(r.GetFrom()), epoch, r.GetQuiet(), now)
-}
-
 func (h *Holder) join(epoch assigner.Epoch, coordinator assigner.NodeID, address string) {
 	h.epoch = epoch
 	h.coordinator = coordinator
@@ -309,32 +250,6 @@
 	h.echo = 0
 }
 
-// carry keeps what the node holds for the coordinator of the epoch that it is
-// about to join, whose table may not know of it.
-func (h *Holder) carry(now timer.Instant) {
-	if held := h.holdings(now); len(held) > 0 {
-		h.carried = held
-		h.carryUntil = h.leaseUntil
-	}
-}
-
-// takeCarried returns what the node held under an older epoch, while the lease
-// of that epoch lasts.
-func (h *Holder) takeCarried(now timer.Instant) []*wirepb.Holding {
-	if !now.Before(h.carryUntil) {
-		h.carried = nil
-	}
-	return h.carried
-}
-
-// dropCarried forgets slices that have an owner in the newest table.
-func (h *Holder) dropCarried(t *assigner.Table) {
-	h.carried = slices.DeleteFunc(h.carried, func(held *wirepb.Holding) bool {
-		s, ok := t.Lookup(held.GetPool(), held.GetStart())
-		return !ok || s.Owner() != ""
-	})
-}
-
 func (h *Holder) takeTable(r *wirepb.BeatReply) bool {
 	t := h.newTable(r)
 	if t == nil {
@@ -385,184 +300,5 @@
 	h.leaseUntil = max(h.leaseUntil, until)
 }
 
-// Claim answers a candidate. A probe is answered without joining. Joining its epoch ends obedience to all earlier
-// ones; the lease in hand stays valid until it runs out, and is reported.
-func (h *Holder) Claim(c *wirepb.Claim, now timer.Instant) *wirepb.ClaimReply {
-	r := &wirepb.ClaimReply{
-		Epoch:        c.GetEpoch(),
-		Node:         string(h.self.id),
-		Incarnation:  h.self.incarnation,
-		Stamp:        c.GetStamp(),
-		HighestEpoch: uint64(h.epoch),
-		Quiet:        h.Quiet(now),
-		Probe:        c.GetProbe(),
-	}
-	if c.GetProbe() {
-		r.Joined = h.accepts(c, now)
-		return r
-	}
-	if h.table != nil {
-		r.Table = assigner.Encode(h.table)
-	}
-	if !h.accepts(c, now) {
-		return r
-	}
-	r.Holdings = h.holdings(now)
-	h.carry(now)
-	h.join(assigner.Epoch(c.GetEpoch()), assigner.NodeID(c.GetCandidate()), c.GetAddress())
-	h.heard = now
-	r.Joined = true
-	return r
-}
-
-func (h *Holder) accepts(c *wirepb.Claim, now timer.Instant) bool {
-	epoch := assigner.Epoch(c.GetEpoch())
-	candidate := assigner.NodeID(c.GetCandidate())
-	if epoch == h.epoch && h.coordinator == candidate {
-		return true
-	}
-	if epoch < h.epoch || epoch == h.epoch && !mutator.Active(mutator.AcceptEqualEpoch) {
-		return false
-	}
-	if h.table != nil && c.GetVotersVersion() < h.table.VotersVersion() {
-		return false
-	}
-	loyal := h.echo != 0 && now.Sub(h.heard) < LoyaltyTerm
-	return !loyal || h.coordinator == candidate
-}
-
-// holdings returns the slices that the node serves under a valid lease.
-func (h *Holder) holdings(now timer.Instant) []*wirepb.Holding {
-	if h.table == nil || !now.Before(h.leaseUntil) {
-		return nil
-	}
-	var out []*wirepb.Holding
-	for _, p := range h.table.Pools() {
-		for i := range p.Len() {
-			s := p.At(i)
-			if s.Owner() != h.self.id || h.hasReleased(p.Name(), s) {
-				continue
-			}
-			out = append(out, &wirepb.Holding{Pool: p.Name(), Start: s.Start(), Last: p.Last(i), Token: uint64(s.Token())})
-		}
-	}
-	return out
-}
-
-func (h *Holder) hasReleased(pool string, s assigner.Slice) bool {
-	token, ok := h.released[sliceKey{pool: pool, start: s.Start()}]
-	return ok && s.Token() <= token
-}
-
-// Owns returns the slice of a point when the node holds it under a lease that
-// is valid at this instant.
-func (h *Holder) Owns(pool string, point uint64, now timer.Instant) (assigner.Slice, bool) {
-	if h.table == nil || !now.Before(h.leaseUntil) {
-		return assigner.Slice{}, false
-	}
-	s, ok := h.table.Lookup(pool, point)
-	if !ok || s.Owner() != h.self.id || h.hasReleased(pool, s) {
-		return assigner.Slice{}, false
-	}
-	return s, true
-}
-
 // Heard returns when the coordinator was last heard.
 func (h *Holder) Heard() timer.Instant { return h.heard }
-
-// Searching says whether the node lacks a coordinator that answers, or still
-// has to learn from other voters what it forgot.
-func (h *Holder) Searching(now timer.Instant) bool {
-	return !h.informed || h.address == "" || now.Sub(h.heard) >= ClaimAfter
-}
-
-// OwnsAny says whether the table names this node as the owner of any slice, or as
-// the target of a move.
-func (h *Holder) OwnsAny() bool {
-	if h.table == nil {
-		return false
-	}
-	for _, p := range h.table.Pools() {
-		for i := range p.Len() {
-			if s := p.At(i); s.Owner() == h.self.id || s.Next() == h.self.id {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// Leaving returns the slices that are to be given up and are not released yet:
-// those that move to another node, or all when there is no backend server.
-func (h *Holder) Leaving(all bool) []*wirepb.Holding {
-	if h.table == nil {
-		return nil
-	}
-	var out []*wirepb.Holding
-	for _, p := range h.table.Pools() {
-		for i := range p.Len() {
-			s := p.At(i)
-			if s.Owner() == h.self.id && (all || s.Next() != "") && !h.hasReleased(p.Name(), s) {
-				out = append(out, &wirepb.Holding{Pool: p.Name(), Start: s.Start(), Token: uint64(s.Token())})
-			}
-		}
-	}
-	return out
-}
-
-// Release gives a slice up for good: no work of it runs here any more, and none
-// is started until it is granted anew under a higher token.
-func (h *Holder) Release(pool string, start uint64, token assigner.Token) {
-	h.released[sliceKey{pool: pool, start: start}] = token
-	h.revision++
-}
-
-// Released says whether a slice was given up under a token.
-func (h *Holder) Released(pool string, s assigner.Slice) bool { return h.hasReleased(pool, s) }
-
-// ShouldClaim says whether the coordinator has been silent for so long that
-// this node, by its place in the order of succession, claims the role.
-func (h *Holder) ShouldClaim(now timer.Instant) bool {
-	if h.table == nil || h.Quiet(now) || !h.table.IsVoter(h.self.id) {
-		return false
-	}
-	wait := ClaimAfter + time.Duration(h.place())*ClaimStagger
-	return now.Sub(h.heard) >= wait
-}
-
-// place returns the node's place in the order of succession, counted from the
-// voter after the silent coordinator.
-func (h *Holder) place() int {
-	voters := h.table.Voters()
-	self, last := 0, -1
-	for i, v := range voters {
-		if v == h.self.id {
-			self = i
-		}
-		if v == h.coordinator {
-			last = i
-		}
-	}
-	return (self - last - 1 + len(voters)) % len(voters)
-}
-
-// Postpone puts the next claim off, after one that got no majority.
-func (h *Holder) Postpone(now timer.Instant) {
-	h.heard = now - timer.Instant(ClaimAfter-ClaimStagger)
-}
-
-// HeardOther notes that a voter told the node its highest epoch. When most of
-// the other voters have, a restarted node knows what it forgot.
-func (h *Holder) HeardOther(id assigner.NodeID, epoch assigner.Epoch, quiet bool, now timer.Instant) {
-	if epoch > h.epoch {
-		h.carry(now)
-		h.join(epoch, "", "")
-	}
-	if quiet || h.table == nil || !h.table.IsVoter(id) || id == h.self.id {
-		return
-	}
-	h.informants[id] = struct{}{}
-	if len(h.informants) > len(h.table.Voters())/2 {
-		h.informed = true
-	}
-}
--- /dev/null
+++ b/papayapass/internal/holder/voter.go
@@ -0,0 +1,156 @@
+package holder
+
+import (
+	"time"
+
+	"papayapass.dev/papayapass/internal/assigner"
+	"papayapass.dev/papayapass/internal/mutator"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/wirepb"
+)
+
+// Quiet says whether the node may not yet confirm a coordinator. What it
+// confirmed before its start has run out by the time that it speaks.
+func (h *Holder) Quiet(now timer.Instant) bool {
+	if mutator.Active(mutator.NoQuietStart) {
+		return false
+	}
+	return !h.informed || now.Sub(h.started) < WithMargin(AuthorityTerm)
+}
+
+// Redirect returns the answer to a heartbeat that another coordinator should
+// get.
+func (h *Holder) Redirect(now timer.Instant) *wirepb.BeatReply {
+	return &wirepb.BeatReply{
+		Redirect:           true,
+		From:               string(h.self.id),
+		Quiet:              h.Quiet(now),
+		Epoch:              uint64(h.epoch),
+		Coordinator:        string(h.coordinator),
+		CoordinatorAddress: h.address,
+	}
+}
+
+// Abandon notes that the node's own coordinator's role has ended, so that it
+// looks for the next coordinator at once.
+func (h *Holder) Abandon(now timer.Instant) {
+	if h.coordinator == h.self.id {
+		h.address = ""
+		h.heard = min(h.heard, now-timer.Instant(LoyaltyTerm))
+	}
+}
+
+// Redirected takes another node's word for who the coordinator is. It renews
+// nothing.
+func (h *Holder) Redirected(r *wirepb.BeatReply, now timer.Instant) {
+	epoch := assigner.Epoch(r.GetEpoch())
+	unknown := h.coordinator == "" || h.address == ""
+	if r.GetCoordinator() != "" && (epoch > h.epoch || epoch == h.epoch && unknown) {
+		if epoch > h.epoch {
+			h.carry(now)
+			h.join(epoch, "", "")
+		}
+		h.coordinator = assigner.NodeID(r.GetCoordinator())
+		h.address = r.GetCoordinatorAddress()
+	}
+	h.HeardOther(assigner.NodeID(r.GetFrom()), epoch, r.GetQuiet(), now)
+}
+
+// Claim answers a candidate. A probe is answered without joining. Joining its epoch ends obedience to all earlier
+// ones; the lease in hand stays valid until it runs out, and is reported.
+func (h *Holder) Claim(c *wirepb.Claim, now timer.Instant) *wirepb.ClaimReply {
+	r := &wirepb.ClaimReply{
+		Epoch:        c.GetEpoch(),
+		Node:         string(h.self.id),
+		Incarnation:  h.self.incarnation,
+		Stamp:        c.GetStamp(),
+		HighestEpoch: uint64(h.epoch),
+		Quiet:        h.Quiet(now),
+		Probe:        c.GetProbe(),
+	}
+	if c.GetProbe() {
+		r.Joined = h.accepts(c, now)
+		return r
+	}
+	if h.table != nil {
+		r.Table = assigner.Encode(h.table)
+	}
+	if !h.accepts(c, now) {
+		return r
+	}
+	r.Holdings = h.holdings(now)
+	h.carry(now)
+	h.join(assigner.Epoch(c.GetEpoch()), assigner.NodeID(c.GetCandidate()), c.GetAddress())
+	h.heard = now
+	r.Joined = true
+	return r
+}
+
+func (h *Holder) accepts(c *wirepb.Claim, now timer.Instant) bool {
+	epoch := assigner.Epoch(c.GetEpoch())
+	candidate := assigner.NodeID(c.GetCandidate())
+	if epoch == h.epoch && h.coordinator == candidate {
+		return true
+	}
+	if epoch < h.epoch || epoch == h.epoch && !mutator.Active(mutator.AcceptEqualEpoch) {
+		return false
+	}
+	if h.table != nil && c.GetVotersVersion() < h.table.VotersVersion() {
+		return false
+	}
+	loyal := h.echo != 0 && now.Sub(h.heard) < LoyaltyTerm
+	return !loyal || h.coordinator == candidate
+}
+
+// Searching says whether the node lacks a coordinator that answers, or still
+// has to learn from other voters what it forgot.
+func (h *Holder) Searching(now timer.Instant) bool {
+	return !h.informed || h.address == "" || now.Sub(h.heard) >= ClaimAfter
+}
+
+// ShouldClaim says whether the coordinator has been silent for so long that
+// this node, by its place in the order of succession, claims the role.
+func (h *Holder) ShouldClaim(now timer.Instant) bool {
+	if h.table == nil || h.Quiet(now) || !h.table.IsVoter(h.self.id) {
+		return false
+	}
+	wait := ClaimAfter + time.Duration(h.place())*ClaimStagger
+	return now.Sub(h.heard) >= wait
+}
+
+// place returns the node's place in the order of succession, counted from the
+// voter after the silent coordinator.
+func (h *Holder) place() int {
+	voters := h.table.Voters()
+	self, last := 0, -1
+	for i, v := range voters {
+		if v == h.self.id {
+			self = i
+		}
+		if v == h.coordinator {
+			last = i
+		}
+	}
+	return (self - last - 1 + len(voters)) % len(voters)
+}
+
+// Postpone puts the next claim off, after one that got no majority.
+func (h *Holder) Postpone(now timer.Instant) {
+	h.heard = now - timer.Instant(ClaimAfter-ClaimStagger)
+}
+
+// HeardOther notes that a voter told the node its highest epoch. When most of
+// the other voters have, a restarted node knows what it forgot.
+func (h *Holder) HeardOther(id assigner.NodeID, epoch assigner.Epoch, quiet bool, now timer.Instant) {
+	if epoch > h.epoch {
+		h.carry(now)
+		h.join(epoch, "", "")
+	}
+	if quiet || h.table == nil || !h.table.IsVoter(id) || id == h.self.id {
+		return
+	}
+	h.informants[id] = struct{}{}
+	if len(h.informants) > len(h.table.Voters())/2 {
+		h.informed = true
+	}
+}
