--- a/papayapass/internal/reporter/reporter.go
+++ b/papayapass/internal/reporter/reporter.go
@@ -20,6 +20,7 @@
 
 // Paths of the status port besides announcements.
 const (
+	PagePath    = "/"
 	StatusPath  = "/v1/status"
 	OwnerPath   = "/v1/owner"
 	MetricsPath = "/metrics"
@@ -71,6 +72,8 @@
 	switch string(ctx.Path()) {
 	case announcer.AnnouncePath:
 		r.announce(ctx)
+	case PagePath:
+		r.writePage(ctx)
 	case StatusPath:
 		r.status(ctx)
 	case OwnerPath:
@@ -119,18 +122,25 @@
 }
 
 func (r *Reporter) status(ctx *fasthttp.RequestCtx) {
+	if s, ok := r.current(ctx); ok {
+		r.writeJSON(ctx, s)
+	}
+}
+
+// current returns the status of now, or answers why there is none.
+func (r *Reporter) current(ctx *fasthttp.RequestCtx) (Status, bool) {
 	limited, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	s, err := r.keeper.Status(limited)
 	if err != nil {
 		ctx.Error("the node is busy\n", fasthttp.StatusServiceUnavailable)
-		return
+		return Status{}, false
 	}
 	usage, _ := r.executor.Usage()
 	out := newStatus(s, usage)
 	out.Zone = r.zone
 	out.ControlBytes = r.connector.ControlBytes()
-	r.writeJSON(ctx, out)
+	return out, true
 }
 
 // Owner is the JSON form of the answer to who owns a key.
