Count ends of requests without building labels

Cause: each request built its metric's name anew.

Change: the metrics of an outcome are looked up by a typed key.

--- a/papayapass/internal/meter/meter.go
+++ b/papayapass/internal/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,9 +12,23 @@
 	"papayapass.dev/papayapass/internal/wirepb"
 )
 
+// endKey names a sort of ends of requests.
+type endKey struct {
+	pool    string
+	outcome wirepb.Outcome
+	reason  wirepb.Reason
+}
+
+// endMetrics counts one sort of ends.
+type endMetrics struct {
+	total   *metrics.Counter
+	seconds *metrics.Histogram
+}
+
 // Meter holds the metrics of a node.
 type Meter struct {
-	set *metrics.Set
+	set  *metrics.Set
+	ends sync.Map
 }
 
 // NewMeter returns a meter without counts.
@@ -24,10 +39,23 @@
 
 // Request counts the end of a caller's request.
 func (m *Meter) Request(pool string, a *wirepb.Answer, elapsed time.Duration) {
-	outcome := OutcomeName(a.GetOutcome())
-	labels := `{pool="` + pool + `",outcome="` + outcome + `",reason="` + ReasonName(a.GetReason()) + `"}`
-	m.set.GetOrCreateCounter("papayapass_requests_total" + labels).Inc()
-	m.set.GetOrCreateHistogram(`papayapass_request_seconds{pool="` + pool + `",outcome="` + outcome + `"}`).Update(elapsed.Seconds())
+	k := endKey{pool: pool, outcome: a.GetOutcome(), reason: a.GetReason()}
+	found, ok := m.ends.Load(k)
+	if !ok {
+		found, _ = m.ends.LoadOrStore(k, m.newEnd(k))
+	}
+	end := found.(*endMetrics)
+	end.total.Inc()
+	end.seconds.Update(elapsed.Seconds())
+}
+
+func (m *Meter) newEnd(k endKey) *endMetrics {
+	outcome := OutcomeName(k.outcome)
+	labels := `{pool="` + k.pool + `",outcome="` + outcome + `",reason="` + ReasonName(k.reason) + `"}`
+	return &endMetrics{
+		total:   m.set.GetOrCreateCounter("papayapass_requests_total" + labels),
+		seconds: m.set.GetOrCreateHistogram(`papayapass_request_seconds{pool="` + k.pool + `",outcome="` + outcome + `"}`),
+	}
 }
 
 // Write writes all metrics in the text form that scrapers read.
