--- a/papayapass/internal/receiver/receiver_test.go
+++ b/papayapass/internal/receiver/receiver_test.go
@@ -68,8 +68,11 @@
 	rc := NewReceiver(r, fixedView{view: view}, meter.NewMeter(), spans, zerolog.Nop(), 1, NewLimits(1024, 200*time.Millisecond, 64))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	done := make(chan error, 1)
-	go func() { done <- rc.Serve(listener) }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = rc.Serve(listener) // it ends with the listener
+	}()
 	t.Cleanup(func() {
 		_ = listener.Close()
 		<-done
