Run the path and the naive router in make bench

Cause: the comparison has to be in the same run.

Change: make bench measures the hops, and each scenario that suits the naive router with it.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 
 bench: build
 	cd papayapass && go test -run '^$$' -bench . -benchmem ./internal/...
-	bin/standin bench
+	bin/standin path
+	bin/standin bench --naive
 
 generate:
 	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
