--- a/papayapass/internal/negotiator/protocol_test.go
+++ b/papayapass/internal/negotiator/protocol_test.go
@@ -11,6 +11,7 @@
 
 	"papayapass.dev/papayapass/internal/assigner"
 	"papayapass.dev/papayapass/internal/coordinator"
+	"papayapass.dev/papayapass/internal/wirepb"
 )
 
 // TestMain fixes the seed of the schedules, so that each run checks the same.
@@ -402,6 +403,25 @@
 	require.Equal(t, pointCount, w.served())
 }
 
+// TestConfigurationNeverReverts offers older versions from the platform and from a
+// peer: the newest stays in force.
+func TestConfigurationNeverReverts(t *testing.T) {
+	w := form(t, 9, 3)
+	lead := w.coordinatorNode()
+	lead.negotiator.SetConfiguration(&wirepb.Configuration{Version: 5, Rules: "new"}, lead.local(w.now))
+	w.carry(lead, "")
+	w.run(w.now + time.Second)
+	for _, n := range w.nodes {
+		require.EqualValues(t, 5, n.negotiator.Configuration().GetVersion(), "in force everywhere")
+		old := &wirepb.Configuration{Version: 4, Rules: "old"}
+		n.negotiator.SetConfiguration(old, n.local(w.now))
+		n.negotiator.Receive(&wirepb.BeatReply{
+			Epoch: uint64(lead.negotiator.Coordinator().Epoch()), Coordinator: string(lead.id), Configuration: old,
+		}, n.local(w.now))
+		require.Equal(t, "new", n.negotiator.Configuration().GetRules())
+	}
+}
+
 func TestSecondCoordinatorNeedsMajority(t *testing.T) {
 	w := form(t, 6, 5)
 	lead := w.coordinatorNode()
--- a/standin/internal/auditor/auditor.go
+++ b/standin/internal/auditor/auditor.go
@@ -15,13 +15,16 @@
 
 // Findings is what an audit found. Each count must be zero but Executions.
 type Findings struct {
-	Executions   int            `json:"executions"`
-	RanTwice     int            `json:"ranTwice"`
-	TwoOwners    int            `json:"twoOwners"`
-	FalseNotRun  int            `json:"falseNotRun"`
-	PerServer    map[string]int `json:"perServer"`
-	Imbalance    float64        `json:"imbalance"`
-	FirstExample string         `json:"firstExample"`
+	Executions  int            `json:"executions"`
+	RanTwice    int            `json:"ranTwice"`
+	TwoOwners   int            `json:"twoOwners"`
+	FalseNotRun int            `json:"falseNotRun"`
+	PerServer   map[string]int `json:"perServer"`
+	Imbalance   float64        `json:"imbalance"`
+	// Again is the part of the executions that ran an idempotent request anew:
+	// hedges and retries.
+	Again        float64 `json:"again"`
+	FirstExample string  `json:"firstExample"`
 }
 
 // Clean says whether nothing that must hold was broken.
@@ -68,9 +71,13 @@
 	f := Findings{Executions: len(executions), PerServer: make(map[string]int)}
 	sort.Slice(executions, func(i, j int) bool { return executions[i].StartNanos < executions[j].StartNanos })
 	ran := make(map[string]int, len(executions))
+	again := 0
 	for _, e := range executions {
 		f.PerServer[e.Server]++
 		ran[e.Nonce]++
+		if e.Idempotent && ran[e.Nonce] > 1 {
+			again++
+		}
 		if !e.Idempotent && ran[e.Nonce] == 2 {
 			f.RanTwice++
 			f.example("ran twice: " + e.Nonce)
@@ -84,16 +91,22 @@
 	}
 	f.auditOwners(executions)
 	f.Imbalance = imbalance(executions)
+	f.Again = float64(again) / float64(max(1, len(executions)))
 	return f
 }
 
 // imbalance returns the largest part of the divided pool's executions that a
-// server had in the second half of the run, over the mean.
+// server had in the second half of the run, over the mean of all servers that ran
+// any in the whole run.
 func imbalance(executions []Execution) float64 {
 	counts := make(map[string]int)
 	total := 0
-	for _, e := range executions[len(executions)/2:] {
-		if e.Keyed {
+	for i, e := range executions {
+		if !e.Keyed {
+			continue
+		}
+		counts[e.Server] += 0
+		if i >= len(executions)/2 {
 			counts[e.Server]++
 			total++
 		}
--- a/standin/internal/orchestrator/scenario.go
+++ b/standin/internal/orchestrator/scenario.go
@@ -38,6 +38,8 @@
 	stragglerSlow = 10
 	overloadShare = 1.5
 	busyShare     = 0.7
+	lightShare    = 0.42
+	restartShare  = 0.28
 	// reportedReasons is the count above which a reason is printed.
 	reportedReasons = 20
 )
@@ -196,25 +198,28 @@
 		{naive: true, name: "freeze owner 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, owner)}},
 		{name: "freeze owner 0.7 s", site: n, load: probe(n), steps: []Step{freeze(failAt, shortFreeze, owner)}},
 		{name: "freeze coordinator 3 s", site: n, load: probe(n), steps: []Step{freeze(failAt, freezeLength, coordinatorOnly)}},
-		{name: "zone out and in at 70 %", site: l, load: l.share(busyShare*0.6, longScenario), steps: []Step{
+		{name: "zone out and in at 42 %", site: l, load: l.share(lightShare, longScenario), steps: []Step{
 			operate(failAt, "zone", "out", zone, "--wait"), operate(failAt+8*time.Second, "zone", "in", zone, "--wait"),
 		}},
-		{name: "zone out and in, platform slow", site: l, load: l.share(busyShare*0.6, longScenario), steps: []Step{
+		{name: "zone out and in at 70 %", site: l, load: l.share(busyShare, longScenario), steps: []Step{
+			operate(failAt, "zone", "out", zone, "--wait"), operate(failAt+8*time.Second, "zone", "in", zone, "--wait"),
+		}},
+		{name: "zone out and in, platform slow", site: l, load: l.share(lightShare, longScenario), steps: []Step{
 			platform(time.Second, storekeeper.Faults{SlowMillis: 200}),
 			operate(failAt, "zone", "out", zone, "--wait"), operate(failAt+8*time.Second, "zone", "in", zone, "--wait"),
 		}},
-		{naive: true, name: "cold restart", site: l, load: l.share(busyShare*0.6, coldScenario), steps: []Step{restartCold(failAt, 1)}},
-		{naive: true, name: "no stragglers", site: n, load: n.share(busyShare*0.6, coldScenario)},
-		{naive: true, name: "stragglers", site: n, load: n.share(busyShare*0.6, coldScenario), steps: []Step{straggle(failAt, "pecas", stragglerSlow)}},
+		{naive: true, name: "cold restart", site: l, load: l.share(lightShare, coldScenario), steps: []Step{restartCold(failAt, 1)}},
+		{naive: true, name: "no stragglers", site: n, load: n.share(lightShare, coldScenario)},
+		{naive: true, name: "stragglers", site: n, load: n.share(lightShare, coldScenario), steps: []Step{straggle(failAt, "pecas", stragglerSlow)}},
 		{naive: true, name: "overload 150 %", site: n, load: n.share(overloadShare, probeLength)},
-		{name: "rolling restart", site: l, load: l.share(busyShare*0.4, 2*longScenario), steps: []Step{rollingRestart(failAt)}},
+		{name: "rolling restart", site: l, load: l.share(restartShare, 2*longScenario), steps: []Step{rollingRestart(failAt)}},
 	}
 }
 
 // Bench runs scenarios and prints a row for each run.
 func Bench(ctx context.Context, out io.Writer, programs Programs, dir, only string, runs int, naive bool) error {
-	fmt.Fprintf(out, "%-34s %7s %9s %7s %7s %6s %7s %8s %8s %8s %5s %6s %6s %7s %7s %6s\n", "scenario", "sent", "answered",
-		"notRun", "unknown", "failed", "p50 ms", "p99 ms", "gap p50", "gap max", "over", "imbal", "twice", "notRun!", "owners!", "wrong")
+	fmt.Fprintf(out, "%-34s %7s %9s %7s %7s %6s %7s %8s %8s %8s %5s %6s %6s %6s %7s %7s %6s\n", "scenario", "sent", "answered",
+		"notRun", "unknown", "failed", "p50 ms", "p99 ms", "gap p50", "gap max", "over", "imbal", "again", "twice", "notRun!", "owners!", "wrong")
 	broken := 0
 	for _, s := range Scenarios() {
 		if !strings.HasPrefix(s.name, only) {
@@ -273,9 +278,9 @@
 	for _, b := range o.backends {
 		over = max(over, b.PeakOver)
 	}
-	fmt.Fprintf(w, "%-34s %7d %8.2f%% %7d %7d %6d %7.1f %8.1f %8.0f %8.0f %5.2f %6.2f %6d %7d %7d %6d\n", name, t.Sent,
+	fmt.Fprintf(w, "%-34s %7d %8.2f%% %7d %7d %6d %7.1f %8.1f %8.0f %8.0f %5.2f %6.2f %5.2f%% %6d %7d %7d %6d\n", name, t.Sent,
 		percent*float64(t.Answered)/float64(max(1, t.Sent)), t.NotRun, t.Unknown, t.Failed,
-		t.Percentiles.P50Millis, t.Percentiles.P99Millis, o.report.GapP50Millis, o.report.GapMaxMillis, over, o.findings.Imbalance,
+		t.Percentiles.P50Millis, t.Percentiles.P99Millis, o.report.GapP50Millis, o.report.GapMaxMillis, over, o.findings.Imbalance, percent*o.findings.Again,
 		o.findings.RanTwice, o.findings.FalseNotRun, o.findings.TwoOwners, o.report.Wrong+o.report.Short)
 }
 
