Share one fake platform, and give large files one thing each

Change: shared/faker is the one fake; balancing, claims, delivery, start and schedules have files of their own; dead code is gone; dropped answers are a metric. No check differs.

--- a/papayapass/internal/archiver/archiver_test.go
+++ b/papayapass/internal/archiver/archiver_test.go
@@ -1,52 +1,20 @@
 package archiver
 
 import (
-	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"papayapass.dev/papayapass/internal/assigner"
 	"papayapass.dev/papayapass/internal/coordinator"
-	"papayapass.dev/shared/storer"
+	"papayapass.dev/shared/faker"
 )
 
-// faultyPlatform is an object API whose answers can be lost before or after the
-// write takes effect.
-type faultyPlatform struct {
-	object     storer.Object
-	loseBefore int
-	loseAfter  int
-	down       bool
-}
-
-func (p *faultyPlatform) Get(context.Context, string) (storer.Object, error) {
-	if p.down {
-		return storer.Object{}, storer.ErrUnavailable
-	}
-	if p.object.Version() == 0 {
-		return storer.Object{}, storer.ErrNotFound
-	}
-	return p.object, nil
-}
-
-func (p *faultyPlatform) Put(_ context.Context, _ string, ifVersion uint64, value []byte) (uint64, error) {
-	if p.loseBefore > 0 {
-		p.loseBefore--
-		return 0, storer.ErrUnavailable
-	}
-	if p.down {
-		return 0, storer.ErrUnavailable
-	}
-	if ifVersion != p.object.Version() {
-		return 0, storer.ErrConflict
-	}
-	p.object = storer.NewObject(ifVersion+1, value)
-	if p.loseAfter > 0 {
-		p.loseAfter--
-		return 0, storer.ErrUnavailable
-	}
-	return p.object.Version(), nil
+// faulty returns a platform with faults.
+func faulty(prepare func(p *faker.Platform)) *faker.Platform {
+	p := &faker.Platform{}
+	prepare(p)
+	return p
 }
 
 func tableOf(epoch assigner.Epoch, node assigner.NodeID) *assigner.Table {
@@ -55,19 +23,19 @@
 
 func TestWriteResults(t *testing.T) {
 	tests := map[string]struct {
-		platform *faultyPlatform
+		platform *faker.Platform
 		first    *assigner.Table
 		want     coordinator.StoreResult
 	}{
-		"plain":                              {platform: &faultyPlatform{}, want: coordinator.StoreDone},
-		"answer lost after the write":        {platform: &faultyPlatform{loseAfter: 1}, want: coordinator.StoreDone},
-		"write lost on its way":              {platform: &faultyPlatform{loseBefore: 1}, want: coordinator.StoreDone},
-		"every write lost":                   {platform: &faultyPlatform{loseBefore: writeAttempts}, want: coordinator.StoreUnknown},
-		"platform down":                      {platform: &faultyPlatform{down: true}, want: coordinator.StoreUnknown},
-		"a later epoch has written":          {platform: &faultyPlatform{}, first: tableOf(9, "b"), want: coordinator.StoreSuperseded},
-		"another of the same epoch":          {platform: &faultyPlatform{}, first: tableOf(5, "b"), want: coordinator.StoreSuperseded},
-		"an earlier epoch has written":       {platform: &faultyPlatform{}, first: tableOf(4, "b"), want: coordinator.StoreDone},
-		"this coordinator's own older write": {platform: &faultyPlatform{}, first: tableOf(5, "a"), want: coordinator.StoreDone},
+		"plain":                              {platform: &faker.Platform{}, want: coordinator.StoreDone},
+		"answer lost after the write":        {platform: faulty(func(p *faker.Platform) { p.LoseAfter(1) }), want: coordinator.StoreDone},
+		"write lost on its way":              {platform: faulty(func(p *faker.Platform) { p.LoseBefore(1) }), want: coordinator.StoreDone},
+		"every write lost":                   {platform: faulty(func(p *faker.Platform) { p.LoseBefore(writeAttempts) }), want: coordinator.StoreUnknown},
+		"platform down":                      {platform: faulty(func(p *faker.Platform) { p.SetDown(true) }), want: coordinator.StoreUnknown},
+		"a later epoch has written":          {platform: &faker.Platform{}, first: tableOf(9, "b"), want: coordinator.StoreSuperseded},
+		"another of the same epoch":          {platform: &faker.Platform{}, first: tableOf(5, "b"), want: coordinator.StoreSuperseded},
+		"an earlier epoch has written":       {platform: &faker.Platform{}, first: tableOf(4, "b"), want: coordinator.StoreDone},
+		"this coordinator's own older write": {platform: &faker.Platform{}, first: tableOf(5, "a"), want: coordinator.StoreDone},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -86,7 +54,7 @@
 }
 
 func TestCreateHasOneWinner(t *testing.T) {
-	p := &faultyPlatform{loseAfter: 1}
+	p := faulty(func(p *faker.Platform) { p.LoseAfter(1) })
 	require.Equal(t, coordinator.StoreDone, NewArchiver(p, "cell", "first").Create(t.Context(), tableOf(5, "a")))
 	require.Equal(t, coordinator.StoreSuperseded, NewArchiver(p, "cell", "second").Create(t.Context(), tableOf(5, "b")))
 }
--- a/papayapass/internal/archiver/mutation_test.go
+++ b/papayapass/internal/archiver/mutation_test.go
@@ -9,6 +9,7 @@
 
 	"papayapass.dev/papayapass/internal/coordinator"
 	"papayapass.dev/papayapass/internal/mutator"
+	"papayapass.dev/shared/faker"
 )
 
 // TestMutationTrustLostWriteIsCaught asserts that the case "platform down" of
@@ -16,6 +17,6 @@
 func TestMutationTrustLostWriteIsCaught(t *testing.T) {
 	mutator.Plant(mutator.TrustLostWrite)
 	defer mutator.Plant(mutator.None)
-	a := NewArchiver(&faultyPlatform{down: true}, "cell", "writer")
+	a := NewArchiver(faulty(func(p *faker.Platform) { p.SetDown(true) }), "cell", "writer")
 	require.NotEqual(t, coordinator.StoreUnknown, a.Write(t.Context(), tableOf(5, "a")))
 }
--- a/papayapass/internal/holder/holdings.go
+++ b/papayapass/internal/holder/holdings.go
@@ -121,6 +121,3 @@
 	h.released[sliceKey{pool: pool, start: start}] = token
 	h.revision++
 }
-
-// Released says whether a slice was given up under a token.
-func (h *Holder) Released(pool string, s assigner.Slice) bool { return h.hasReleased(pool, s) }
--- a/papayapass/internal/keeper/keeper.go
+++ b/papayapass/internal/keeper/keeper.go
@@ -6,14 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"papayapass.dev/papayapass/internal/archiver"
 	"papayapass.dev/papayapass/internal/assigner"
-	"papayapass.dev/papayapass/internal/coordinator"
 	"papayapass.dev/papayapass/internal/gater"
 	"papayapass.dev/papayapass/internal/holder"
 	"papayapass.dev/papayapass/internal/messenger"
@@ -233,16 +231,6 @@
 	k.act(ctx, from)
 }
 
-// remember notes the link on which a node last spoke.
-func (k *Keeper) remember(l *messenger.Link, m proto.Message) {
-	switch m := m.(type) {
-	case *wirepb.Beat:
-		k.links[assigner.NodeID(m.GetNode())] = l
-	case *wirepb.Claim:
-		k.links[assigner.NodeID(m.GetCandidate())] = l
-	}
-}
-
 func (k *Keeper) status() Status {
 	now := k.timers.Now()
 	h := k.negotiator.Holder()
@@ -260,24 +248,6 @@
 	return s
 }
 
-// resetSilentLink closes the link to a coordinator that does not answer, so that
-// the next heartbeat opens a fresh one: the link may be dead and the node not.
-func (k *Keeper) resetSilentLink(now timer.Instant) {
-	silence := now.Sub(k.negotiator.Holder().Heard())
-	if k.negotiator.Coordinator() != nil || silence < controlSilence || now.Sub(k.lastReset) < controlSilence {
-		return
-	}
-	_, address := k.negotiator.Holder().Coordinator()
-	if address == "" {
-		return
-	}
-	k.lastReset = now
-	if l := k.connector.Open(address); l != nil {
-		k.logger.Warn().Str("peer", l.Peer().GetNode()).Msg("no reply from the coordinator, link closed")
-		l.Close()
-	}
-}
-
 // act carries out what the protocol wants done and publishes the view.
 func (k *Keeper) act(ctx context.Context, from *messenger.Link) {
 	changed := false
@@ -288,57 +258,6 @@
 	k.publish(changed)
 }
 
-// perform carries out one action and says whether it changed what requests go
-// by.
-func (k *Keeper) perform(ctx context.Context, a negotiator.Action, from *messenger.Link) bool {
-	switch a := a.(type) {
-	case negotiator.Reply:
-		if from != nil {
-			_ = from.SendControl(a.Message()) // the protocol repeats what is lost
-		}
-	case negotiator.SendNode:
-		k.deliver(ctx, a)
-	case negotiator.SendAddress:
-		k.sendAddress(ctx, a.Address(), a.Message())
-	case negotiator.Store:
-		k.write(a.Table())
-	case negotiator.Note:
-		k.logger.Info().Str("reason", a.Reason()).Uint64("epoch", uint64(a.Epoch())).Msg(a.Text())
-	case negotiator.Moved:
-		k.moves.compare(a.Before(), a.After(), k.restriction)
-		return true
-	}
-	return false
-}
-
-// write hands a table to the thread that writes. While that is still busy with
-// a write of an earlier epoch, the new one counts as unanswered and is repeated.
-func (k *Keeper) write(t *assigner.Table) {
-	select {
-	case k.writes <- t:
-	default:
-		k.post(storedEvent{table: t, result: coordinator.StoreUnknown})
-	}
-}
-
-// deliver sends a coordinator's message to a node, over the link on which the
-// node last spoke.
-func (k *Keeper) deliver(ctx context.Context, a negotiator.SendNode) {
-	if l, ok := k.links[a.To()]; ok {
-		if err := l.SendControl(a.Message()); err == nil {
-			return
-		}
-		delete(k.links, a.To())
-	}
-	c := k.negotiator.Coordinator()
-	if c == nil {
-		return
-	}
-	if m, ok := c.Table().Member(a.To()); ok {
-		k.sendAddress(ctx, m.Address(), a.Message())
-	}
-}
-
 // publish makes the newest state visible to other threads.
 func (k *Keeper) publish(changed bool) {
 	old := k.view.Load()
@@ -367,27 +286,6 @@
 	}
 }
 
-// sendAddress sends a message to an address. Where no link is open, another
-// thread opens one, so that an unreachable peer holds up nobody else.
-func (k *Keeper) sendAddress(ctx context.Context, address string, m proto.Message) {
-	if l := k.connector.Open(address); l != nil {
-		_ = l.SendControl(m) // the protocol repeats what is lost
-		return
-	}
-	if _, busy := k.dialling.LoadOrStore(address, struct{}{}); busy {
-		return
-	}
-	go func() {
-		defer k.dialling.Delete(address)
-		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-		defer cancel()
-		l, err := k.connector.Link(ctx, address)
-		if err == nil {
-			_ = l.SendControl(m) // the protocol repeats what is lost
-		}
-	}()
-}
-
 // store is the thread that writes tables to the platform.
 func (k *Keeper) store(ctx context.Context) error {
 	for {
@@ -399,47 +297,3 @@
 		}
 	}
 }
-
-// startRetry is the time between two reads of the cell's object at the start.
-const startRetry = 250 * time.Millisecond
-
-// start reads the cell's object, or creates it when this is the first node.
-func (k *Keeper) start(ctx context.Context) error {
-	tick := k.timers.Subscribe(startRetry)
-	defer tick.Stop()
-	for {
-		done, err := k.readOrFound(ctx)
-		if done || ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			k.logger.Warn().Err(err).Msg("platform unavailable at start, trying again")
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C():
-		}
-	}
-}
-
-func (k *Keeper) readOrFound(ctx context.Context) (bool, error) {
-	t, err := k.archive.Read(ctx)
-	if err != nil {
-		return false, err
-	}
-	if t != nil {
-		k.post(readEvent{table: t, found: true})
-		return true, nil
-	}
-	first := assigner.NewTable(k.self.Cell(), assigner.Epoch(time.Now().Unix()), k.self.Member())
-	switch k.archive.Create(ctx, first) {
-	case coordinator.StoreDone:
-		k.post(readEvent{table: first})
-		return true, nil
-	case coordinator.StoreSuperseded:
-		return false, nil
-	default:
-		return false, errors.New("could not create the cell's object")
-	}
-}
--- a/papayapass/internal/keeper/view.go
+++ b/papayapass/internal/keeper/view.go
@@ -21,6 +21,15 @@
 	changed       chan struct{}
 }
 
+// NewView returns the view of a node with a table, a lease and a configuration.
+func NewView(self assigner.NodeID, t *assigner.Table, leaseUntil timer.Instant, cfg *wirepb.Configuration) *View {
+	return &View{
+		self: self, epoch: t.Epoch(), coordinator: t.Coordinator(), table: t, leaseUntil: leaseUntil,
+		configuration: cfg, restriction: assigner.NewRestriction(cfg.GetZonesOut(), cfg.GetServersOut()),
+		changed: make(chan struct{}),
+	}
+}
+
 // Self returns the node's own name.
 func (v *View) Self() assigner.NodeID { return v.self }
 
@@ -52,12 +61,3 @@
 
 // Eligible says whether a member may get new work.
 func (v *View) Eligible(m assigner.Member) bool { return v.restriction.Eligible(m) }
-
-// Excluded says whether operators have taken this node out of service.
-func (v *View) Excluded() bool {
-	if v.table == nil {
-		return false
-	}
-	m, ok := v.table.Member(v.self)
-	return ok && v.restriction.Excludes(m)
-}
--- a/papayapass/internal/messenger/connector.go
+++ b/papayapass/internal/messenger/connector.go
@@ -39,6 +39,7 @@
 	slots   sync.Map
 	links   map[*Link]struct{}
 	bytes   uint64
+	dropped uint64
 }
 
 // slot is the link to one address and the lock of its dialling.
@@ -66,6 +67,19 @@
 	defer c.mu.Unlock()
 	delete(c.links, l)
 	c.bytes += l.ControlBytes()
+	c.dropped += l.DroppedAnswers()
+}
+
+// DroppedAnswers returns how many answers came late or twice, over all links so
+// far.
+func (c *Connector) DroppedAnswers() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := c.dropped
+	for l := range c.links {
+		total += l.DroppedAnswers()
+	}
+	return total
 }
 
 // ControlBytes returns the bytes of the control lanes of all links so far.
--- a/papayapass/internal/negotiator/protocol_test.go
+++ b/papayapass/internal/negotiator/protocol_test.go
@@ -44,108 +44,6 @@
 	serveWithin = 4 * time.Second
 )
 
-// fault is something that goes wrong for a while.
-type fault struct {
-	kind   string
-	at     time.Duration
-	length time.Duration
-	nodes  uint
-}
-
-func drawFault(t *rapid.T) fault {
-	return fault{
-		kind:   rapid.SampledFrom([]string{"pause", "restart", "partition", "platform down", "answers lost", "loss"}).Draw(t, "kind"),
-		at:     time.Duration(rapid.IntRange(int(formed.Milliseconds()), int(faultsEnd.Milliseconds())).Draw(t, "at")) * time.Millisecond,
-		length: time.Duration(rapid.IntRange(50, int(longestCut.Milliseconds())).Draw(t, "length")) * time.Millisecond,
-		nodes:  uint(rapid.IntRange(1, 31).Draw(t, "nodes")),
-	}
-}
-
-func (f fault) hits(i int) bool { return f.nodes&(1<<i) != 0 }
-
-// begin brings the fault about.
-func (f fault) begin(w *world) {
-	switch f.kind {
-	case "pause":
-		w.each(f, func(n *simNode) { n.paused = !n.down })
-	case "restart":
-		w.each(f, func(n *simNode) { n.down = true })
-	case "partition":
-		w.cut = func(a, b assigner.NodeID) bool { return f.hits(int(a[1]-'0')) != f.hits(int(b[1]-'0')) }
-	case "platform down":
-		w.platform.down = true
-	case "answers lost":
-		w.platform.loseAnswers = true
-	case "loss":
-		w.loss = 0.3
-	}
-}
-
-// end heals the fault.
-func (f fault) end(w *world) {
-	switch f.kind {
-	case "pause":
-		w.each(f, func(n *simNode) { n.paused = false })
-	case "restart":
-		w.each(f, func(n *simNode) {
-			if n.down {
-				w.start(n)
-			}
-		})
-	case "partition":
-		w.cut = never
-	case "platform down":
-		w.platform.down = false
-	case "answers lost":
-		w.platform.loseAnswers = false
-	case "loss":
-		w.loss = 0.02
-	}
-}
-
-func (w *world) each(f fault, do func(*simNode)) {
-	for i, n := range w.nodes {
-		if f.hits(i) {
-			do(n)
-		}
-	}
-}
-
-// play runs a schedule of faults and heals all at its end.
-func play(w *world, faults []fault) {
-	w.hot = true
-	for w.now < faultsEnd+longestCut && w.broken == "" {
-		for _, f := range faults {
-			if f.at > w.now && f.at <= w.now+step {
-				f.begin(w)
-			}
-			if end := f.at + f.length; end > w.now && end <= w.now+step {
-				f.end(w)
-			}
-		}
-		w.advance()
-	}
-	for _, f := range faults {
-		f.end(w)
-	}
-	w.run(w.now + healedEnd - faultsEnd)
-}
-
-// schedule is a seed for the network, a number of nodes and faults.
-type schedule struct {
-	seed   uint64
-	nodes  int
-	faults []fault
-}
-
-func drawSchedule(t *rapid.T) schedule {
-	return schedule{
-		seed:   rapid.Uint64().Draw(t, "seed"),
-		nodes:  rapid.IntRange(3, 5).Draw(t, "nodes"),
-		faults: rapid.SliceOfN(rapid.Custom(drawFault), 1, 8).Draw(t, "faults"),
-	}
-}
-
 // TestProtocolKeepsOneOwner drives nodes through schedules of pauses, restarts
 // with amnesia, partitions, platform faults, loss, delay, reordering and
 // duplication, with clocks of different rates.
@@ -208,7 +106,7 @@
 			for seed := range uint64(20) {
 				w := form(t, seed, 5)
 				if tt.platformDown {
-					w.platform.down = true
+					w.platform.SetDown(true)
 					w.run(w.now + 10*time.Second)
 					require.Equal(t, pointCount, w.served(), "renewals need no platform")
 				}
--- a/papayapass/internal/negotiator/world_test.go
+++ b/papayapass/internal/negotiator/world_test.go
@@ -17,7 +17,7 @@
 	"papayapass.dev/papayapass/internal/mutator"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/wirepb"
-	"papayapass.dev/shared/storer"
+	"papayapass.dev/shared/faker"
 )
 
 const (
@@ -37,38 +37,6 @@
 	hotMilli   = 50_000
 )
 
-// memoryPlatform is an object API with faults.
-type memoryPlatform struct {
-	object      storer.Object
-	down        bool
-	loseAnswers bool
-}
-
-func (p *memoryPlatform) Get(context.Context, string) (storer.Object, error) {
-	switch {
-	case p.down:
-		return storer.Object{}, storer.ErrUnavailable
-	case p.object.Version() == 0:
-		return storer.Object{}, storer.ErrNotFound
-	default:
-		return p.object, nil
-	}
-}
-
-func (p *memoryPlatform) Put(_ context.Context, _ string, ifVersion uint64, value []byte) (uint64, error) {
-	if p.down {
-		return 0, storer.ErrUnavailable
-	}
-	if ifVersion != p.object.Version() {
-		return 0, storer.ErrConflict
-	}
-	p.object = storer.NewObject(ifVersion+1, value)
-	if p.loseAnswers {
-		return 0, storer.ErrUnavailable
-	}
-	return p.object.Version(), nil
-}
-
 // hotWork is a workload in which nothing runs and some keys are hot.
 type hotWork struct {
 	world *world
@@ -135,7 +103,7 @@
 type world struct {
 	now      time.Duration
 	random   *rand.Rand
-	platform *memoryPlatform
+	platform *faker.Platform
 	nodes    []*simNode
 	flight   []delivery
 	cut      func(a, b assigner.NodeID) bool
@@ -153,7 +121,7 @@
 
 func newWorld(seed uint64, count int) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, seed)), platform: &memoryPlatform{},
+		random: rand.New(rand.NewPCG(seed, seed)), platform: &faker.Platform{},
 		cut: never, loss: 0.02, owners: make(map[uint64]ownership),
 	}
 	for range pointCount {
--- a/papayapass/internal/runner/runner.go
+++ b/papayapass/internal/runner/runner.go
@@ -169,6 +169,7 @@
 
 func (n *Node) addGauges(m *meter.Meter) {
 	m.Gauge("papayapass_control_bytes", func() float64 { return float64(n.connector.ControlBytes()) })
+	m.Gauge("papayapass_dropped_answers", func() float64 { return float64(n.connector.DroppedAnswers()) })
 	m.Gauge("papayapass_running", func() float64 { return float64(n.executor.Running()) })
 	m.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 	m.Gauge("papayapass_allowance", func() float64 {
