Read what operators want instead of watching it

Ruled out: shorter watches, which skip the same changes; a watch of every node, which costs as many calls as the readings of one. Change: the coordinator reads configuration and zones every 700 ms and tells all by replies to beats; a node that no coordinator tells reads itself. Coldness is kept until the rate is known.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -134,8 +134,8 @@
 		}
 	}
 	wait := time.Duration(float64(a.mean) * float64(before) / float64(max(a.slots, 1)))
-	if now < a.coldUntil && a.coldRate > 0 {
-		cold := time.Duration(float64(before) / a.coldRate * float64(time.Second))
+	if now < a.coldUntil {
+		cold := time.Duration(float64(before) / max(a.coldRate, 1) * float64(time.Second))
 		wait = max(wait, min(cold, a.coldUntil.Sub(now)))
 	}
 	return wait
--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -75,8 +75,10 @@
 	leaving  bool
 	down     bool
 	refusals int
-	slowness float64
-	work     map[uint16]float32
+	// coldUntil is how long the backend server says that it stays cold.
+	coldUntil timer.Instant
+	slowness  float64
+	work      map[uint16]float32
 }
 
 // NewAttendant returns an attendant that has not heard its backend server.
@@ -129,16 +131,30 @@
 	return true
 }
 
+// setCold tells the admitter how long the backend server stays cold. Without a
+// configuration its rate is not known, and it gets nothing while it is cold.
 func (a *Attendant) setCold(now timer.Instant, left time.Duration) {
-	cfg := a.around.Configuration()
-	if cfg == nil {
-		return
-	}
 	until := timer.Instant(0)
 	if left > 0 {
 		until = now.Add(left)
 	}
-	a.admitter.SetCold(until, cfg.Services[a.service].WarmUpRate)
+	a.mu.Lock()
+	a.coldUntil = until
+	a.mu.Unlock()
+	a.Configured()
+}
+
+// Configured takes what a new configuration says of the backend server's service.
+func (a *Attendant) Configured() {
+	rate := 0.0
+	if cfg := a.around.Configuration(); cfg != nil {
+		rate = cfg.Services[a.service].WarmUpRate
+	}
+	a.mu.Lock()
+	until := a.coldUntil
+	a.mu.Unlock()
+	a.admitter.SetCold(until, rate)
+	a.granter.SetServer(a.Server())
 }
 
 // Leave takes the word of the backend server that it is gone for new work.
--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -26,7 +26,6 @@
 type Store interface {
 	Get(ctx context.Context, kind, name string) (descriptor.Object, error)
 	List(ctx context.Context, kind string) ([]descriptor.Object, uint64, error)
-	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]descriptor.Event, uint64, error)
 	Create(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
 	Replace(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
 	ReplaceStatus(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
@@ -79,11 +78,13 @@
 	stopping    atomic.Bool
 
 	configuration atomic.Pointer[descriptor.Configuration]
-	zonesOut      atomic.Pointer[map[string]bool]
-	table         atomic.Pointer[partitioner.Table]
-	loads         atomic.Pointer[map[partitioner.NodeID]overseer.ServerLoad]
-	peers         sync.Map // address to *dispatcher.Peer
-	budget        *budget
+	// configurationRevision is the store's revision of the configuration read last.
+	configurationRevision atomic.Uint64
+	zonesOut              atomic.Pointer[map[string]bool]
+	table                 atomic.Pointer[partitioner.Table]
+	loads                 atomic.Pointer[map[partitioner.NodeID]overseer.ServerLoad]
+	peers                 sync.Map // address to *dispatcher.Peer
+	budget                *budget
 
 	mu        sync.Mutex
 	overseer  *overseer.Overseer
@@ -93,6 +94,9 @@
 	echo      timer.Instant
 	echoEpoch uint64
 	joined    uint64 // the highest epoch that this node follows
+	wishes    wishes
+	// coveredAt is when the coordinator last told what operators want, freshly read.
+	coveredAt timer.Instant
 }
 
 // NewConductor returns a conductor of a node. Attach completes it.
@@ -137,8 +141,7 @@
 // Run joins the deployment until the context ends.
 func (c *Conductor) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return c.watchConfiguration(ctx) })
-	g.Go(func() error { return c.watchZones(ctx) })
+	g.Go(func() error { return c.poll(ctx) })
 	g.Go(func() error { return c.follow(ctx) })
 	g.Go(func() error { return c.coordinate(ctx) })
 	g.Go(func() error { return c.grant(ctx) })
@@ -154,6 +157,10 @@
 		}
 		if c.configuration.CompareAndSwap(old, cfg) {
 			c.logger.Info().Uint64("version", cfg.Version).Int("routes", len(cfg.Routes)).Str("from", from).Msg("configuration in force")
+			c.attendant.Configured()
+			c.mu.Lock()
+			c.notify()
+			c.mu.Unlock()
 			return
 		}
 	}
--- a/papayapass/internal/conductor/coordinate.go
+++ b/papayapass/internal/conductor/coordinate.go
@@ -31,9 +31,10 @@
 		return overseer.Reply{Epoch: c.joined}
 	}
 	r := c.overseer.Receive(b, c.timers.Now())
+	c.tell(&r, b)
 	changed := c.changed
 	c.mu.Unlock()
-	if r.Table == nil && b.Wait > 0 {
+	if r.Table == nil && len(r.Configuration) == 0 && b.Wait > 0 {
 		t := time.NewTimer(b.Wait)
 		select {
 		case <-ctx.Done():
@@ -48,11 +49,9 @@
 			return overseer.Reply{Epoch: c.joined}
 		}
 		r = c.overseer.Receive(b, c.timers.Now())
+		c.tell(&r, b)
 		c.mu.Unlock()
 	}
-	if cfg := c.Configuration(); cfg != nil && cfg.Version > b.ConfigurationVersion {
-		r.Configuration = cfg.Source
-	}
 	return r
 }
 
@@ -152,8 +151,7 @@
 	c.revision = revision
 	c.overseer.Confirmed(t, sent)
 	if t != nil {
-		close(c.changed)
-		c.changed = make(chan struct{})
+		c.notify()
 		c.Kick()
 	}
 }
@@ -180,8 +178,7 @@
 	}
 	c.mu.Lock()
 	c.overseer = nil
-	close(c.changed)
-	c.changed = make(chan struct{})
+	c.notify()
 	c.mu.Unlock()
 	c.logger.Info().Uint64("epoch", t.Epoch).Str("coordinator", string(t.Coordinator)).Msg("coordinator's role lost")
 	c.applyTable(t)
--- a/papayapass/internal/conductor/follow.go
+++ b/papayapass/internal/conductor/follow.go
@@ -127,7 +127,11 @@
 	}
 	c.joined, c.heard = r.Epoch, c.timers.Now()
 	c.echo, c.echoEpoch = r.Stamp, r.Epoch
+	if r.Fresh {
+		c.coveredAt = c.heard
+	}
 	c.mu.Unlock()
+	c.setZones(r.ZonesOut, r.ZonesRevision)
 	if r.Table != nil {
 		c.applyTable(r.Table)
 	}
--- /dev/null
+++ b/papayapass/internal/conductor/poll.go
@@ -0,0 +1,151 @@
+package conductor
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// Times of reading what operators wrote. A watch may go silent while changes are
+// made, and forget them; so the coordinator reads, and tells all others.
+const (
+	// pollInterval is the time between two readings; with pollTimeout and a beat it
+	// stays under the time within which a configuration must be in force.
+	pollInterval = 700 * time.Millisecond
+	// pollTimeout bounds one call.
+	pollTimeout = 900 * time.Millisecond
+	// freshness is how old the coordinator's reading may be for nodes to rely on it.
+	freshness = 1500 * time.Millisecond
+)
+
+// wishes is what operators want, as read from the store at one moment.
+type wishes struct {
+	readAt timer.Instant // of the oldest part, by this node's clock
+	// zonesRevision orders the lists of zones.
+	zonesRevision uint64
+	zonesOut      []string
+}
+
+// poll reads what operators wrote while this node coordinates, or while no
+// coordinator tells it.
+func (c *Conductor) poll(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if c.reads() {
+			c.read(ctx)
+		}
+		pause(ctx, pollInterval)
+	}
+	return nil
+}
+
+// reads says whether this node reads the store itself.
+func (c *Conductor) reads() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.overseer != nil || c.timers.Now().Sub(c.coveredAt) > freshness
+}
+
+func (c *Conductor) read(ctx context.Context) {
+	began := c.timers.Now()
+	if !c.readConfiguration(ctx) || !c.readZones(ctx) {
+		return
+	}
+	c.mu.Lock()
+	c.wishes.readAt = began
+	c.mu.Unlock()
+}
+
+func (c *Conductor) readConfiguration(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	o, err := c.store.Get(ctx, c.objects.ConfigurationKind, c.objects.ConfigurationName)
+	if errors.Is(err, descriptor.ErrNotFound) {
+		return true
+	}
+	if err != nil {
+		c.logger.Warn().Err(err).Msg("the configuration cannot be read")
+		return false
+	}
+	if o.Revision == c.configurationRevision.Load() {
+		return true
+	}
+	cfg, err := c.objects.Decode(o.Spec)
+	if err != nil {
+		c.logger.Warn().Err(err).Uint64("revision", o.Revision).Msg("configuration cannot be decoded, the old one stays")
+		return true
+	}
+	c.configurationRevision.Store(o.Revision)
+	c.apply(cfg, "store")
+	return true
+}
+
+func (c *Conductor) readZones(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	list, revision, err := c.store.List(ctx, c.objects.ZonesOutKind)
+	if err != nil {
+		c.logger.Warn().Err(err).Msg("the zones out of service cannot be read")
+		return false
+	}
+	zones := make([]string, 0, len(list))
+	for _, o := range list {
+		zones = append(zones, o.Name)
+	}
+	sort.Strings(zones)
+	c.setZones(zones, revision)
+	return true
+}
+
+// setZones takes the zones that operators took out, unless a later list is known.
+func (c *Conductor) setZones(zones []string, revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision < c.wishes.zonesRevision {
+		return
+	}
+	changed := len(zones) != len(c.wishes.zonesOut)
+	for i := 0; !changed && i < len(zones); i++ {
+		changed = zones[i] != c.wishes.zonesOut[i]
+	}
+	c.wishes.zonesRevision, c.wishes.zonesOut = revision, zones
+	if !changed {
+		return
+	}
+	out := make(map[string]bool, len(zones))
+	for _, z := range zones {
+		out[z] = true
+	}
+	c.zonesOut.Store(&out)
+	c.logger.Info().Strs("zones", zones).Uint64("revision", revision).Bool("ownZone", out[c.self.Zone]).Msg("zones out of service")
+	c.notify()
+}
+
+// notify lets replies that wait for a change go. The caller holds c.mu.
+func (c *Conductor) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// tell adds what operators want to a reply. The caller holds c.mu.
+func (c *Conductor) tell(r *overseer.Reply, b overseer.Beat) {
+	r.ZonesOut, r.ZonesRevision = c.wishes.zonesOut, c.wishes.zonesRevision
+	r.Fresh = c.wishes.readAt > 0 && c.timers.Now().Sub(c.wishes.readAt) <= freshness
+	if cfg := c.Configuration(); cfg != nil && cfg.Version > b.ConfigurationVersion {
+		r.Configuration = cfg.Source
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -64,8 +64,12 @@
 	StoreDown bool `json:"storeDown,omitempty"`
 	// Configuration is the encoded configuration, when it is newer than the node's.
 	Configuration []byte `json:"configuration,omitempty"`
-	// ZonesOut are the zones that operators took out, as the coordinator knows them.
-	ZonesOut []string `json:"zonesOut,omitempty"`
+	// ZonesOut are the zones that operators took out, as the store listed them at
+	// ZonesRevision.
+	ZonesOut      []string `json:"zonesOut,omitempty"`
+	ZonesRevision uint64   `json:"zonesRevision,omitempty"`
+	// Fresh says that the coordinator has just read what operators want.
+	Fresh bool `json:"fresh,omitempty"`
 }
 
 // Probe is the answer to the question whether a node hears its coordinator.
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -196,10 +196,6 @@
 		r.Table = o.table
 	}
 	r.Loads = o.serverLoads(now)
-	for z := range o.zonesOut {
-		r.ZonesOut = append(r.ZonesOut, z)
-	}
-	sort.Strings(r.ZonesOut)
 	return r
 }
 
