Charge repeats to the services that their runs call

Change: a repeat after a try that may have run is charged to all other services as well, twice, and needs room there.

--- a/papayapass/internal/conductor/budget.go
+++ b/papayapass/internal/conductor/budget.go
@@ -15,6 +15,9 @@
 	slackNodes = 16
 	// budgetBuckets is the resolution of the window.
 	budgetBuckets = 10
+	// callsOfRun is how many calls of other services a run makes at most, as far as
+	// the budget is concerned: a run that is a repeat makes them again.
+	callsOfRun = 2
 )
 
 // budget bounds how often calls reach a backend server more than once. Each node
@@ -63,18 +66,36 @@
 	w.requests[w.bucket%budgetBuckets]++
 }
 
-func (b *budget) spend(service string) bool {
+// spend says whether a call may reach a backend server of a service once more. After
+// a try that ran, the calls that the run made may be made again, so the repeat is
+// charged to the other services too.
+func (b *budget) spend(service string, ran bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service)
+	charges := map[*window]float64{b.window(service): 1}
+	if ran {
+		for other := range b.services {
+			if other != service {
+				charges[b.window(other)] = callsOfRun
+			}
+		}
+	}
+	for w, n := range charges {
+		if !b.allows(w, n) {
+			return false
+		}
+	}
+	for w, n := range charges {
+		w.repeats[w.bucket%budgetBuckets] += n
+	}
+	return true
+}
+
+func (b *budget) allows(w *window, n float64) bool {
 	requests, repeats := 0.0, 0.0
 	for i := range w.requests {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	if repeats+1 > b.bounds.RetryRatio*budgetShare*requests+b.bounds.RetrySlack*budgetShare/slackNodes {
-		return false
-	}
-	w.repeats[w.bucket%budgetBuckets]++
-	return true
+	return repeats+n <= budgetShare*(b.bounds.RetryRatio*requests+b.bounds.RetrySlack/slackNodes)
 }
--- a/papayapass/internal/conductor/view.go
+++ b/papayapass/internal/conductor/view.go
@@ -22,8 +22,9 @@
 // Count counts a request for a service.
 func (c *Conductor) Count(service string) { c.budget.count(service) }
 
-// Spend says whether a call may reach a backend server once more.
-func (c *Conductor) Spend(service string) bool { return c.budget.spend(service) }
+// Spend says whether a call may reach a backend server once more; ran says that the
+// try before may have run.
+func (c *Conductor) Spend(service string, ran bool) bool { return c.budget.spend(service, ran) }
 
 // Choose returns the server that a call should go to, leaving some nodes out.
 func (c *Conductor) Choose(call *dispatcher.Call, tried map[partitioner.NodeID]bool) (dispatcher.Server, partitioner.NodeID, dispatcher.Reason) {
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -39,8 +39,9 @@
 	Configuration() *descriptor.Configuration
 	// Choose returns the server that a call should go to, leaving some nodes out.
 	Choose(c *Call, tried map[partitioner.NodeID]bool) (Server, partitioner.NodeID, Reason)
-	// Spend says whether a call may reach a backend server once more.
-	Spend(service string) bool
+	// Spend says whether a call may reach a backend server once more; ran says that
+	// the try before may have run.
+	Spend(service string, ran bool) bool
 	// Count counts a request for a service.
 	Count(service string)
 }
@@ -202,7 +203,7 @@
 	if reached >= route.Attempts || left < c.Objective/4 {
 		return false
 	}
-	return d.view.Spend(c.Service)
+	return d.view.Spend(c.Service, res.Outcome != NotRun)
 }
 
 // await waits for keys that are about to be served again, as long as that is of use.
