Free keys only when no lost grant can take effect

Ruled out: the coordinator's tokens, which rise; the lease, which was valid. Change: each grant is in doubt until it is answered or could not last any more; a release waits for grants on their way, and counts only when no doubt covers its keys; no load moves off a doubtful owner.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -69,8 +69,21 @@
 	mayHoldUntil timer.Instant
 	nextCall     timer.Instant
 	calling      bool
-	released     bool
-	handover     string
+	// gaveBack says that the backend server answered a release.
+	gaveBack bool
+	handover string
+}
+
+// doubt is a grant that may still take effect, until an instant.
+type doubt struct {
+	call  Call
+	until timer.Instant
+	// open says that the call has not ended yet.
+	open bool
+}
+
+func (d doubt) covers(h *holding) bool {
+	return d.call.Service == h.service && d.call.First <= h.Last && h.First <= d.call.Last
 }
 
 // Granter holds the keys of the backend server beside a node.
@@ -78,6 +91,7 @@
 	mu         sync.Mutex
 	self       partitioner.NodeID
 	holdings   []*holding
+	doubts     []doubt
 	leaseUntil timer.Instant
 	server     partitioner.Server
 	// inheritedUntil is how long grants of an earlier life of the node may last.
@@ -98,6 +112,7 @@
 			h.heldUntil, h.mayHoldUntil = 0, 0
 		}
 		g.inheritedUntil = 0
+		g.doubts = nil
 	}
 	g.server = s
 }
@@ -142,8 +157,8 @@
 		}
 		covered += int(min(old.Last, r.Last)) - int(max(old.First, r.First)) + 1
 		same := old.First == r.First && old.Last == r.Last
-		if same && old.released {
-			h.released, h.handover = true, old.handover
+		if same && old.gaveBack {
+			h.gaveBack, h.handover = true, old.handover
 		}
 		if same && old.calling && (old.Next != "") == (r.Next != "") {
 			h.calling, h.nextCall = true, old.nextCall
@@ -161,7 +176,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h := g.find(service, key)
-	if h == nil || h.Next != "" || h.released || h.heldUntil <= now {
+	if h == nil || h.Next != "" || h.gaveBack || h.heldUntil <= now {
 		return 0, 0, false
 	}
 	return h.Token, h.heldUntil, true
@@ -187,10 +202,14 @@
 func (g *Granter) Calls(now timer.Instant) []Call {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.doubts = slices.DeleteFunc(g.doubts, func(d doubt) bool { return !d.open && d.until <= now })
 	var out []Call
 	for _, h := range g.holdings {
 		if c, ok := g.call(h, now); ok {
 			h.calling = true
+			if !c.Release {
+				g.doubts = append(g.doubts, doubt{call: c, until: h.mayHoldUntil, open: true})
+			}
 			out = append(out, c)
 		}
 	}
@@ -198,13 +217,16 @@
 }
 
 func (g *Granter) call(h *holding, now timer.Instant) (Call, bool) {
-	if h.calling || h.released || now < h.nextCall {
+	if h.calling || h.gaveBack || now < h.nextCall {
 		return Call{}, false
 	}
 	c := Call{Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Sent: now, Server: h.Server}
 	if h.Next != "" {
 		if h.mayHoldUntil <= now {
-			h.released = true
+			h.gaveBack = true
+			return Call{}, false
+		}
+		if slices.ContainsFunc(g.doubts, func(d doubt) bool { return d.open && d.covers(h) }) {
 			return Call{}, false
 		}
 		c.Release = true
@@ -227,6 +249,7 @@
 func (g *Granter) Ended(c Call, result Result, handover string, now timer.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.settle(c, result)
 	i := slices.IndexFunc(g.holdings, func(h *holding) bool {
 		return h.service == c.Service && h.First == c.First && h.Last == c.Last && h.Token == c.Token
 	})
@@ -234,6 +257,9 @@
 		return
 	}
 	h := g.holdings[i]
+	if c.Release != (h.Next != "") {
+		return // a grant that ended after the range began to move
+	}
 	h.calling = false
 	switch {
 	case result == Refused:
@@ -241,20 +267,41 @@
 	case result != Done:
 		h.nextCall = now
 	case c.Release:
-		h.released, h.handover = true, handover
+		h.gaveBack, h.handover = true, handover
 	default:
 		h.heldUntil = max(h.heldUntil, c.Sent.Add(c.Hold))
 		h.nextCall = c.Sent.Add(renewal)
 	}
 }
 
-// Released returns the ranges that the node gave back and still has in its table.
-func (g *Granter) Released() []partitioner.Release {
+// settle notes how a grant ended: one without an answer stays in doubt.
+func (g *Granter) settle(c Call, result Result) {
+	if c.Release {
+		return
+	}
+	g.doubts = slices.DeleteFunc(g.doubts, func(d doubt) bool { return d.call == c && result != Unknown })
+	for i := range g.doubts {
+		if g.doubts[i].call == c {
+			g.doubts[i].open = false
+		}
+	}
+}
+
+// Doubtful says whether a grant without an answer may still take effect.
+func (g *Granter) Doubtful(now timer.Instant) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.doubts, func(d doubt) bool { return !d.open && now < d.until })
+}
+
+// Released returns the ranges that the node gave back and still has in its table,
+// once no grant of their keys may take effect any more.
+func (g *Granter) Released(now timer.Instant) []partitioner.Release {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []partitioner.Release
 	for _, h := range g.holdings {
-		if h.released {
+		if h.gaveBack && !slices.ContainsFunc(g.doubts, func(d doubt) bool { return d.covers(h) && now < d.until }) {
 			out = append(out, partitioner.Release{
 				Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Handover: h.handover,
 			})
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -30,7 +30,10 @@
 	// Cold says that the backend server bears only a trickle for now.
 	Cold     bool                  `json:"cold,omitempty"`
 	Released []partitioner.Release `json:"released,omitempty"`
-	Work     []KeyWork             `json:"work,omitempty"`
+	// Doubtful says that a grant without an answer may still take effect, so that
+	// a move away from the node would take a whole hold.
+	Doubtful bool      `json:"doubtful,omitempty"`
+	Work     []KeyWork `json:"work,omitempty"`
 	// Waiting and Running are the requests at the node's backend server.
 	Running int `json:"running,omitempty"`
 	Waiting int `json:"waiting,omitempty"`
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -301,7 +301,7 @@
 	for id, n := range o.nodes {
 		out[id] = partitioner.Standing{
 			Gone: o.gone(id, now), Silent: now.Sub(n.heard) > silence,
-			Excluded: o.zonesOut[n.beat.Member.Zone], Cold: n.beat.Cold,
+			Excluded: o.zonesOut[n.beat.Member.Zone], Cold: n.beat.Cold, Doubtful: n.beat.Doubtful,
 		}
 	}
 	return out
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -28,6 +28,8 @@
 	Excluded bool
 	// Cold says that the backend server bears only a trickle for now.
 	Cold bool
+	// Doubtful says that keys would leave the node only after a whole hold.
+	Doubtful bool
 }
 
 // Release is a range that its owner gave back.
@@ -295,7 +297,7 @@
 	sort.SliceStable(list, func(i, j int) bool { return u.of(list[i]) < u.of(list[j]) })
 	idle, full := list[0], list[len(list)-1]
 	gap := u.of(full) - u.of(idle)
-	if gap < spread || u.of(full) < busy {
+	if p.standings[full.ID].Doubtful || gap < spread || u.of(full) < busy {
 		return false
 	}
 	want := gap / 2 * float64(min(full.Server.Slots, idle.Server.Slots))
