Read what operators want as soon as the coordinator cannot

Ruled out: the store's answers to the others, which came at once. Change: a failed reading takes the coordinator's word back with the next reply, and its word lasts 1 s.

--- a/papayapass/internal/conductor/follow.go
+++ b/papayapass/internal/conductor/follow.go
@@ -127,6 +127,7 @@
 	}
 	c.joined, c.heard = r.Epoch, c.timers.Now()
 	c.echo, c.echoEpoch = r.Stamp, r.Epoch
+	c.coveredAt = 0
 	if r.Fresh {
 		c.coveredAt = c.heard
 	}
--- a/papayapass/internal/conductor/poll.go
+++ b/papayapass/internal/conductor/poll.go
@@ -20,8 +20,12 @@
 	pollInterval = 700 * time.Millisecond
 	// pollTimeout bounds one call.
 	pollTimeout = 900 * time.Millisecond
-	// freshness is how old the coordinator's reading may be for nodes to rely on it.
-	freshness = 1500 * time.Millisecond
+	// pollCheck is how often a node looks whether it must read itself.
+	pollCheck = 100 * time.Millisecond
+	// freshness is how old the coordinator's reading, and its word of it, may be for
+	// a node to rely on it; with pollInterval it stays under the time within which a
+	// configuration must be in force.
+	freshness = 1000 * time.Millisecond
 )
 
 // wishes is what operators want, as read from the store at one moment.
@@ -35,11 +39,13 @@
 // poll reads what operators wrote while this node coordinates, or while no
 // coordinator tells it.
 func (c *Conductor) poll(ctx context.Context) error {
+	next := c.timers.Now()
 	for ctx.Err() == nil {
-		if c.reads() {
+		if now := c.timers.Now(); next <= now && c.reads() {
+			next = now.Add(pollInterval)
 			c.read(ctx)
 		}
-		pause(ctx, pollInterval)
+		pause(ctx, pollCheck)
 	}
 	return nil
 }
@@ -53,12 +59,17 @@
 
 func (c *Conductor) read(ctx context.Context) {
 	began := c.timers.Now()
-	if !c.readConfiguration(ctx) || !c.readZones(ctx) {
+	done := c.readConfiguration(ctx) && c.readZones(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if done {
+		c.wishes.readAt = began
 		return
 	}
-	c.mu.Lock()
-	c.wishes.readAt = began
-	c.mu.Unlock()
+	if c.wishes.readAt > 0 {
+		c.notify() // the other nodes must read themselves
+	}
+	c.wishes.readAt = 0
 }
 
 func (c *Conductor) readConfiguration(ctx context.Context) bool {
