End requests within the grace of a stop

Ruled out: a fault of the link; the server's node was stopping as well. Change: the whole grace but 0.3 s is used; a stopping node takes no requests of others for its backend server that could not end.

--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -43,6 +43,11 @@
 	holdWait = 300 * time.Millisecond
 	// holdCheck is the time between looks at them.
 	holdCheck = 10 * time.Millisecond
+	// stopShared and stopDivided are how long a stopping node takes requests of
+	// others for its backend server: for a shared pool until all know, for keys as
+	// long as what it takes can still end.
+	stopShared  = time.Second
+	stopDivided = 2500 * time.Millisecond
 )
 
 // Surroundings is what the attendant asks of the rest of the node.
@@ -77,6 +82,8 @@
 	refusals int
 	// coldUntil is how long the backend server says that it stays cold.
 	coldUntil timer.Instant
+	// stoppedAt is when the node began to stop.
+	stoppedAt timer.Instant
 	slowness  float64
 	work      map[uint16]float32
 }
@@ -189,8 +196,13 @@
 // Report fills in what the coordinator is told of the backend server.
 func (a *Attendant) Report(b *overseer.Beat) {
 	b.Member.Server = a.Server()
+	if b.Stopping && !b.Member.Server.Divided {
+		b.Member.Server.Leaving = true
+	}
 	a.Counts(b)
-	b.Released = a.granter.Released()
+	now := a.clock.Now()
+	b.Released = a.granter.Released(now)
+	b.Doubtful = a.granter.Doubtful(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for key, w := range a.work {
@@ -199,6 +211,25 @@
 	clear(a.work)
 }
 
+// Stop has the other nodes send nothing more, as the node is about to end.
+func (a *Attendant) Stop() {
+	a.mu.Lock()
+	a.stoppedAt = a.clock.Now()
+	a.mu.Unlock()
+	a.around.Kick()
+}
+
+// stopped says whether a stopping node takes no more requests for a backend server.
+func (a *Attendant) stopped(divided bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit := stopShared
+	if divided {
+		limit = stopDivided
+	}
+	return a.stoppedAt > 0 && a.clock.Now().Sub(a.stoppedAt) > limit
+}
+
 // Counts fills in the load of the backend server.
 func (a *Attendant) Counts(b *overseer.Beat) {
 	b.Cold = a.admitter.Cold(a.clock.Now())
@@ -268,6 +299,8 @@
 	switch {
 	case c.Service != a.service || !s.Up():
 		return dispatcher.ReasonNoServer, false
+	case a.stopped(c.Divided):
+		return dispatcher.ReasonStopping, false
 	case a.around.ZoneOut():
 		return dispatcher.ReasonZoneOut, false
 	case c.Divided && !a.granter.Owns(c.Service, c.Key):
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -55,7 +55,7 @@
 	// asks once a second whether it is ready, and believes two answers.
 	lameDuck = 2500 * time.Millisecond
 	// stopReserve is the part of the grace that is kept for ending.
-	stopReserve = time.Second
+	stopReserve = 300 * time.Millisecond
 )
 
 // Run runs a node until ctx ends, and stops it gracefully then.
@@ -209,6 +209,7 @@
 func (n *node) stop(ctx context.Context) {
 	n.logger.Info().Msg("node stops")
 	n.conductor.Stop()
+	n.attendant.Stop()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Bounds.Grace)-stopReserve)
 	defer cancel()
 	select {
