Look for a free slot in a shared pool before queueing

Ruled out: too few slots (62 % in use by the site's figures). Change: a request asks up to three servers for a free slot, best estimate first, and then goes into the shortest queue that it was told of; the owner's node knows exactly. Estimates get a random part.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -35,6 +35,8 @@
 	Wait
 	// Refuse means that the request cannot be served in time.
 	Refuse
+	// Busy means that the request would have to wait, and does not want to.
+	Busy
 )
 
 // Ticket is a request at the admitter.
@@ -106,9 +108,9 @@
 	return a.mean
 }
 
-// Offer asks for a request to be admitted. After Refuse, retry is the time after
-// which there will be room.
-func (a *Admitter) Offer(kind string, priority int, deadline, now timer.Instant) (t *Ticket, v Verdict, retry time.Duration) {
+// Offer asks for a request to be admitted; queue says whether it may wait. After
+// Refuse and Busy, retry is the time after which there will be room.
+func (a *Admitter) Offer(kind string, priority int, deadline, now timer.Instant, queue bool) (t *Ticket, v Verdict, retry time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t = &Ticket{kind: kind, priority: priority, deadline: deadline, arrived: now, admitted: make(chan bool, 1)}
@@ -117,6 +119,9 @@
 		return t, Start, 0
 	}
 	wait := a.expectedWait(t, now)
+	if !queue {
+		return nil, Busy, wait
+	}
 	if now.Add(wait+a.means[kind]) > deadline {
 		return nil, Refuse, max(wait-deadline.Sub(now)+a.means[kind], leastRetry)
 	}
--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -278,8 +278,10 @@
 	if c.Divided && !a.awaitHold(ctx, c) {
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonNotHeld}
 	}
-	ticket, verdict, retry := a.admitter.Offer(c.Route, c.Priority, c.Deadline, a.clock.Now())
+	ticket, verdict, retry := a.admitter.Offer(c.Route, c.Priority, c.Deadline, a.clock.Now(), !c.Impatient)
 	switch verdict {
+	case admitter.Busy:
+		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonBusy, Retry: retry}
 	case admitter.Refuse:
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonFull, Retry: retry}
 	case admitter.Wait:
--- a/papayapass/internal/conductor/view.go
+++ b/papayapass/internal/conductor/view.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// farCost is what a request in another zone costs on top of its expected time:
-	// bytes between zones are paid for.
-	farCost = 60 * time.Millisecond
+	// farShare is what a request in another zone costs on top of its expected time,
+	// in parts of its latency objective: bytes between zones are paid for.
+	farShare = 0.25
+	// herding is the random part of a cost, so that nodes with the same view do not
+	// all choose the same server.
+	herding = 0.2
 	// usualMean is assumed of backend servers of which no request has ended yet.
 	usualMean = 100 * time.Millisecond
 	// crowding is how much longer work takes at a backend server with all slots busy.
@@ -51,8 +54,8 @@
 		if m.ID != c.self.ID && !c.peer(m.Address).Reachable() {
 			continue
 		}
-		cost := c.cost(m)
-		if !found || cost < bestCost || (cost == bestCost && rand.IntN(2) == 0) {
+		cost := c.cost(m, call.Objective)
+		if !found || cost < bestCost {
 			best, found, bestCost = m, true, cost
 		}
 	}
@@ -62,6 +65,15 @@
 	return c.server(best), best.ID, dispatcher.ReasonNone
 }
 
+// Server returns the server beside a node.
+func (c *Conductor) Server(id partitioner.NodeID) dispatcher.Server {
+	t := c.table.Load()
+	if m, ok := t.Member(id); ok {
+		return c.server(m)
+	}
+	return nil
+}
+
 func (c *Conductor) server(m partitioner.Member) dispatcher.Server {
 	if m.ID == c.self.ID {
 		return c.attendant
@@ -70,7 +82,7 @@
 }
 
 // cost estimates how long a request takes at a backend server of a shared pool.
-func (c *Conductor) cost(m partitioner.Member) time.Duration {
+func (c *Conductor) cost(m partitioner.Member, objective time.Duration) time.Duration {
 	load := (*c.loads.Load())[m.ID]
 	if m.ID == c.self.ID {
 		var b overseer.Beat
@@ -91,8 +103,9 @@
 	if load.Cold {
 		expected *= 3 // a cold backend server bears a trickle
 	}
+	expected *= 1 + herding*rand.Float64()
 	if m.Zone != c.self.Zone {
-		expected += float64(farCost)
+		expected += farShare * float64(objective)
 	}
 	return time.Duration(expected)
 }
--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -30,6 +30,8 @@
 	// Caller is the service of the instance where the request began.
 	Caller   string
 	Deadline timer.Instant
+	// Impatient says that the call goes elsewhere rather than into a queue.
+	Impatient bool
 }
 
 // Outcome says what became of a call.
@@ -69,6 +71,7 @@
 	ReasonNotHeld     Reason = "not-held"
 	ReasonZoneOut     Reason = "zone-out"
 	ReasonFull        Reason = "full"
+	ReasonBusy        Reason = "busy"
 	ReasonShed        Reason = "shed"
 	ReasonDeadline    Reason = "deadline"
 	ReasonCanceled    Reason = "canceled"
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -29,6 +29,9 @@
 	movePatience = 800 * time.Millisecond
 	// leastRetryAfter is the shortest time after which a refused customer comes back.
 	leastRetryAfter = 50 * time.Millisecond
+	// lookRound is how many servers of a shared pool are asked for a free slot before
+	// a request goes into the shortest queue that it was told of.
+	lookRound = 3
 	// retryShare is the part of the time left that customers wait at most.
 	retryShare = 3
 )
@@ -39,6 +42,8 @@
 	Configuration() *descriptor.Configuration
 	// Choose returns the server that a call should go to, leaving some nodes out.
 	Choose(c *Call, tried map[partitioner.NodeID]bool) (Server, partitioner.NodeID, Reason)
+	// Server returns the server beside a node.
+	Server(id partitioner.NodeID) Server
 	// Spend says whether a call may reach a backend server once more; ran says that
 	// the try before may have run.
 	Spend(service string, ran bool) bool
@@ -142,16 +147,21 @@
 // run brings a call to backend servers until its outcome is final.
 func (d *Dispatcher) run(ctx context.Context, c *Call, route *descriptor.Route) (Result, int) {
 	tried := make(map[partitioner.NodeID]bool)
+	var queues shortest
 	began := d.clock.Now()
 	reached := 0
 	last := Result{Outcome: NotRun, Reason: ReasonNoServer}
 	for {
 		server, id, reason := d.view.Choose(c, tried)
+		c.Impatient = !c.Divided
+		if queue, ok := queues.take(server == nil); ok {
+			server, id, c.Impatient = d.view.Server(queue), queue, false
+		}
 		if server == nil {
 			if last.Outcome != NotRun {
 				return last, reached // an earlier try may have run
 			}
-			if reason != ReasonNone {
+			if reason != ReasonNone && last.Reason == ReasonNoServer {
 				last.Reason = reason
 			}
 			if !d.await(ctx, c, began, last) {
@@ -170,6 +180,9 @@
 		if last.Outcome == NotRun || res.Outcome == Answered {
 			last = res
 		}
+		if res.Reason == ReasonBusy {
+			queues.add(id, res.Retry)
+		}
 		if !d.again(c, route, res, reached) {
 			return last, reached
 		}
@@ -183,6 +196,36 @@
 	}
 }
 
+// shortest remembers the queues that a request was told of.
+type shortest struct {
+	looks int
+	waits map[partitioner.NodeID]time.Duration
+}
+
+func (s *shortest) add(id partitioner.NodeID, wait time.Duration) {
+	if s.waits == nil {
+		s.waits = make(map[partitioner.NodeID]time.Duration)
+	}
+	s.looks++
+	s.waits[id] = wait
+}
+
+// take returns the shortest queue once enough were looked at, or when there is
+// nothing else left.
+func (s *shortest) take(last bool) (partitioner.NodeID, bool) {
+	if len(s.waits) == 0 || (s.looks < lookRound && !last) {
+		return "", false
+	}
+	var best partitioner.NodeID
+	for id, wait := range s.waits {
+		if best == "" || wait < s.waits[best] {
+			best = id
+		}
+	}
+	delete(s.waits, best)
+	return best, true
+}
+
 // failed says whether the answer is a failure that another try may mend.
 func (d *Dispatcher) failed(r Result) bool {
 	return r.Answer.Status == http.StatusInternalServerError || r.Answer.Status == http.StatusBadGateway
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -47,6 +47,7 @@
 	Objective  int64  `json:"o,omitempty"`
 	Caller     string `json:"c"`
 	Left       int64  `json:"l"` // milliseconds until the deadline
+	Impatient  bool   `json:"n,omitempty"`
 }
 
 // Peer reaches the backend server beside another node.
@@ -98,7 +99,7 @@
 	info, err := json.Marshal(hop{
 		ID: c.ID, Route: c.Route, Service: c.Service, Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent,
 		Priority: c.Priority, Objective: c.Objective.Milliseconds(), Caller: c.Caller,
-		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(),
+		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), Impatient: c.Impatient,
 	})
 	if err != nil {
 		return Result{Outcome: NotRun, Reason: ReasonBroken}
@@ -169,7 +170,7 @@
 		ID: info.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
 		Route: info.Route, Service: info.Service, Divided: info.Divided, Key: info.Key, Idempotent: info.Idempotent,
 		Priority: info.Priority, Objective: time.Duration(info.Objective) * time.Millisecond, Caller: info.Caller,
-		Deadline: p.clock.Now().Add(time.Duration(info.Left) * time.Millisecond),
+		Deadline: p.clock.Now().Add(time.Duration(info.Left) * time.Millisecond), Impatient: info.Impatient,
 	}
 	res := p.server.Serve(r.Context(), c)
 	offered := "0"
