Send deltas of the table, and loads of the own zone

Ruled out: customers' answers, which are 5 kB at most and 26,000 in number between pools. Change: replies carry what changed since the table that the node has; loads of shared pools go to nodes of their zone.

--- a/papayapass/internal/conductor/coordinate.go
+++ b/papayapass/internal/conductor/coordinate.go
@@ -34,7 +34,7 @@
 	c.tell(&r, b)
 	changed := c.changed
 	c.mu.Unlock()
-	if r.Table == nil && len(r.Configuration) == 0 && b.Wait > 0 {
+	if !r.Changes() && b.Wait > 0 {
 		t := time.NewTimer(b.Wait)
 		select {
 		case <-ctx.Done():
--- a/papayapass/internal/conductor/follow.go
+++ b/papayapass/internal/conductor/follow.go
@@ -136,6 +136,11 @@
 	if r.Table != nil {
 		c.applyTable(r.Table)
 	}
+	if r.Delta != nil {
+		if next := c.table.Load().Apply(r.Delta); next != nil {
+			c.applyTable(next)
+		}
+	}
 	if t := c.table.Load(); t.Epoch == r.Epoch {
 		c.granter.SetLease(sent.Add(r.Lease))
 	}
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -57,12 +57,14 @@
 // Reply is the coordinator's answer to a beat.
 type Reply struct {
 	// Coordinates is false at a node that is not the coordinator.
-	Coordinates bool               `json:"coordinates"`
-	Epoch       uint64             `json:"epoch"`
-	Stamp       timer.Instant      `json:"stamp"`
-	Lease       time.Duration      `json:"lease"`
-	Table       *partitioner.Table `json:"table,omitempty"`
-	Loads       []ServerLoad       `json:"loads,omitempty"`
+	Coordinates bool          `json:"coordinates"`
+	Epoch       uint64        `json:"epoch"`
+	Stamp       timer.Instant `json:"stamp"`
+	Lease       time.Duration `json:"lease"`
+	// Table is the newest table, for a node that has none to which Delta applies.
+	Table *partitioner.Table `json:"table,omitempty"`
+	Delta *partitioner.Delta `json:"delta,omitempty"`
+	Loads []ServerLoad       `json:"loads,omitempty"`
 	// StoreDown says that the coordinator cannot write; a node that can may take over.
 	StoreDown bool `json:"storeDown,omitempty"`
 	// Configuration is the encoded configuration, when it is newer than the node's.
@@ -75,6 +77,9 @@
 	Fresh bool `json:"fresh,omitempty"`
 }
 
+// Changes says whether the reply brings something new.
+func (r Reply) Changes() bool { return r.Table != nil || r.Delta != nil || len(r.Configuration) > 0 }
+
 // Probe is the answer to the question whether a node hears its coordinator.
 type Probe struct {
 	Epoch uint64 `json:"epoch"`
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -28,6 +28,8 @@
 	settle = 2 * time.Second
 	// loadMemory is the time constant of measured loads.
 	loadMemory = 2 * time.Second
+	// keptTables is how many earlier tables deltas begin at.
+	keptTables = 32
 )
 
 // node is what the coordinator knows of a member.
@@ -55,6 +57,8 @@
 	firstSeen  map[string]timer.Instant
 	released   []partitioner.Release
 	zonesOut   map[string]bool
+	// earlier are the tables of this term before the newest, the newest last.
+	earlier []*partitioner.Table
 }
 
 // NewOverseer begins a term with a table that the store has acknowledged; sent is
@@ -84,6 +88,10 @@
 // The table is nil for a write that only renewed the tenure.
 func (o *Overseer) Confirmed(t *partitioner.Table, sent timer.Instant) {
 	if t != nil {
+		o.earlier = append(o.earlier, o.table)
+		if len(o.earlier) > keptTables {
+			o.earlier = o.earlier[1:]
+		}
 		o.table = t
 		o.released = nil
 	}
@@ -192,18 +200,35 @@
 			n.leaseUntil = end
 		}
 	}
-	if b.Epoch != o.table.Epoch || b.Version < o.table.Version {
-		r.Table = o.table
-	}
-	r.Loads = o.serverLoads(now)
+	o.bring(&r, b)
+	r.Loads = o.serverLoads(b.Member.Zone, now)
 	return r
 }
 
-func (o *Overseer) serverLoads(now timer.Instant) []ServerLoad {
+// bring adds the newest table to a reply, as a delta when the node has an earlier
+// one of this term.
+func (o *Overseer) bring(r *Reply, b Beat) {
+	if b.Epoch == o.table.Epoch && b.Version >= o.table.Version {
+		return
+	}
+	if b.Epoch == o.table.Epoch {
+		for _, t := range o.earlier {
+			if t.Version == b.Version && t.Epoch == b.Epoch {
+				r.Delta = partitioner.Diff(t, o.table)
+				return
+			}
+		}
+	}
+	r.Table = o.table
+}
+
+// serverLoads returns the loads of shared pools in a zone: nodes prefer their own,
+// and ask those in others for a free slot.
+func (o *Overseer) serverLoads(zone string, now timer.Instant) []ServerLoad {
 	var out []ServerLoad
 	for id, n := range o.nodes {
 		s := n.beat.Member.Server
-		if s.ID == "" || s.Divided || now.Sub(n.heard) > silence {
+		if s.ID == "" || s.Divided || n.beat.Member.Zone != zone || now.Sub(n.heard) > silence {
 			continue
 		}
 		out = append(out, ServerLoad{
