--- /dev/null
+++ b/papayapass/internal/exchanger/exchanger_test.go
@@ -0,0 +1,206 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+const idHeader = "Request-Id"
+
+func belongs(answer, request http.Header) bool { return answer.Get(idHeader) == request.Get(idHeader) }
+
+// serve answers each request on each connection with what answer returns; nothing
+// closes the connection.
+func serve(t *testing.T, answer func(n int, id string) string) (address string, connections *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	connections = &atomic.Int32{}
+	var requests atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					text := answer(int(requests.Add(1)), req.Header.Get(idHeader))
+					if text == "" {
+						return
+					}
+					if _, err := c.Write([]byte(text)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+func whole(id, body string) string {
+	return "HTTP/1.1 200 OK\r\n" + idHeader + ": " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func do(e *Exchanger, id string) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return e.Do(ctx, Request{
+		Method: http.MethodGet, URI: "/a%2Fb?c=d", Host: "h.example", Header: http.Header{idHeader: {id}}, FreshWithin: time.Minute,
+	})
+}
+
+func newTestExchanger(address string) *Exchanger {
+	return NewExchanger(address, time.Second, time.Minute, 1<<20, belongs)
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	address, connections := serve(t, func(_ int, id string) string { return whole(id, "ok") })
+	e := newTestExchanger(address)
+	for _, id := range []string{"1", "2", "3"} {
+		a, err := do(e, id)
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(a.Body))
+	}
+	require.Equal(t, int32(1), connections.Load())
+}
+
+// An extra answer of an earlier request arrives where the next one is due.
+func TestForeignAnswersAreSkipped(t *testing.T) {
+	address, _ := serve(t, func(_ int, id string) string { return whole("old", "no") + whole(id, "yes") })
+	a, err := do(newTestExchanger(address), "1")
+	require.NoError(t, err)
+	require.Equal(t, "yes", string(a.Body))
+}
+
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	address, connections := serve(t, func(n int, id string) string {
+		if n == 1 {
+			return whole(id, "ok") + "HTTP/1.1 200 OK\r\n"
+		}
+		return whole(id, "ok")
+	})
+	e := newTestExchanger(address)
+	for _, id := range []string{"1", "2"} {
+		a, err := do(e, id)
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(a.Body))
+	}
+	require.Equal(t, int32(2), connections.Load())
+}
+
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	cases := map[string]string{
+		"nothing":        "",
+		"no protocol":    "garbage\r\n\r\n",
+		"body cut short": "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 9\r\n\r\nab",
+		"chunk cut":      "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"only foreign":   whole("old", "a") + whole("old", "b") + whole("old", "c"),
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			sent := false
+			address, _ := serve(t, func(int, string) string {
+				if sent {
+					return ""
+				}
+				sent = true
+				return text
+			})
+			e := newTestExchanger(address)
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			_, err := e.Do(ctx, Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{idHeader: {"1"}}})
+			require.Error(t, err)
+			require.False(t, errors.Is(err, ErrNotSent), "the request may have run")
+		})
+	}
+}
+
+func TestAnAnswerThatEndsByResetIsNotWhole(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n\r\npart"))
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}()
+	_, err = do(newTestExchanger(l.Addr().String()), "1")
+	require.Error(t, err)
+}
+
+func TestARequestThatFoundNoConnectionWasNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = do(newTestExchanger(address), "1")
+	require.True(t, errors.Is(err, ErrNotSent))
+}
+
+// The server closes its side of an idle connection; what may not run twice must not
+// be lost on it.
+func TestAClosedIdleConnectionIsNotUsed(t *testing.T) {
+	address, connections := serve(t, func(_ int, id string) string {
+		return "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n" + idHeader + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
+	})
+	e := newTestExchanger(address)
+	_, err := do(e, "1")
+	require.NoError(t, err)
+	e.mu.Lock()
+	require.NoError(t, e.idle[0].Conn.(*net.TCPConn).CloseRead())
+	e.mu.Unlock()
+	_, err = do(e, "2")
+	require.NoError(t, err)
+	require.Equal(t, int32(2), connections.Load())
+}
+
+func TestTheEndOfTheContextEndsTheExchange(t *testing.T) {
+	block := make(chan struct{})
+	defer close(block)
+	address, _ := serve(t, func(int, string) string { <-block; return "" })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancelled := time.AfterFunc(20*time.Millisecond, cancel)
+	defer cancelled.Stop()
+	_, err := newTestExchanger(address).Do(ctx, Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+	require.Error(t, err)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(whole("1", "ok")))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + whole("1", "ok")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		client, server := net.Pipe()
+		go func() {
+			_, _ = server.Write(b)
+			_ = server.Close()
+		}()
+		c := &conn{Conn: client, r: bufio.NewReader(client)}
+		_, _, _ = newTestExchanger("127.0.0.1:1").read(c, http.MethodGet)
+		_ = client.Close()
+	})
+}
