Queue only what can be answered within its objective

Ruled out: ownership (44 requests found no owner) and the cut nodes (67 unreachable). Change: a request that would wait longer than its objective leaves, less a fifth for what the mean hides, is refused at once with the time after which there is room. Test: TestOverloadIsAnsweredInTime replays one and a half times the capacity beside a queue up to the deadline; it failed without the margin.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -20,6 +20,12 @@
 	// coldReserve is the part of a cold backend server's rate that is not used, as
 	// requests on their way may bunch up.
 	coldReserve = 0.1
+	// patienceShare is the part of the time left for waiting that a prediction may
+	// use up: work takes longer than the mean for half of the requests.
+	patienceShare = 0.8
+	// leastWait is the part of its latency objective that a request may wait even
+	// where work takes longer than the objective.
+	leastWait = 0.25
 	// leastRetry is the shortest time after which a refused customer may come back.
 	leastRetry = 50 * time.Millisecond
 )
@@ -39,14 +45,25 @@
 	Busy
 )
 
+// Request is what the admitter must know of a request.
+type Request struct {
+	// Kind tells requests apart that take different times.
+	Kind string
+	// Priority is the rank; zero is the most urgent.
+	Priority int
+	// Objective is the latency within which an answer has its full worth.
+	Objective time.Duration
+	// Deadline is when an answer is of no use any more.
+	Deadline timer.Instant
+}
+
 // Ticket is a request at the admitter.
 type Ticket struct {
-	kind     string
-	priority int
-	deadline timer.Instant
-	arrived  timer.Instant
-	started  timer.Instant
-	index    int
+	Request
+
+	arrived timer.Instant
+	started timer.Instant
+	index   int
 	// admitted gets true when the request may start, and false when it may not.
 	admitted chan bool
 }
@@ -110,10 +127,14 @@
 
 // Offer asks for a request to be admitted; queue says whether it may wait. After
 // Refuse and Busy, retry is the time after which there will be room.
-func (a *Admitter) Offer(kind string, priority int, deadline, now timer.Instant, queue bool) (t *Ticket, v Verdict, retry time.Duration) {
+//
+// The queue holds what can still be answered within its latency objective. In an
+// overload all requests of a longer queue are late, and no more of them are served:
+// the backend server works as much as with a short one.
+func (a *Admitter) Offer(r Request, now timer.Instant, queue bool) (t *Ticket, v Verdict, retry time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	t = &Ticket{kind: kind, priority: priority, deadline: deadline, arrived: now, admitted: make(chan bool, 1)}
+	t = &Ticket{Request: r, arrived: now, admitted: make(chan bool, 1)}
 	if len(a.queue) == 0 && a.free(now) {
 		a.start(t, now)
 		return t, Start, 0
@@ -122,13 +143,19 @@
 	if !queue {
 		return nil, Busy, wait
 	}
-	if now.Add(wait+a.means[kind]) > deadline {
-		return nil, Refuse, max(wait-deadline.Sub(now)+a.means[kind], leastRetry)
+	if excess := max(wait-a.patience(r), now.Add(wait+a.means[r.Kind]).Sub(r.Deadline)); excess > 0 {
+		return nil, Refuse, max(excess, leastRetry)
 	}
 	heap.Push(&a.queue, t)
 	return t, Wait, 0
 }
 
+// patience returns how long a request may wait to be answered within its objective.
+func (a *Admitter) patience(r Request) time.Duration {
+	left := patienceShare * float64(r.Objective-a.means[r.Kind])
+	return time.Duration(max(left, leastWait*float64(r.Objective)))
+}
+
 // expectedWait predicts how long a request waits: for the requests before it,
 // which the slots work off at the mean duration.
 func (a *Admitter) expectedWait(t *Ticket, now timer.Instant) time.Duration {
@@ -180,7 +207,7 @@
 	a.running--
 	if ran {
 		d := now.Sub(t.started)
-		a.means[t.kind] = smooth(a.means[t.kind], d)
+		a.means[t.Kind] = smooth(a.means[t.Kind], d)
 		a.mean = smooth(a.mean, d)
 	}
 	a.admit(now)
@@ -215,7 +242,7 @@
 func (a *Admitter) admit(now timer.Instant) {
 	for len(a.queue) > 0 && a.free(now) {
 		t := heap.Pop(&a.queue).(*Ticket)
-		if now.Add(a.means[t.kind]/2) > t.deadline {
+		if now.Add(a.means[t.Kind]/2) > t.Deadline {
 			t.admitted <- false
 			continue
 		}
@@ -228,8 +255,8 @@
 type queue []*Ticket
 
 func (t *Ticket) before(o *Ticket) bool {
-	if t.priority != o.priority {
-		return t.priority < o.priority
+	if t.Priority != o.Priority {
+		return t.Priority < o.Priority
 	}
 	return t.arrived <= o.arrived
 }
--- a/papayapass/internal/admitter/admitter_test.go
+++ b/papayapass/internal/admitter/admitter_test.go
@@ -19,7 +19,7 @@
 
 // offer offers a request that may wait.
 func offer(a *Admitter, priority int, deadline, now timer.Instant) (*Ticket, Verdict) {
-	t, v, _ := a.Offer("route", priority, deadline, now, true)
+	t, v, _ := a.Offer(Request{Kind: "route", Priority: priority, Objective: time.Minute, Deadline: deadline}, now, true)
 	return t, v
 }
 
@@ -65,7 +65,7 @@
 	a.SetCold(timer.Instant(3*time.Second), rate)
 	var starts []timer.Instant
 	for now := timer.Instant(1); now < timer.Instant(3*time.Second); now = now.Add(5 * time.Millisecond) {
-		ticket, v, _ := a.Offer("route", 0, now.Add(time.Millisecond), now, false)
+		ticket, v, _ := a.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: now.Add(time.Millisecond)}, now, false)
 		if v == Start {
 			starts = append(starts, now)
 			a.Done(ticket, false, now)
@@ -81,14 +81,14 @@
 		require.LessOrEqual(t, float64(n), rate)
 	}
 	require.Greater(t, float64(len(starts)), 2*rate, "the rate is there to be used")
-	_, v, _ := a.Offer("route", 0, far, timer.Instant(3*time.Second), false)
+	_, v, _ := a.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: far}, timer.Instant(3*time.Second), false)
 	require.Equal(t, Start, v, "warm again")
 }
 
 func TestWithoutARateAColdServerGetsNothing(t *testing.T) {
 	a := newTestAdmitter(10)
 	a.SetCold(timer.Instant(time.Second), 0)
-	_, v, _ := a.Offer("route", 0, far, 1, false)
+	_, v, _ := a.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: far}, 1, false)
 	require.Equal(t, Busy, v)
 }
 
@@ -102,7 +102,7 @@
 	require.Equal(t, Start, v)
 	_, v = offer(a, 0, now.Add(250*time.Millisecond), now)
 	require.Equal(t, Wait, v)
-	_, v, retry := a.Offer("route", 0, now.Add(250*time.Millisecond), now, true)
+	_, v, retry := a.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: now.Add(250 * time.Millisecond)}, now, true)
 	require.Equal(t, Refuse, v, "200 ms of others' work and 100 ms of its own")
 	require.Positive(t, retry)
 }
@@ -137,10 +137,81 @@
 
 func TestImpatientRequestsAreToldTheWait(t *testing.T) {
 	a := newTestAdmitter(1)
-	_, v, _ := a.Offer("route", 0, far, 1, false)
+	_, v, _ := a.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: far}, 1, false)
 	require.Equal(t, Start, v)
-	_, v, _ = a.Offer("route", 0, far, 1, false)
+	_, v, _ = a.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: far}, 1, false)
 	require.Equal(t, Busy, v)
 	_, waiting := a.Counts()
 	require.Zero(t, waiting)
 }
+
+// replay plays requests at a steady rate against one backend server whose work takes
+// a fixed time, and counts what was answered within the objective and in all.
+func replay(a *Admitter, slots int, work, objective, deadline time.Duration, perSecond float64, span time.Duration) (asked, inTime, served int) {
+	const step = time.Millisecond
+	type running struct {
+		t     *Ticket
+		until timer.Instant
+	}
+	var run []running
+	waiting := make(map[*Ticket]bool)
+	a.SetSlots(slots)
+	due := 0.0
+	finish := func(t *Ticket, now timer.Instant) {
+		latency := now.Sub(t.arrived)
+		if latency <= objective {
+			inTime++
+		}
+		if latency <= deadline {
+			served++
+		}
+	}
+	for now := timer.Instant(1); now < timer.Instant(span); now = now.Add(step) {
+		left := run[:0]
+		for _, r := range run {
+			if r.until <= now {
+				finish(r.t, now)
+				a.Done(r.t, true, now)
+				continue
+			}
+			left = append(left, r)
+		}
+		run = left
+		for due += perSecond * step.Seconds(); due >= 1; due-- {
+			asked++
+			t, v, _ := a.Offer(Request{Kind: "route", Objective: objective, Deadline: now.Add(deadline)}, now, true)
+			switch v {
+			case Start:
+				run = append(run, running{t, now.Add(work)})
+			case Wait:
+				waiting[t] = true
+			case Refuse, Busy:
+			}
+		}
+		for t := range waiting {
+			start, decided := admitted(t)
+			if decided {
+				delete(waiting, t)
+			}
+			if start {
+				run = append(run, running{t, now.Add(work)})
+			}
+		}
+	}
+	return asked, inTime, served
+}
+
+// Half as many requests again as a backend server can work off, for 20 s (scale-2 of
+// the small sites): what it works off is answered in time. A queue up to the deadline
+// answers hardly any in time, and no more in all.
+func TestOverloadIsAnsweredInTime(t *testing.T) {
+	const slots, work, objective, deadline = 18, 220 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond
+	capacity := slots / work.Seconds()
+	asked, inTime, served := replay(NewAdmitter(), slots, work, objective, deadline, 1.5*capacity, 20*time.Second)
+	require.InDelta(t, 1.5*capacity*20, float64(asked), 2)
+	require.Greater(t, float64(inTime), 0.9*capacity*20)
+
+	_, longInTime, longServed := replay(NewAdmitter(), slots, work, deadline, deadline, 1.5*capacity, 20*time.Second)
+	require.LessOrEqual(t, float64(longServed), 1.02*float64(served))
+	require.LessOrEqual(t, longInTime, longServed)
+}
--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -278,7 +278,8 @@
 	if c.Divided && !a.awaitHold(ctx, c) {
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonNotHeld}
 	}
-	ticket, verdict, retry := a.admitter.Offer(c.Route, c.Priority, c.Deadline, a.clock.Now(), !c.Impatient)
+	r := admitter.Request{Kind: c.Route, Priority: c.Priority, Objective: c.Objective, Deadline: c.Deadline}
+	ticket, verdict, retry := a.admitter.Offer(r, a.clock.Now(), !c.Impatient)
 	switch verdict {
 	case admitter.Busy:
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonBusy, Retry: retry}
