Move no cold keys away from a member that is being filled

Ruled out: the search for the shortest run. Change: no load moves away from a member while ranges move to it; among runs with enough work the one with the fewest keys goes. Test: TestAHotStretchIsSpread failed before.

--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -297,6 +297,9 @@
 	sort.SliceStable(list, func(i, j int) bool { return u.of(list[i]) < u.of(list[j]) })
 	idle, full := list[0], list[len(list)-1]
 	gap := u.of(full) - u.of(idle)
+	if receives(d, full.ID) {
+		return false // its hot keys are on their way to it: only cold ones could move
+	}
 	if p.standings[full.ID].Doubtful || gap < spread || u.of(full) < busy {
 		return false
 	}
@@ -304,25 +307,39 @@
 	if want < leastMove {
 		return false
 	}
+	best, from, to := p.hottest(d, full.ID, want)
+	if best < 0 {
+		return false
+	}
+	p.carve(d, best, from, to, idle.ID)
+	return true
+}
+
+// receives says whether ranges are moving to a member.
+func receives(d *Division, id NodeID) bool {
+	return slices.ContainsFunc(d.Ranges, func(r Range) bool { return r.Next == id })
+}
+
+// hottest returns the fewest keys of an owner with about the wanted work, and the
+// index of the range that they lie in; it is negative when there are none.
+func (p *Plan) hottest(d *Division, owner NodeID, want float64) (best int, from, to uint16) {
 	l := p.load(d.Service)
-	best, from, to := -1, uint16(0), uint16(0)
+	best = -1
+	bestKeys := KeyCount + 1
 	for i, r := range d.Ranges {
-		if r.Owner != full.ID || r.Next != "" {
+		if r.Owner != owner || r.Next != "" {
 			continue
 		}
 		a, b, ok := l.Hottest(r.First, r.Last, min(want, l.Sum(r.First, r.Last)))
-		if !ok || l.Sum(a, b) < leastMove || l.Sum(a, b) > 1.5*want {
+		work := l.Sum(a, b)
+		if !ok || work < max(leastMove, want/2) || work > 1.5*want {
 			continue
 		}
-		if best < 0 || l.Sum(a, b) > l.Sum(from, to) {
-			best, from, to = i, a, b
+		if keys := int(b) - int(a) + 1; keys < bestKeys {
+			best, bestKeys, from, to = i, keys, a, b
 		}
 	}
-	if best < 0 {
-		return false
-	}
-	p.carve(d, best, from, to, idle.ID)
-	return true
+	return best, from, to
 }
 
 // carve cuts the keys from first to last out of a range and lets them move.
--- /dev/null
+++ b/papayapass/internal/partitioner/planner_test.go
@@ -0,0 +1,180 @@
+package partitioner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const permits = "permits"
+
+// testPool returns a table of n members with ten slots each, divided evenly.
+func testPool(t *testing.T, n int) (*Table, map[NodeID]Standing, map[string]*Loads) {
+	t.Helper()
+	table := &Table{Epoch: 1, Version: 1}
+	standings := make(map[NodeID]Standing)
+	for i := range n {
+		id := NodeID(fmt.Sprintf("node-%d", i))
+		table.SetMember(Member{ID: id, Zone: fmt.Sprintf("zone-%d", i%3), Server: Server{ID: "s-" + string(id), Born: 1, Service: permits, Slots: 10, Divided: true}})
+		standings[id] = Standing{}
+	}
+	loads := map[string]*Loads{permits: NewLoads()}
+	p := NewPlan(table, standings, loads)
+	p.Divide(permits)
+	return p.Table(), standings, loads
+}
+
+// settleMoves gives back all ranges that move, and plans until nothing changes.
+func settleMoves(table *Table, standings map[NodeID]Standing, loads map[string]*Loads) (*Table, int) {
+	moved := 0
+	for range 20 {
+		p := NewPlan(table, standings, loads)
+		var released []Release
+		for _, r := range table.Divisions[0].Ranges {
+			if r.Next != "" {
+				released = append(released, Release{Service: permits, First: r.First, Last: r.Last, Token: r.Token, Handover: "h"})
+				moved += int(r.Last) - int(r.First) + 1
+			}
+		}
+		p.Free()
+		p.Released(released)
+		p.Assign()
+		p.Evacuate()
+		p.Balance()
+		p.Merge()
+		if !p.Changed() {
+			break
+		}
+		table = p.Table()
+	}
+	return table, moved
+}
+
+func useOf(table *Table, loads *Loads, id NodeID) float64 {
+	sum := 0.0
+	for _, r := range table.Owned(id) {
+		sum += loads.Sum(r.First, r.Last)
+	}
+	return sum / 10
+}
+
+// 200 neighbouring keys bring as much work as two backend servers bear (hot_key of
+// the sites). The stretch is spread; few other keys move; and then it rests.
+func TestAHotStretchIsSpread(t *testing.T) {
+	table, standings, loads := testPool(t, 5)
+	l := loads[permits]
+	for k := range KeyCount {
+		l.Add(uint16(k), 15.0/KeyCount) // 30 % use without the stretch
+	}
+	for k := range 200 {
+		l.Add(uint16(9000+k), 0.1)
+	}
+	require.Greater(t, useOf(table, l, "node-0"), 2.0, "overloaded before")
+	table, moved := settleMoves(table, standings, loads)
+	for i := range 5 {
+		require.Less(t, useOf(table, l, NodeID(fmt.Sprintf("node-%d", i))), 1.0)
+	}
+	require.Less(t, moved, 1000, "only keys of the stretch move")
+	again, more := settleMoves(table, standings, loads)
+	require.Zero(t, more, "nothing moves back and forth")
+	require.Equal(t, table.Divisions, again.Divisions)
+}
+
+func TestIdlePoolsAreLeftAlone(t *testing.T) {
+	table, standings, loads := testPool(t, 5)
+	for k := range 100 {
+		loads[permits].Add(uint16(k), 0.03) // 3 of 10 slots
+	}
+	p := NewPlan(table, standings, loads)
+	p.Balance()
+	require.False(t, p.Changed())
+}
+
+func TestALostOwnersKeysAreSharedOut(t *testing.T) {
+	table, standings, loads := testPool(t, 5)
+	standings["node-2"] = Standing{Gone: true, Silent: true}
+	p := NewPlan(table, standings, loads)
+	p.Free()
+	p.Assign()
+	next := p.Table()
+	require.Empty(t, next.Owned("node-2"))
+	getting := 0
+	for _, m := range next.Members {
+		if len(next.Owned(m.ID)) > len(table.Owned(m.ID)) {
+			getting++
+		}
+	}
+	require.Equal(t, 4, getting, "each other gets a part")
+	requireTokensRise(t, table, next)
+}
+
+func TestOwnersThatAreTakenOutGiveTheirKeysBackFirst(t *testing.T) {
+	cases := map[string]func(*Table, map[NodeID]Standing){
+		"zone out":       func(_ *Table, s map[NodeID]Standing) { s["node-1"] = Standing{Excluded: true} },
+		"server leaves":  func(tb *Table, _ map[NodeID]Standing) { change(tb, func(s *Server) { s.Leaving = true }) },
+		"server is down": func(tb *Table, _ map[NodeID]Standing) { change(tb, func(s *Server) { s.Down = true }) },
+	}
+	for name, arrange := range cases {
+		t.Run(name, func(t *testing.T) {
+			table, standings, loads := testPool(t, 4)
+			arrange(table, standings)
+			p := NewPlan(table, standings, loads)
+			p.Evacuate()
+			for _, r := range p.Table().Owned("node-1") {
+				require.NotEmpty(t, r.Next)
+				require.NotEqual(t, NodeID("node-1"), r.Next)
+			}
+			require.NotEmpty(t, p.Table().Owned("node-1"), "it owns them until it has given them back")
+			table, _ = settleMoves(p.Table(), standings, loads)
+			require.Empty(t, table.Owned("node-1"))
+			coverAll(t, table)
+		})
+	}
+}
+
+// A node that has just restarted does not know its backend server yet: its keys stay.
+func TestKeysStayWhileANodeLearnsItsServer(t *testing.T) {
+	table, standings, loads := testPool(t, 4)
+	change(table, func(s *Server) { *s = Server{Service: permits} })
+	p := NewPlan(table, standings, loads)
+	p.Free()
+	p.Evacuate()
+	require.False(t, p.Changed())
+}
+
+func TestANewLifeOfAServerGetsNewTokens(t *testing.T) {
+	table, standings, loads := testPool(t, 4)
+	before := table.Owned("node-1")[0].Token
+	change(table, func(s *Server) { s.Born = 2 })
+	p := NewPlan(table, standings, loads)
+	p.Free()
+	p.Assign()
+	for _, r := range p.Table().Owned("node-1") {
+		require.Greater(t, r.Token, before)
+		require.Equal(t, int64(2), r.Born)
+	}
+	requireTokensRise(t, table, p.Table())
+}
+
+func change(t *Table, f func(*Server)) {
+	m, _ := t.Member("node-1")
+	f(&m.Server)
+	t.SetMember(m)
+}
+
+func TestHottestFindsTheShortestRun(t *testing.T) {
+	l := NewLoads()
+	for k := 100; k < 110; k++ {
+		l.Add(uint16(k), 1)
+	}
+	l.Add(500, 4)
+	from, to, ok := l.Hottest(0, 1000, 4)
+	require.True(t, ok)
+	require.Equal(t, []uint16{500, 500}, []uint16{from, to})
+	from, to, ok = l.Hottest(0, 400, 5)
+	require.True(t, ok)
+	require.Equal(t, 5, int(to)-int(from)+1)
+	_, _, ok = l.Hottest(600, 700, 1)
+	require.False(t, ok)
+}
