Move load from the fullest member that receives nothing

Change: members that receive are skipped; the run closest to the wanted work goes. Metrics of a node are served (requests by route, outcome and reason; epoch, table, configuration, lease, keys held).

--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -230,6 +230,9 @@
 	return a.stoppedAt > 0 && a.clock.Now().Sub(a.stoppedAt) > limit
 }
 
+// Load returns the requests that run at the backend server and that wait for it.
+func (a *Attendant) Load() (running, waiting int) { return a.admitter.Counts() }
+
 // Counts fills in the load of the backend server.
 func (a *Attendant) Counts(b *overseer.Beat) {
 	b.Cold = a.admitter.Cold(a.clock.Now())
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -51,18 +51,24 @@
 	Count(service string)
 }
 
+// Counter counts the ends of requests.
+type Counter interface {
+	End(route, outcome, reason string, status int, elapsed time.Duration)
+}
+
 // Dispatcher serves customers.
 type Dispatcher struct {
 	view    View
 	dialect Dialect
 	clock   timer.Clock
 	caller  string
+	counter Counter
 	logger  zerolog.Logger
 }
 
 // NewDispatcher returns a dispatcher; caller is the service of this instance.
-func NewDispatcher(view View, dialect Dialect, clock timer.Clock, caller string, logger zerolog.Logger) *Dispatcher {
-	return &Dispatcher{view: view, dialect: dialect, clock: clock, caller: caller, logger: logger}
+func NewDispatcher(view View, dialect Dialect, clock timer.Clock, caller string, counter Counter, logger zerolog.Logger) *Dispatcher {
+	return &Dispatcher{view: view, dialect: dialect, clock: clock, caller: caller, counter: counter, logger: logger}
 }
 
 // ServeHTTP serves one request of a customer.
@@ -96,6 +102,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), c.Deadline.Sub(arrived)+answerSlack)
 	defer cancel()
 	res, tries := d.run(ctx, c, route)
+	if r.Context().Err() != nil {
+		res.Reason = ReasonCanceled
+	}
 	d.finish(w, c, res, arrived, tries)
 }
 
@@ -292,6 +301,7 @@
 		}
 		w.WriteHeader(status)
 	}
+	d.counter.End(c.Route, res.Outcome.String(), string(res.Reason), status, now.Sub(arrived))
 	if res.Outcome != Answered || status >= http.StatusInternalServerError {
 		d.logger.Info().Str("request", c.ID).Str("route", c.Route).Str("service", c.Service).Uint16("key", c.Key).
 			Stringer("outcome", res.Outcome).Str("reason", string(res.Reason)).Int("status", status).Int("reached", tries).
--- /dev/null
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,281 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/exchanger"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// fakeDialect reads plain headers.
+type fakeDialect struct{ Dialect }
+
+func (fakeDialect) RequestID(h http.Header) string { return h.Get("Id") }
+
+func (fakeDialect) Deadline(h http.Header) (time.Duration, bool) {
+	d, err := time.ParseDuration(h.Get("Wait"))
+	return d, err == nil
+}
+
+func (fakeDialect) Key(h http.Header) (uint16, bool) {
+	return 7, h.Get("Key") != ""
+}
+
+// fakeServer answers calls in turn, the last answer again and again.
+type fakeServer struct {
+	results []Result
+	calls   []Call
+}
+
+func (f *fakeServer) Serve(_ context.Context, c *Call) Result {
+	f.calls = append(f.calls, *c)
+	r := f.results[0]
+	if len(f.results) > 1 {
+		f.results = f.results[1:]
+	}
+	return r
+}
+
+// fakeView offers servers in their order.
+type fakeView struct {
+	cfg     *descriptor.Configuration
+	order   []partitioner.NodeID
+	servers map[partitioner.NodeID]*fakeServer
+	budget  int
+}
+
+func (v *fakeView) Configuration() *descriptor.Configuration { return v.cfg }
+
+func (v *fakeView) Choose(_ *Call, tried map[partitioner.NodeID]bool) (Server, partitioner.NodeID, Reason) {
+	for _, id := range v.order {
+		if !tried[id] {
+			return v.servers[id], id, ReasonNone
+		}
+	}
+	return nil, "", ReasonNoServer
+}
+
+func (v *fakeView) Server(id partitioner.NodeID) Server { return v.servers[id] }
+
+func (v *fakeView) Spend(string, bool) bool {
+	v.budget--
+	return v.budget >= 0
+}
+
+func (v *fakeView) Count(string) {}
+
+type fakeCounter struct{}
+
+func (fakeCounter) End(string, string, string, int, time.Duration) {}
+
+func ok200() Result {
+	return Result{Outcome: Answered, Offered: true, Answer: &exchanger.Answer{Status: http.StatusOK, Header: http.Header{"Id": {"1"}}, Body: []byte("ok")}}
+}
+
+func status(code int) Result {
+	return Result{Outcome: Answered, Offered: true, Answer: &exchanger.Answer{Status: code, Header: http.Header{}}}
+}
+
+func notRun(r Reason) Result { return Result{Outcome: NotRun, Reason: r} }
+
+var (
+	unknown = Result{Outcome: Unknown, Reason: ReasonBroken, Offered: true}
+	shed    = Result{Outcome: NotRun, Reason: ReasonShed, Offered: true}
+)
+
+func testConfiguration() *descriptor.Configuration {
+	c := &descriptor.Configuration{
+		Version: 1, Limits: descriptor.Limits{BodyBytes: 16},
+		Services: map[string]descriptor.Service{"permits": {Divided: true}, "records": {}},
+	}
+	for _, r := range []descriptor.Route{
+		{Name: "read", Prefix: "/read/", Idempotent: true, Targets: []descriptor.Target{{Service: "records", Weight: 1}}},
+		{Name: "write", Prefix: "/write/", Targets: []descriptor.Target{{Service: "records", Weight: 1}}},
+		{Name: "keyed", Prefix: "/keyed/", Idempotent: true, Targets: []descriptor.Target{{Service: "permits", Weight: 1}}},
+	} {
+		r.Host, r.Timeout, r.Objective, r.Attempts = "h", time.Second, 200*time.Millisecond, 2
+		c.Routes = append(c.Routes, r)
+	}
+	c.Index()
+	return c
+}
+
+func serveRequest(v View, method, path, body string, header http.Header) *httptest.ResponseRecorder {
+	d := NewDispatcher(v, fakeDialect{}, timer.BootClock{}, "own-service", fakeCounter{}, zerolog.Nop())
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Host, r.RequestURI = "h", path
+	for name, values := range header {
+		r.Header[name] = values
+	}
+	w := httptest.NewRecorder()
+	d.ServeHTTP(w, r)
+	return w
+}
+
+// What became of a request, by what its servers answered.
+func TestOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		a, b   []Result
+		budget int
+		status int
+		callsA int
+		callsB int
+	}{
+		"answered":                                {"/read/x", []Result{ok200()}, nil, 9, 200, 1, 0},
+		"a safe request is sent again":            {"/read/x", []Result{unknown}, []Result{ok200()}, 9, 200, 1, 1},
+		"but not without budget":                  {"/read/x", []Result{unknown}, []Result{ok200()}, 0, 502, 1, 0},
+		"nor to more servers than its route says": {"/read/x", []Result{unknown}, []Result{unknown}, 9, 502, 1, 1},
+		"what may have run is not sent again":     {"/write/x", []Result{unknown}, []Result{ok200()}, 9, 502, 1, 0},
+		"what was shed is":                        {"/write/x", []Result{shed}, []Result{ok200()}, 9, 200, 1, 1},
+		"shed by all is a true refusal":           {"/write/x", []Result{shed}, []Result{shed}, 9, 503, 1, 1},
+		"not run after it may have run":           {"/read/x", []Result{unknown}, []Result{notRun(ReasonNoServer)}, 9, 502, 1, 1},
+		"a failure is tried again":                {"/read/x", []Result{status(500)}, []Result{ok200()}, 9, 200, 1, 1},
+		"the server's own failure stays":          {"/write/x", []Result{status(500)}, []Result{ok200()}, 9, 500, 1, 0},
+		"a failure is better than none":           {"/read/x", []Result{status(500)}, []Result{notRun(ReasonFull)}, 9, 500, 1, 1},
+		"nobody reachable":                        {"/write/x", []Result{notRun(ReasonUnreachable)}, []Result{notRun(ReasonUnreachable)}, 9, 503, 1, 1},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, b := &fakeServer{results: tt.a}, &fakeServer{results: tt.b}
+			v := &fakeView{cfg: testConfiguration(), order: []partitioner.NodeID{"a", "b"}, budget: tt.budget, servers: map[partitioner.NodeID]*fakeServer{"a": a, "b": b}}
+			w := serveRequest(v, http.MethodPost, tt.path, "", nil)
+			require.Equal(t, tt.status, w.Code)
+			require.Len(t, a.calls, tt.callsA)
+			require.Len(t, b.calls, tt.callsB)
+			require.Equal(t, tt.status == 503, w.Header().Get("Retry-After") != "")
+		})
+	}
+}
+
+func TestRefusalsOfTheRouterItself(t *testing.T) {
+	cases := map[string]struct {
+		cfg    *descriptor.Configuration
+		path   string
+		body   string
+		status int
+	}{
+		"no configuration yet": {nil, "/read/x", "", http.StatusServiceUnavailable},
+		"no such route":        {testConfiguration(), "/other/x", "", http.StatusNotFound},
+		"body over the limit":  {testConfiguration(), "/read/x", "12345678901234567", http.StatusRequestEntityTooLarge},
+		"no key":               {testConfiguration(), "/keyed/x", "", http.StatusBadRequest},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := serveRequest(&fakeView{cfg: tt.cfg}, http.MethodPost, tt.path, tt.body, nil)
+			require.Equal(t, tt.status, w.Code)
+		})
+	}
+}
+
+// Many nodes see the same idle server; each asks for a free slot, and goes into the
+// shortest queue that it was told of.
+func TestASharedPoolIsLookedThroughBeforeQueueing(t *testing.T) {
+	busy := func(wait time.Duration) Result { return Result{Outcome: NotRun, Reason: ReasonBusy, Retry: wait} }
+	a := &fakeServer{results: []Result{busy(300 * time.Millisecond)}}
+	b := &fakeServer{results: []Result{busy(100 * time.Millisecond), ok200()}}
+	c := &fakeServer{results: []Result{busy(200 * time.Millisecond)}}
+	e := &fakeServer{results: []Result{ok200()}}
+	v := &fakeView{
+		cfg: testConfiguration(), order: []partitioner.NodeID{"a", "b", "c", "e"},
+		servers: map[partitioner.NodeID]*fakeServer{"a": a, "b": b, "c": c, "e": e},
+	}
+	w := serveRequest(v, http.MethodGet, "/read/x", "", nil)
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Len(t, b.calls, 2)
+	require.True(t, b.calls[0].Impatient)
+	require.False(t, b.calls[1].Impatient)
+	require.Empty(t, e.calls)
+}
+
+func TestTheDeadlineIsTheShorterOfCustomerAndRoute(t *testing.T) {
+	cases := map[string]struct {
+		wait string
+		want time.Duration
+	}{
+		"the customer's": {"300ms", 300 * time.Millisecond}, "the route's": {"5s", time.Second}, "none named": {"", time.Second},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := &fakeServer{results: []Result{ok200()}}
+			v := &fakeView{cfg: testConfiguration(), order: []partitioner.NodeID{"a"}, servers: map[partitioner.NodeID]*fakeServer{"a": a}}
+			before := timer.BootClock{}.Now()
+			serveRequest(v, http.MethodGet, "/read/x", "", http.Header{"Wait": {tt.wait}})
+			left := a.calls[0].Deadline.Sub(before)
+			require.GreaterOrEqual(t, left, tt.want)
+			require.Less(t, left, tt.want+100*time.Millisecond)
+		})
+	}
+}
+
+func TestHeadersOfOneConnectionAreNotForwarded(t *testing.T) {
+	a := &fakeServer{results: []Result{ok200()}}
+	v := &fakeView{cfg: testConfiguration(), order: []partitioner.NodeID{"a"}, servers: map[partitioner.NodeID]*fakeServer{"a": a}}
+	serveRequest(v, http.MethodGet, "/read/x%2Fy?q=%20", "", http.Header{
+		"Connection": {"close, Private"}, "Private": {"1"}, "Te": {"trailers"}, "Keep": {"yes"}, "Transfer-Encoding": {"chunked"}, HeaderHop: {"{}"},
+	})
+	h := a.calls[0].Header
+	require.Equal(t, "yes", h.Get("Keep"))
+	for _, name := range []string{"Connection", "Private", "Te", "Transfer-Encoding", HeaderHop} {
+		require.Empty(t, h.Get(name), name)
+	}
+	require.Equal(t, "/read/x%2Fy?q=%20", a.calls[0].URI)
+	require.Equal(t, "own-service", a.calls[0].Caller)
+}
+
+// A call and its answer between two nodes over a real connection.
+func TestPeers(t *testing.T) {
+	results := map[string]Result{
+		"answered": ok200(),
+		"failed":   status(500),
+		"not run":  {Outcome: NotRun, Reason: ReasonFull, Retry: 70 * time.Millisecond},
+		"shed":     shed,
+		"unknown":  unknown,
+	}
+	for name, want := range results {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeServer{results: []Result{want}}
+			l := httptest.NewServer(NewPeerHandler(s, timer.BootClock{}))
+			defer l.Close()
+			p := NewPeer(strings.TrimPrefix(l.URL, "http://"), timer.BootClock{})
+			c := &Call{
+				ID: "1", Method: http.MethodPost, URI: "/x?y", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte("body"),
+				Route: "r", Service: "s", Divided: true, Key: 9, Idempotent: true, Priority: 2, Objective: time.Second, Caller: "c",
+				Deadline: timer.BootClock{}.Now().Add(time.Second), Impatient: true,
+			}
+			got := p.Serve(context.Background(), c)
+			require.Equal(t, want.Outcome, got.Outcome)
+			require.Equal(t, want.Reason, got.Reason)
+			require.Equal(t, want.Retry, got.Retry)
+			require.Equal(t, want.Offered, got.Offered)
+			if want.Outcome == Answered {
+				require.Equal(t, want.Answer.Status, got.Answer.Status)
+				require.Equal(t, string(want.Answer.Body), string(got.Answer.Body))
+				require.Empty(t, got.Answer.Header.Get(headerOutcome))
+			}
+			sent := s.calls[0]
+			require.LessOrEqual(t, sent.Deadline, c.Deadline.Add(50*time.Millisecond))
+			require.Equal(t, "1", sent.Header.Get("Id"))
+			require.Empty(t, sent.Header.Get(HeaderHop))
+			sent.Deadline, sent.Header = c.Deadline, c.Header
+			require.Equal(t, *c, sent)
+		})
+	}
+}
+
+func TestAnUnreachablePeerIsNotRun(t *testing.T) {
+	p := NewPeer("127.0.0.1:1", timer.BootClock{})
+	c := &Call{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, Deadline: timer.BootClock{}.Now().Add(time.Second)}
+	require.Equal(t, notRun(ReasonUnreachable), p.Serve(context.Background(), c))
+	require.False(t, p.Reachable())
+}
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -309,3 +309,23 @@
 	}
 	return out
 }
+
+// LeaseLeft returns how long grants may be renewed without a reply.
+func (g *Granter) LeaseLeft(now timer.Instant) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(0, g.leaseUntil.Sub(now))
+}
+
+// KeysHeld returns the number of keys that the backend server certainly holds.
+func (g *Granter) KeysHeld(now timer.Instant) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, h := range g.holdings {
+		if now < h.heldUntil {
+			n += int(h.Last) - int(h.First) + 1
+		}
+	}
+	return n
+}
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"time"
@@ -20,6 +21,7 @@
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/granter"
+	"papayapass.dev/papayapass/internal/meter"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/shared/descriptor"
@@ -80,11 +82,12 @@
 	timers    *timer.Service
 	conductor *conductor.Conductor
 	attendant *attendant.Attendant
+	meter     *meter.Meter
 	servers   []*http.Server
 }
 
 func newNode(s *Settings, a Adapter, logger zerolog.Logger) *node {
-	n := &node{settings: s, adapter: a, logger: logger, timers: timer.NewService(timer.BootClock{})}
+	n := &node{settings: s, adapter: a, logger: logger, timers: timer.NewService(timer.BootClock{}), meter: meter.NewMeter()}
 	self := partitioner.Member{ID: partitioner.NodeID(s.Node.ID), Address: s.peers(), Zone: s.Node.Zone}
 	g := granter.NewGranter(self.ID, n.timers.Now())
 	dialer := exchanger.NewDialer(controlConnect)
@@ -98,20 +101,46 @@
 	n.conductor = conductor.NewConductor(self, incarnation, store, a.Objects, bounds, n.timers, g, logger)
 	n.attendant = attendant.NewAttendant(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.Dialect, n.timers, g, n.conductor, logger)
 	n.conductor.Attach(n.attendant, newCalls(a.Orders, s.Node.Server))
+	n.addGauges()
 	return n
 }
 
+// addGauges adds what the node believes to its metrics.
+func (n *node) addGauges() {
+	gauge := func(name string, read func(conductor.Status) float64) {
+		n.meter.Gauge(name, func() float64 { return read(n.conductor.Status()) })
+	}
+	gauge("papayapass_epoch", func(s conductor.Status) float64 { return float64(s.Epoch) })
+	gauge("papayapass_table_version", func(s conductor.Status) float64 { return float64(s.TableVersion) })
+	gauge("papayapass_configuration_version", func(s conductor.Status) float64 { return float64(s.ConfigurationVersion) })
+	gauge("papayapass_coordinates", func(s conductor.Status) float64 { return count(s.Coordinates) })
+	gauge("papayapass_coordinator_silent_seconds", func(s conductor.Status) float64 { return s.Silent.Seconds() })
+	gauge("papayapass_lease_left_seconds", func(s conductor.Status) float64 { return s.LeaseLeft.Seconds() })
+	gauge("papayapass_keys_held", func(s conductor.Status) float64 { return float64(s.KeysHeld) })
+	n.meter.Gauge("papayapass_running", func() float64 { running, _ := n.attendant.Load(); return float64(running) })
+	n.meter.Gauge("papayapass_waiting", func() float64 { _, waiting := n.attendant.Load(); return float64(waiting) })
+	n.meter.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
+}
+
+func count(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (n *node) run(ctx context.Context) error {
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, life := errgroup.WithContext(life)
-	customers := dispatcher.NewDispatcher(n.conductor, n.adapter.Dialect, n.timers, n.settings.Node.Service, n.logger)
+	customers := dispatcher.NewDispatcher(n.conductor, n.adapter.Dialect, n.timers, n.settings.Node.Service, meter.NewTraffic(n.meter), n.logger)
 	peers := dispatcher.NewPeerHandler(n.attendant, n.timers)
 	control := controlHandler(n.conductor)
 	for address, h := range map[string]http.Handler{
 		n.settings.Listen.Customers:  customers,
 		n.settings.Listen.Ready:      http.HandlerFunc(n.ready),
 		n.settings.Listen.Heartbeats: http.HandlerFunc(n.heartbeat),
+		n.settings.metrics():         http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) }),
 		n.settings.peers(): http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Header.Get(dispatcher.HeaderHop) == "" {
 				control.ServeHTTP(w, r)
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -84,8 +84,8 @@
 	switch {
 	case s.Node.ID == "" || s.Node.Zone == "" || s.Node.Service == "":
 		return errors.New("settings node.id, node.zone and node.service are required")
-	case s.Listen.Peers <= 0:
-		return errors.New("setting listen.peers is required")
+	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
+		return errors.New("settings listen.peers and listen.metrics are required")
 	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0:
 		return errors.New("settings bounds.heartbeat, bounds.grace and bounds.retryWindow must be above zero")
 	default:
@@ -93,6 +93,11 @@
 	}
 }
 
+// metrics returns the address of the metrics page.
+func (s *Settings) metrics() string {
+	return net.JoinHostPort(s.Node.Address, strconv.Itoa(s.Listen.Metrics))
+}
+
 // peers returns the address for other nodes.
 func (s *Settings) peers() string {
 	return net.JoinHostPort(s.Node.Address, strconv.Itoa(s.Listen.Peers))
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -295,11 +295,14 @@
 	}
 	u := p.utilization(d)
 	sort.SliceStable(list, func(i, j int) bool { return u.of(list[i]) < u.of(list[j]) })
-	idle, full := list[0], list[len(list)-1]
-	gap := u.of(full) - u.of(idle)
-	if receives(d, full.ID) {
-		return false // its hot keys are on their way to it: only cold ones could move
+	idle := list[0]
+	// Hot keys on their way to a member cannot move on yet: only its cold ones could.
+	list = slices.DeleteFunc(list, func(m Member) bool { return receives(d, m.ID) })
+	if len(list) == 0 {
+		return false
 	}
+	full := list[len(list)-1]
+	gap := u.of(full) - u.of(idle)
 	if p.standings[full.ID].Doubtful || gap < spread || u.of(full) < busy {
 		return false
 	}
@@ -320,23 +323,24 @@
 	return slices.ContainsFunc(d.Ranges, func(r Range) bool { return r.Next == id })
 }
 
-// hottest returns the fewest keys of an owner with about the wanted work, and the
-// index of the range that they lie in; it is negative when there are none.
+// hottest returns the run of an owner's keys that comes closest to the wanted work,
+// the shortest of its range, and the index of the range; it is negative when no run
+// is worth a move.
 func (p *Plan) hottest(d *Division, owner NodeID, want float64) (best int, from, to uint16) {
 	l := p.load(d.Service)
 	best = -1
-	bestKeys := KeyCount + 1
+	most := 0.0
 	for i, r := range d.Ranges {
 		if r.Owner != owner || r.Next != "" {
 			continue
 		}
 		a, b, ok := l.Hottest(r.First, r.Last, min(want, l.Sum(r.First, r.Last)))
 		work := l.Sum(a, b)
-		if !ok || work < max(leastMove, want/2) || work > 1.5*want {
+		if !ok || work < leastMove || work > 1.5*want {
 			continue
 		}
-		if keys := int(b) - int(a) + 1; keys < bestKeys {
-			best, bestKeys, from, to = i, keys, a, b
+		if work > most {
+			best, most, from, to = i, work, a, b
 		}
 	}
 	return best, from, to
--- a/papayapass/internal/partitioner/planner_test.go
+++ b/papayapass/internal/partitioner/planner_test.go
@@ -71,16 +71,38 @@
 		l.Add(uint16(9000+k), 0.1)
 	}
 	require.Greater(t, useOf(table, l, "node-0"), 2.0, "overloaded before")
-	table, moved := settleMoves(table, standings, loads)
+	first := NewPlan(table, standings, loads)
+	first.Balance()
+	for _, r := range first.Table().Owned("node-0") {
+		if r.Next != "" {
+			require.GreaterOrEqual(t, r.First, uint16(9000), "the hottest keys go first")
+			require.Less(t, r.Last, uint16(9200))
+		}
+	}
+	cold := len(coldKeys(table, "node-0"))
+	table, _ = settleMoves(table, standings, loads)
 	for i := range 5 {
 		require.Less(t, useOf(table, l, NodeID(fmt.Sprintf("node-%d", i))), 1.0)
 	}
-	require.Less(t, moved, 1000, "only keys of the stretch move")
+	require.Greater(t, len(coldKeys(table, "node-0")), cold/2, "the warm owner is not emptied")
 	again, more := settleMoves(table, standings, loads)
 	require.Zero(t, more, "nothing moves back and forth")
 	require.Equal(t, table.Divisions, again.Divisions)
 }
 
+// coldKeys returns the keys of a node outside the hot stretch.
+func coldKeys(table *Table, id NodeID) []int {
+	var out []int
+	for _, r := range table.Owned(id) {
+		for k := int(r.First); k <= int(r.Last); k++ {
+			if k < 9000 || k >= 9200 {
+				out = append(out, k)
+			}
+		}
+	}
+	return out
+}
+
 func TestIdlePoolsAreLeftAlone(t *testing.T) {
 	table, standings, loads := testPool(t, 5)
 	for k := range 100 {
