Compress the heads of what nodes send each other

Ruled out: HTTP/2 between nodes, which packs headers too, but sends some requests again by itself and holds all calls up on one silent connection. Change: an envelope of a head, compressed against a dictionary, and a body; calls, results, beats and replies use it.

--- a/papayapass/internal/commander/node.go
+++ b/papayapass/internal/commander/node.go
@@ -46,5 +46,6 @@
 		},
 		ReadyPath: platform.ReadyPath, HeartbeatPath: platform.HeartbeatPath,
 		DecodeHeartbeat: platform.DecodeHeartbeat, DecodeLeave: platform.DecodeLeave,
+		SampleHeader: platform.SampleHeader(),
 	}
 }
--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -73,6 +73,7 @@
 	timers      *timer.Service
 	granter     *granter.Granter
 	attendant   *attendant.Attendant
+	newPeer     func(address string) *dispatcher.Peer
 	logger      zerolog.Logger
 	kick        chan struct{}
 	stopping    atomic.Bool
@@ -101,11 +102,11 @@
 
 // NewConductor returns a conductor of a node. Attach completes it.
 func NewConductor(self partitioner.Member, incarnation uint64, store Store, objects Objects, bounds Bounds,
-	timers *timer.Service, g *granter.Granter, logger zerolog.Logger,
+	timers *timer.Service, g *granter.Granter, newPeer func(address string) *dispatcher.Peer, logger zerolog.Logger,
 ) *Conductor {
 	c := &Conductor{
 		self: self, incarnation: incarnation, store: store, objects: objects, bounds: bounds, timers: timers,
-		granter: g, logger: logger, kick: make(chan struct{}, 1), changed: make(chan struct{}),
+		granter: g, newPeer: newPeer, logger: logger, kick: make(chan struct{}, 1), changed: make(chan struct{}),
 		heard: timers.Now(), budget: newBudget(bounds, timers),
 	}
 	empty := make(map[string]bool)
@@ -193,6 +194,6 @@
 	if p, ok := c.peers.Load(address); ok {
 		return p.(*dispatcher.Peer)
 	}
-	p, _ := c.peers.LoadOrStore(address, dispatcher.NewPeer(address, c.timers))
+	p, _ := c.peers.LoadOrStore(address, c.newPeer(address))
 	return p.(*dispatcher.Peer)
 }
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -121,7 +121,7 @@
 func (d *Dispatcher) newCall(r *http.Request, route *descriptor.Route, body []byte, arrived timer.Instant) *Call {
 	c := &Call{
 		ID: d.dialect.RequestID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: forwarded(r.Header), Body: body, Route: route.Name, Service: pick(route.Targets),
+		Header: endToEnd(r.Header), Body: body, Route: route.Name, Service: pick(route.Targets),
 		Idempotent: route.Idempotent, Priority: route.Priority, Objective: route.Objective, Caller: d.caller,
 	}
 	wait := route.Timeout
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,17 +11,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/timer"
 )
 
-// Headers between nodes.
-const (
-	// HeaderHop carries what the next node must know of a call.
-	HeaderHop = "Papayapass-Hop"
-	// headerOutcome carries outcome, reason, retry time and whether it was offered.
-	headerOutcome = "Papayapass-Outcome"
-)
+// CallPath is where a node takes the calls of others.
+const CallPath = "/call"
 
 const (
 	// peerConnect bounds connecting to a peer: a few round trips between zones.
@@ -35,25 +30,41 @@
 	maxBody = 64 << 20
 )
 
-// hop is what a node tells the next one of a call.
-type hop struct {
-	ID         string `json:"i"`
-	Route      string `json:"r"`
-	Service    string `json:"s"`
-	Divided    bool   `json:"d,omitempty"`
-	Key        uint16 `json:"k,omitempty"`
-	Idempotent bool   `json:"t,omitempty"`
-	Priority   int    `json:"p,omitempty"`
-	Objective  int64  `json:"o,omitempty"`
-	Caller     string `json:"c"`
-	Left       int64  `json:"l"` // milliseconds until the deadline
-	Impatient  bool   `json:"n,omitempty"`
+// callHead is what a node tells the next one of a call; the body follows it.
+type callHead struct {
+	ID         string      `json:"id"`
+	Method     string      `json:"method"`
+	URI        string      `json:"uri"`
+	Host       string      `json:"host"`
+	Header     http.Header `json:"header"`
+	Route      string      `json:"route"`
+	Service    string      `json:"service"`
+	Divided    bool        `json:"divided,omitempty"`
+	Key        uint16      `json:"key,omitempty"`
+	Idempotent bool        `json:"idempotent,omitempty"`
+	Priority   int         `json:"priority,omitempty"`
+	Objective  int64       `json:"objectiveMillis,omitempty"`
+	Caller     string      `json:"caller"`
+	Left       int64       `json:"leftMillis"` // until the deadline
+	Impatient  bool        `json:"impatient,omitempty"`
+}
+
+// resultHead is what a node answers to a call; the answer's body follows it.
+type resultHead struct {
+	Outcome string      `json:"outcome"`
+	Reason  Reason      `json:"reason,omitempty"`
+	Retry   int64       `json:"retryMillis,omitempty"`
+	Offered bool        `json:"offered,omitempty"`
+	Status  int         `json:"status,omitempty"`
+	Header  http.Header `json:"header,omitempty"`
 }
 
 // Peer reaches the backend server beside another node.
 type Peer struct {
 	clock     timer.Clock
+	enveloper *enveloper.Enveloper
 	exchanger *exchanger.Exchanger
+	host      string
 
 	mu       sync.Mutex
 	pausedTo timer.Instant
@@ -61,8 +72,11 @@
 }
 
 // NewPeer returns a peer at an IP address and port.
-func NewPeer(address string, clock timer.Clock) *Peer {
-	return &Peer{clock: clock, exchanger: exchanger.NewExchanger(address, peerConnect, peerIdle, maxBody, nil)}
+func NewPeer(address string, clock timer.Clock, e *enveloper.Enveloper) *Peer {
+	return &Peer{
+		clock: clock, enveloper: e, host: address,
+		exchanger: exchanger.NewExchanger(address, peerConnect, peerIdle, maxBody, nil),
+	}
 }
 
 // Close ends the kept connections.
@@ -95,18 +109,17 @@
 	}
 	p.count(1)
 	defer p.count(-1)
-	h := c.Header.Clone()
-	info, err := json.Marshal(hop{
-		ID: c.ID, Route: c.Route, Service: c.Service, Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent,
-		Priority: c.Priority, Objective: c.Objective.Milliseconds(), Caller: c.Caller,
+	body, err := p.enveloper.Pack(callHead{
+		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: c.Header, Route: c.Route, Service: c.Service,
+		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority,
+		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
 		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), Impatient: c.Impatient,
-	})
+	}, c.Body)
 	if err != nil {
 		return Result{Outcome: NotRun, Reason: ReasonBroken}
 	}
-	h.Set(HeaderHop, string(info))
 	answer, err := p.exchanger.Do(ctx, exchanger.Request{
-		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, FreshWithin: peerIdle,
+		Method: http.MethodPost, URI: CallPath, Host: p.host, Header: http.Header{}, Body: body, FreshWithin: peerIdle,
 	})
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
@@ -114,27 +127,23 @@
 		p.pausedTo = p.clock.Now().Add(peerPause)
 		p.mu.Unlock()
 		return Result{Outcome: NotRun, Reason: ReasonUnreachable}
-	case err != nil:
+	case err != nil || answer.Status != http.StatusOK:
 		return Result{Outcome: Unknown, Reason: ReasonBroken, Offered: true}
 	default:
-		return decodeResult(answer)
+		return p.decode(answer)
 	}
 }
 
-func decodeResult(answer *exchanger.Answer) Result {
-	parts := strings.Split(answer.Header.Get(headerOutcome), ";")
-	if len(parts) != 4 {
-		return Result{Outcome: Unknown, Reason: ReasonBroken, Offered: true}
-	}
-	retry, err := strconv.ParseInt(parts[2], 10, 64)
+func (p *Peer) decode(answer *exchanger.Answer) Result {
+	var head resultHead
+	body, err := p.enveloper.Open(answer.Body, &head)
 	if err != nil {
-		retry = 0 // a peer of another version; the time is only advice
+		return Result{Outcome: Unknown, Reason: ReasonBroken, Offered: true}
 	}
-	r := Result{Reason: Reason(parts[1]), Retry: time.Duration(retry) * time.Millisecond, Offered: parts[3] == "1"}
-	switch parts[0] {
+	r := Result{Reason: head.Reason, Retry: time.Duration(head.Retry) * time.Millisecond, Offered: head.Offered}
+	switch head.Outcome {
 	case Answered.String():
-		answer.Header.Del(headerOutcome)
-		r.Outcome, r.Answer = Answered, answer
+		r.Outcome, r.Answer = Answered, &exchanger.Answer{Status: head.Status, Header: head.Header, Body: body}
 	case NotRun.String():
 		r.Outcome = NotRun
 	default:
@@ -145,57 +154,62 @@
 
 // PeerHandler serves the calls of other nodes at the backend server beside this one.
 type PeerHandler struct {
-	server Server
-	clock  timer.Clock
+	server    Server
+	clock     timer.Clock
+	enveloper *enveloper.Enveloper
 }
 
 // NewPeerHandler returns a handler of peers' calls.
-func NewPeerHandler(s Server, clock timer.Clock) *PeerHandler {
-	return &PeerHandler{server: s, clock: clock}
+func NewPeerHandler(s Server, clock timer.Clock, e *enveloper.Enveloper) *PeerHandler {
+	return &PeerHandler{server: s, clock: clock, enveloper: e}
 }
 
 // ServeHTTP serves one call of another node.
 func (p *PeerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var info hop
-	if err := json.Unmarshal([]byte(r.Header.Get(HeaderHop)), &info); err != nil {
-		http.Error(w, "no hop", http.StatusBadRequest)
-		return
-	}
-	body, err := io.ReadAll(r.Body)
+	envelope, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the peer broke off, and nothing was run
 	}
-	r.Header.Del(HeaderHop)
-	c := &Call{
-		ID: info.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
-		Route: info.Route, Service: info.Service, Divided: info.Divided, Key: info.Key, Idempotent: info.Idempotent,
-		Priority: info.Priority, Objective: time.Duration(info.Objective) * time.Millisecond, Caller: info.Caller,
-		Deadline: p.clock.Now().Add(time.Duration(info.Left) * time.Millisecond), Impatient: info.Impatient,
+	var head callHead
+	body, err := p.enveloper.Open(envelope, &head)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	res := p.server.Serve(r.Context(), &Call{
+		ID: head.ID, Method: head.Method, URI: head.URI, Host: head.Host, Header: head.Header, Body: body,
+		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
+		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
+		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), Impatient: head.Impatient,
+	})
+	answer := resultHead{
+		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Offered: res.Offered,
 	}
-	res := p.server.Serve(r.Context(), c)
-	offered := "0"
-	if res.Offered {
-		offered = "1"
+	body = nil
+	if res.Outcome == Answered {
+		answer.Status, answer.Header, body = res.Answer.Status, endToEnd(res.Answer.Header), res.Answer.Body
 	}
-	h := w.Header()
-	h[headerOutcome] = []string{strings.Join([]string{
-		res.Outcome.String(), string(res.Reason), strconv.FormatInt(res.Retry.Milliseconds(), 10), offered,
-	}, ";")}
-	if res.Outcome != Answered {
-		h["Date"] = nil
-		w.WriteHeader(http.StatusOK)
+	packed, err := p.enveloper.Pack(answer, body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	writeAnswer(w, res.Answer)
+	WriteEnvelope(w, packed)
+}
+
+// WriteEnvelope answers a peer with an envelope and as few headers as there may be.
+func WriteEnvelope(w http.ResponseWriter, packed []byte) {
+	h := w.Header()
+	h["Date"], h["Content-Type"] = nil, nil
+	h.Set("Content-Length", strconv.Itoa(len(packed)))
+	_, _ = w.Write(packed) // the peer may have gone
 }
 
 // writeAnswer writes a whole answer with its length.
 func writeAnswer(w http.ResponseWriter, a *exchanger.Answer) {
 	h := w.Header()
-	for name, values := range a.Header {
-		if !hopByHop[name] {
-			h[name] = values
-		}
+	for name, values := range endToEnd(a.Header) {
+		h[name] = values
 	}
 	if _, ok := a.Header["Date"]; !ok {
 		h["Date"] = nil
@@ -217,8 +231,8 @@
 	"Content-Length": true,
 }
 
-// forwarded returns the headers of a request that go on to the backend server.
-func forwarded(h http.Header) http.Header {
+// endToEnd returns the headers that do not concern one connection.
+func endToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	for _, value := range h.Values("Connection") {
 		for _, name := range strings.Split(value, ",") {
@@ -228,6 +242,5 @@
 	for name := range hopByHop {
 		out.Del(name)
 	}
-	out.Del(HeaderHop)
 	return out
 }
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -1,9 +1,8 @@
 package launcher
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/overseer"
@@ -39,17 +40,18 @@
 
 // calls makes a node's calls of other nodes and of its backend server.
 type calls struct {
-	orders Orders
-	server *exchanger.Exchanger
-	host   string
-	peers  sync.Map // address to *exchanger.Exchanger
+	orders    Orders
+	enveloper *enveloper.Enveloper
+	server    *exchanger.Exchanger
+	host      string
+	peers     sync.Map // address to *exchanger.Exchanger
 }
 
 var _ conductor.Calls = (*calls)(nil)
 
-func newCalls(orders Orders, server string) *calls {
+func newCalls(orders Orders, server string, e *enveloper.Enveloper) *calls {
 	return &calls{
-		orders: orders, host: server,
+		orders: orders, host: server, enveloper: e,
 		server: exchanger.NewExchanger(server, controlConnect, controlIdle, maxControl, nil),
 	}
 }
@@ -63,7 +65,7 @@
 }
 
 func (c *calls) post(ctx context.Context, address, path string, in, out any) error {
-	body, err := json.Marshal(in)
+	body, err := c.enveloper.Pack(in, nil)
 	if err != nil {
 		return errors.Wrap(err, "encode a call")
 	}
@@ -76,7 +78,8 @@
 	if answer.Status != http.StatusOK {
 		return errors.Newf("%s at %s: status %d", path, address, answer.Status)
 	}
-	return json.Unmarshal(answer.Body, out)
+	_, err = c.enveloper.Open(answer.Body, out)
+	return err
 }
 
 // Beat sends a beat to the node at an address.
@@ -123,28 +126,47 @@
 	}
 }
 
-// controlHandler serves the control calls of other nodes.
-func controlHandler(c *conductor.Conductor) http.Handler {
+// peerHandler serves the calls of other nodes.
+func peerHandler(c *conductor.Conductor, calls http.Handler, e *enveloper.Enveloper) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("POST "+dispatcher.CallPath, calls)
 	mux.HandleFunc("POST "+beatPath, func(w http.ResponseWriter, r *http.Request) {
+		packed, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControl))
+		if err != nil {
+			return // the node sends another beat
+		}
 		var b overseer.Beat
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControl)).Decode(&b); err != nil {
+		if _, err := e.Open(packed, &b); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		reply(w, c.Receive(r.Context(), b))
+		reply(w, e, c.Receive(r.Context(), b))
 	})
-	mux.HandleFunc("POST "+probePath, func(w http.ResponseWriter, _ *http.Request) { reply(w, c.Probe()) })
+	mux.HandleFunc("POST "+probePath, func(w http.ResponseWriter, _ *http.Request) { reply(w, e, c.Probe()) })
 	return mux
 }
 
-func reply(w http.ResponseWriter, v any) {
-	var b bytes.Buffer
-	if err := json.NewEncoder(&b).Encode(v); err != nil {
+func reply(w http.ResponseWriter, e *enveloper.Enveloper, v any) {
+	packed, err := e.Pack(v, nil)
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header()["Date"] = nil
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(b.Bytes()) // the node sends another beat
+	dispatcher.WriteEnvelope(w, packed)
+}
+
+// dictionary returns text as it occurs between nodes; sample is a header of the
+// platform's requests and answers.
+func dictionary(sample string) string {
+	return `{"coordinates":true,"epoch":1,"stamp":10000000000,"lease":1500000000,"delta":{"epoch":1,"from":10,"version":11,"lastToken":100,` +
+		`"members":[{"id":"","address":"10.0.0.1:7660","zone":"","server":{"id":"i-","born":1792686224813,"service":"","slots":12,"divided":true,"leaving":true}}],` +
+		`"divisions":[{"service":"","ranges":[{"first":0,"last":10,"owner":"","server":"i-","born":1792686224813,"token":1,"handover":"","next":""}]}]},` +
+		`"loads":[{"node":"","running":1,"waiting":0,"mean":100000000}],"zonesOut":[""],"zonesRevision":100,"fresh":true}` +
+		`{"member":{"id":"","address":"10.0.0.1:7660","zone":"","server":{"id":"i-","born":1792686224813,"service":"","slots":12,"divided":true}},` +
+		`"incarnation":1792686224813000000,"epoch":1,"version":10,"echo":10000000000,"work":[{"key":1000,"work":0.1},{"key":2000,"work":0.2}],` +
+		`"running":1,"waiting":1,"mean":100000000,"configurationVersion":10,"wait":250000000}` +
+		`{"outcome":"not-run","reason":"busy","retryMillis":100}{"outcome":"unknown","reason":"broken","offered":true}` +
+		`{"outcome":"answered","offered":true,"status":200,"header":` + sample + `}` +
+		`{"id":"","method":"POST","uri":"/","host":".example","header":` + sample + `,"route":"r-","service":"","divided":true,"key":1000,"idempotent":true,` +
+		`"priority":1,"objectiveMillis":600,"caller":"","leftMillis":1000,"impatient":true}`
 }
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -19,6 +19,7 @@
 	"papayapass.dev/papayapass/internal/attendant"
 	"papayapass.dev/papayapass/internal/conductor"
 	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/meter"
@@ -37,6 +38,9 @@
 	HeartbeatPath   string
 	DecodeHeartbeat func(path string, body []byte) (descriptor.Heartbeat, error)
 	DecodeLeave     func(path string) string
+	// SampleHeader is a header of requests and answers as JSON, for the compression
+	// of what nodes send each other.
+	SampleHeader string
 }
 
 const (
@@ -83,6 +87,7 @@
 	conductor *conductor.Conductor
 	attendant *attendant.Attendant
 	meter     *meter.Meter
+	enveloper *enveloper.Enveloper
 	servers   []*http.Server
 }
 
@@ -97,10 +102,12 @@
 	bounds := conductor.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
 	}
+	n.enveloper = enveloper.NewEnveloper(dictionary(a.SampleHeader))
+	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, n.timers, n.enveloper) }
 	incarnation := uint64(time.Now().UnixNano())
-	n.conductor = conductor.NewConductor(self, incarnation, store, a.Objects, bounds, n.timers, g, logger)
+	n.conductor = conductor.NewConductor(self, incarnation, store, a.Objects, bounds, n.timers, g, newPeer, logger)
 	n.attendant = attendant.NewAttendant(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.Dialect, n.timers, g, n.conductor, logger)
-	n.conductor.Attach(n.attendant, newCalls(a.Orders, s.Node.Server))
+	n.conductor.Attach(n.attendant, newCalls(a.Orders, s.Node.Server, n.enveloper))
 	n.addGauges()
 	return n
 }
@@ -134,20 +141,13 @@
 	defer end()
 	g, life := errgroup.WithContext(life)
 	customers := dispatcher.NewDispatcher(n.conductor, n.adapter.Dialect, n.timers, n.settings.Node.Service, meter.NewTraffic(n.meter), n.logger)
-	peers := dispatcher.NewPeerHandler(n.attendant, n.timers)
-	control := controlHandler(n.conductor)
+	peers := dispatcher.NewPeerHandler(n.attendant, n.timers, n.enveloper)
 	for address, h := range map[string]http.Handler{
 		n.settings.Listen.Customers:  customers,
 		n.settings.Listen.Ready:      http.HandlerFunc(n.ready),
 		n.settings.Listen.Heartbeats: http.HandlerFunc(n.heartbeat),
 		n.settings.metrics():         http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) }),
-		n.settings.peers(): http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.Header.Get(dispatcher.HeaderHop) == "" {
-				control.ServeHTTP(w, r)
-				return
-			}
-			peers.ServeHTTP(w, r)
-		}),
+		n.settings.peers():           peerHandler(n.conductor, peers, n.enveloper),
 	} {
 		if err := n.listen(g, address, h); err != nil {
 			return err
