Serve the keys of a zone taken out until they have moved

Ruled out: slow moves; most end within half a second. Change: requests with keys are served for half of the bound after a node sees its zone go out; a node that never saw it in service serves none.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 PROTOC_GEN_GO_VERSION := v1.36.12
-MODULES := shared papayapass standin
+MODULES := shared papayapass platform standin
 
 .PHONY: build demo test fuzz lint format bench capacity generate clean
 
@@ -46,6 +46,8 @@
 fuzz:
 	cd papayapass && go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_COUNT) ./internal/parser
 	cd papayapass && go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_COUNT) ./internal/messenger
+	cd papayapass && go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZ_COUNT) ./internal/exchanger
+	cd papayapass && go test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZ_COUNT) ./internal/enveloper
 	cd shared && go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_COUNT) ./announcer
 
 capacity:
--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -54,8 +54,9 @@
 type Surroundings interface {
 	// Configuration returns the configuration in force, or nil.
 	Configuration() *descriptor.Configuration
-	// ZoneOut says whether operators took the instance's zone out of service.
-	ZoneOut() bool
+	// ZoneOut says whether operators took the instance's zone out of service, long
+	// enough ago for keys to have moved if the request has one.
+	ZoneOut(divided bool) bool
 	// Kick has the coordinator told at once.
 	Kick()
 }
@@ -284,6 +285,7 @@
 	r := admitter.Request{Kind: c.Route, Priority: c.Priority, Objective: c.Objective, Deadline: c.Deadline}
 	ticket, verdict, retry := a.admitter.Offer(r, a.clock.Now(), !c.Impatient)
 	switch verdict {
+	case admitter.Start:
 	case admitter.Busy:
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonBusy, Retry: retry}
 	case admitter.Refuse:
@@ -307,7 +309,7 @@
 		return dispatcher.ReasonNoServer, false
 	case a.stopped(c.Divided):
 		return dispatcher.ReasonStopping, false
-	case a.around.ZoneOut():
+	case a.around.ZoneOut(c.Divided):
 		return dispatcher.ReasonZoneOut, false
 	case c.Divided && !a.granter.Owns(c.Service, c.Key):
 		return dispatcher.ReasonNotOwner, false
--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -60,6 +60,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// ZoneOut is the time within which a zone that was taken out gets no more work.
+	ZoneOut time.Duration
 }
 
 // Conductor joins one node to the deployment.
@@ -82,10 +84,12 @@
 	// configurationRevision is the store's revision of the configuration read last.
 	configurationRevision atomic.Uint64
 	zonesOut              atomic.Pointer[map[string]bool]
-	table                 atomic.Pointer[partitioner.Table]
-	loads                 atomic.Pointer[map[partitioner.NodeID]overseer.ServerLoad]
-	peers                 sync.Map // address to *dispatcher.Peer
-	budget                *budget
+	// keysUntil is how long keys are served after the zone was taken out.
+	keysUntil atomic.Int64
+	table     atomic.Pointer[partitioner.Table]
+	loads     atomic.Pointer[map[partitioner.NodeID]overseer.ServerLoad]
+	peers     sync.Map // address to *dispatcher.Peer
+	budget    *budget
 
 	mu        sync.Mutex
 	overseer  *overseer.Overseer
@@ -122,8 +126,15 @@
 // Configuration returns the configuration in force, or nil before the first.
 func (c *Conductor) Configuration() *descriptor.Configuration { return c.configuration.Load() }
 
-// ZoneOut says whether operators took this instance's zone out of service.
-func (c *Conductor) ZoneOut() bool { return (*c.zonesOut.Load())[c.self.Zone] }
+// ZoneOut says whether operators took this instance's zone out of service. Requests
+// with keys are served for a while longer, until the keys have moved; but not by a
+// node that did not see the zone in service, as it cannot know how long it is out.
+func (c *Conductor) ZoneOut(divided bool) bool {
+	if !(*c.zonesOut.Load())[c.self.Zone] {
+		return false
+	}
+	return !divided || c.timers.Now() > timer.Instant(c.keysUntil.Load())
+}
 
 // Kick has the coordinator told of a change at once.
 func (c *Conductor) Kick() {
--- a/papayapass/internal/conductor/poll.go
+++ b/papayapass/internal/conductor/poll.go
@@ -22,6 +22,9 @@
 	pollTimeout = 900 * time.Millisecond
 	// pollCheck is how often a node looks whether it must read itself.
 	pollCheck = 100 * time.Millisecond
+	// keysShare is the part of the bound for zones taken out in which their keys are
+	// still served; readings and slow nodes take up to a third of it.
+	keysShare = 0.5
 	// freshness is how old the coordinator's reading, and its word of it, may be for
 	// a node to rely on it; with pollInterval it stays under the time within which a
 	// configuration must be in force.
@@ -124,6 +127,7 @@
 	for i := 0; !changed && i < len(zones); i++ {
 		changed = zones[i] != c.wishes.zonesOut[i]
 	}
+	first := c.wishes.zonesRevision == 0
 	c.wishes.zonesRevision, c.wishes.zonesOut = revision, zones
 	if !changed {
 		return
@@ -132,6 +136,9 @@
 	for _, z := range zones {
 		out[z] = true
 	}
+	if !first && out[c.self.Zone] && !(*c.zonesOut.Load())[c.self.Zone] {
+		c.keysUntil.Store(int64(c.timers.Now().Add(time.Duration(keysShare * float64(c.bounds.ZoneOut)))))
+	}
 	c.zonesOut.Store(&out)
 	c.logger.Info().Strs("zones", zones).Uint64("revision", revision).Bool("ownZone", out[c.self.Zone]).Msg("zones out of service")
 	c.notify()
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -101,6 +101,7 @@
 	})
 	bounds := conductor.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
+		ZoneOut: time.Duration(s.Bounds.ZoneOut),
 	}
 	n.enveloper = enveloper.NewEnveloper(dictionary(a.SampleHeader))
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, n.timers, n.enveloper) }
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -42,7 +42,7 @@
 
 func sampleKey(i int) uint16 { return uint16(i*partitioner.KeyCount/samples + 7) }
 
-func (s *server) apply(c granter.Call, now, arrived time.Duration) granter.Result {
+func (s *server) apply(c granter.Call, arrived time.Duration) granter.Result {
 	for i := range samples {
 		if k := sampleKey(i); c.First <= k && k <= c.Last && s.seen[i] > c.Token {
 			return granter.Refused
@@ -193,7 +193,7 @@
 				later = append(later, l)
 				continue
 			}
-			m.server.apply(l.call, w.now, l.arrived)
+			m.server.apply(l.call, l.arrived)
 		}
 		m.server.late = later
 		if w.now >= m.pausedTo {
@@ -219,7 +219,7 @@
 			m.granter.Ended(c, granter.Unknown, "", now)
 			continue
 		}
-		m.granter.Ended(c, m.server.apply(c, w.now, w.now), "handover", now)
+		m.granter.Ended(c, m.server.apply(c, w.now), "handover", now)
 	}
 }
 
