Tell members without the store who coordinates

Ruled out: capacity, heartbeats. Change: announcements to members that are not heard; a declined beat names the coordinator; tables are applied one at a time; a cold backend server gets its whole rate in each second instead of nine tenths of it. Test: TestNodesWithoutTheStoreFollowTheNextCoordinator failed before.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -19,7 +19,7 @@
 	coldWindow = time.Second
 	// coldReserve is the part of a cold backend server's rate that is not used, as
 	// requests on their way may bunch up.
-	coldReserve = 0.1
+	coldReserve = 0.0
 	// patienceShare is the part of the time left for waiting that a prediction may
 	// use up: work takes longer than the mean for half of the requests.
 	patienceShare = 0.8
--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -37,6 +37,8 @@
 	Beat(ctx context.Context, address string, b overseer.Beat) (overseer.Reply, error)
 	// Probe asks the node at an address whether it hears its coordinator.
 	Probe(ctx context.Context, address string) (overseer.Probe, error)
+	// Announce tells the node at an address the table of the coordinator.
+	Announce(ctx context.Context, address string, t *partitioner.Table) error
 	// Order makes a call of the backend server about keys.
 	Order(ctx context.Context, c granter.Call) (granter.Result, string)
 }
@@ -91,6 +93,9 @@
 	peers     sync.Map // address to *dispatcher.Peer
 	budget    *budget
 
+	// tableMu keeps older tables from replacing newer ones.
+	tableMu sync.Mutex
+
 	mu        sync.Mutex
 	overseer  *overseer.Overseer
 	revision  uint64 // of the table's object, as this coordinator last knew it
@@ -156,6 +161,7 @@
 	g.Go(func() error { return c.poll(ctx) })
 	g.Go(func() error { return c.follow(ctx) })
 	g.Go(func() error { return c.coordinate(ctx) })
+	g.Go(func() error { return c.announce(ctx) })
 	g.Go(func() error { return c.grant(ctx) })
 	return g.Wait()
 }
@@ -180,6 +186,8 @@
 
 // applyTable takes a table unless an equal or newer one is known.
 func (c *Conductor) applyTable(t *partitioner.Table) {
+	c.tableMu.Lock()
+	defer c.tableMu.Unlock()
 	old := c.table.Load()
 	if !t.Newer(old) {
 		return
--- a/papayapass/internal/conductor/coordinate.go
+++ b/papayapass/internal/conductor/coordinate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/overseer"
@@ -17,6 +18,10 @@
 const (
 	// planInterval is the time between two looks at the table.
 	planInterval = 100 * time.Millisecond
+	// announceInterval is the time between announcements to members that are missing.
+	announceInterval = 400 * time.Millisecond
+	// announceAtOnce bounds the announcements on their way.
+	announceAtOnce = 8
 	// rejectedPause is the time before a write that the store rejected is tried again.
 	rejectedPause = 250 * time.Millisecond
 	// grantInterval is the time between looks at grants and waiting requests.
@@ -28,7 +33,7 @@
 	c.mu.Lock()
 	if c.overseer == nil {
 		defer c.mu.Unlock()
-		return overseer.Reply{Epoch: c.joined}
+		return c.decline(b)
 	}
 	r := c.overseer.Receive(b, c.timers.Now())
 	c.tell(&r, b)
@@ -46,7 +51,7 @@
 		c.mu.Lock()
 		if c.overseer == nil {
 			defer c.mu.Unlock()
-			return overseer.Reply{Epoch: c.joined}
+			return c.decline(b)
 		}
 		r = c.overseer.Receive(b, c.timers.Now())
 		c.tell(&r, b)
@@ -55,6 +60,62 @@
 	return r
 }
 
+// decline answers a beat at a node that does not coordinate, and says who does. The
+// caller holds c.mu.
+func (c *Conductor) decline(b overseer.Beat) overseer.Reply {
+	r := overseer.Reply{Epoch: c.joined}
+	if t := c.table.Load(); t != nil && t.Epoch > b.Epoch {
+		r.Table = t
+	}
+	return r
+}
+
+// Announced takes the table of a coordinator that misses this node.
+func (c *Conductor) Announced(t *partitioner.Table) {
+	c.mu.Lock()
+	if c.overseer != nil && c.overseer.Table().Epoch < t.Epoch {
+		c.overseer = nil
+		c.notify()
+		c.logger.Info().Uint64("epoch", t.Epoch).Str("coordinator", string(t.Coordinator)).Msg("coordinator's role lost")
+	}
+	c.mu.Unlock()
+	c.applyTable(t)
+	c.Kick()
+}
+
+// announce tells members that are not heard who coordinates.
+func (c *Conductor) announce(ctx context.Context) error {
+	tick := c.timers.Subscribe(announceInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C():
+		}
+		c.mu.Lock()
+		var missing []partitioner.Member
+		var t *partitioner.Table
+		if c.overseer != nil {
+			missing, t = c.overseer.Missing(c.timers.Now()), c.overseer.Table()
+		}
+		c.mu.Unlock()
+		var g errgroup.Group
+		g.SetLimit(announceAtOnce)
+		for _, m := range missing {
+			g.Go(func() error {
+				actx, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				if err := c.calls.Announce(actx, m.Address, t); err == nil {
+					c.logger.Info().Str("member", string(m.ID)).Uint64("epoch", t.Epoch).Msg("missing member told who coordinates")
+				}
+				return nil // a member that does not answer is told again
+			})
+		}
+		_ = g.Wait() // no error is returned
+	}
+}
+
 // coordinate plans and writes the table while this node has the role.
 func (c *Conductor) coordinate(ctx context.Context) error {
 	tick := c.timers.Subscribe(planInterval)
@@ -174,6 +235,7 @@
 	cancel()
 	if err != nil {
 		c.logger.Warn().Err(err).Msg("the table cannot be read back")
+		pause(ctx, rejectedPause)
 		return
 	}
 	t, err := decodeTable(o.Spec)
--- a/papayapass/internal/conductor/follow.go
+++ b/papayapass/internal/conductor/follow.go
@@ -116,6 +116,9 @@
 // take applies a coordinator's reply to a beat that was sent at an instant.
 func (c *Conductor) take(r overseer.Reply, sent timer.Instant) error {
 	if !r.Coordinates {
+		if r.Table != nil {
+			c.applyTable(r.Table)
+		}
 		return errors.Wrap(errNobody, "the node does not coordinate")
 	}
 	c.mu.Lock()
@@ -294,7 +297,7 @@
 func (c *Conductor) adopt(t *partitioner.Table, revision uint64, sent timer.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.overseer != nil && c.overseer.Table().Epoch >= t.Epoch {
+	if t.Epoch < c.joined || (c.overseer != nil && c.overseer.Table().Epoch >= t.Epoch) {
 		return
 	}
 	now := c.timers.Now()
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -15,12 +15,14 @@
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
 )
 
 // Paths between nodes.
 const (
 	beatPath  = "/control/beat"
 	probePath = "/control/probe"
+	tablePath = "/control/table"
 )
 
 const (
@@ -96,6 +98,12 @@
 	return p, err
 }
 
+// Announce tells the node at an address the table of the coordinator.
+func (c *calls) Announce(ctx context.Context, address string, t *partitioner.Table) error {
+	var p overseer.Probe
+	return c.post(ctx, address, tablePath, t, &p)
+}
+
 // Order makes a call of the backend server about keys.
 func (c *calls) Order(ctx context.Context, call granter.Call) (granter.Result, string) {
 	path, timeout := c.orders.GrantPath, granter.GrantTimeout
@@ -142,6 +150,19 @@
 		}
 		reply(w, e, c.Receive(r.Context(), b))
 	})
+	mux.HandleFunc("POST "+tablePath, func(w http.ResponseWriter, r *http.Request) {
+		packed, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControl))
+		if err != nil {
+			return // the coordinator tells it again
+		}
+		var t partitioner.Table
+		if _, err := e.Open(packed, &t); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		c.Announced(&t)
+		reply(w, e, c.Probe())
+	})
 	mux.HandleFunc("POST "+probePath, func(w http.ResponseWriter, _ *http.Request) { reply(w, e, c.Probe()) })
 	return mux
 }
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -285,6 +285,18 @@
 	return out
 }
 
+// Missing returns the members that have not been heard lately, or not yet. They may
+// not know who coordinates: the store may turn them away.
+func (o *Overseer) Missing(now timer.Instant) []partitioner.Member {
+	var out []partitioner.Member
+	for _, m := range o.table.Members {
+		if n, ok := o.nodes[m.ID]; m.ID != o.self && (!ok || now.Sub(n.heard) > Silence) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // gone says whether no lease of a member can be valid any more. Leases of earlier
 // terms end a tenure after a majority has joined this one, or after the bridge.
 func (o *Overseer) gone(id partitioner.NodeID, now timer.Instant) bool {
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -318,6 +318,17 @@
 
 func (w *world) coordinate(m *member) {
 	now := w.clock(m)
+	for _, missing := range m.overseer.Missing(now) {
+		for _, o := range w.members {
+			if o.self.ID != missing.ID || !w.linked(m, o) || !w.linked(o, m) {
+				continue
+			}
+			w.applyTable(o, m.overseer.Table())
+			if o.overseer != nil && o.overseer.Table().Epoch < m.overseer.Table().Epoch {
+				o.overseer = nil
+			}
+		}
+	}
 	next := m.overseer.Plan(now)
 	if next == nil && now.Sub(m.wrote) < overseer.Renewal {
 		return
@@ -449,3 +460,33 @@
 		require.Equal(t, w.checks, w.served, "at %s", w.now)
 	}
 }
+
+// The store turns the coordinator and some others away, and serves the rest (the
+// recorded day of pnr). Another node takes the role; those without the store must
+// hear of it from the new coordinator, or they lose their leases with the old one.
+func TestNodesWithoutTheStoreFollowTheNextCoordinator(t *testing.T) {
+	w := newWorld(t, 3, 9)
+	for range 300 {
+		w.step()
+	}
+	cut := 0
+	for _, m := range w.members {
+		if m.overseer != nil || cut < 3 {
+			m.storeCutTo = w.now + 9*time.Second
+			cut++
+		}
+	}
+	for range 400 {
+		w.served, w.checks = 0, 0
+		w.step()
+		require.Equal(t, w.checks, w.served, "at %s", w.now)
+	}
+	followed := 0
+	for _, m := range w.members {
+		if m.table.Epoch == w.table.Epoch {
+			followed++
+		}
+	}
+	require.Equal(t, len(w.members), followed)
+	require.Greater(t, w.table.Epoch, uint64(1), "the role has changed hands")
+}
