Let customers come back when their server may be there again

Ruled out: handing all keys over before each restart, which moves them twice (price 30 a move of all) for a gap of about a second. Change: refusals for absence name 600 ms, within the third of the time that customers wait.

--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -32,6 +32,9 @@
 	// lookRound is how many servers of a shared pool are asked for a free slot before
 	// a request goes into the shortest queue that it was told of.
 	lookRound = 3
+	// absence is the time after which customers come back whose server was not there:
+	// a restart or a move of keys takes about as long.
+	absence = 600 * time.Millisecond
 	// retryShare is the part of the time left that customers wait at most.
 	retryShare = 3
 )
@@ -292,7 +295,7 @@
 		writeAnswer(w, res.Answer)
 	case NotRun:
 		status = http.StatusServiceUnavailable
-		retry := min(max(res.Retry, leastRetryAfter), max(left, leastRetryAfter)/retryShare)
+		retry := min(max(res.Retry, returnAfter(res.Reason)), max(left, leastRetryAfter)/retryShare)
 		refuse(w, status, retry)
 	default:
 		status = http.StatusBadGateway
@@ -309,6 +312,17 @@
 	}
 }
 
+// returnAfter returns the shortest time after which a refused customer comes back.
+// Most come back once only, so that too early is too often.
+func returnAfter(r Reason) time.Duration {
+	switch r {
+	case ReasonUnreachable, ReasonNotOwner, ReasonNotHeld, ReasonNoServer, ReasonStopping, ReasonZoneOut:
+		return absence
+	default:
+		return leastRetryAfter
+	}
+}
+
 // refuse answers that a request has not run, and when to come back.
 func refuse(w http.ResponseWriter, status int, after time.Duration) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
