Read the settings again on SIGHUP instead of ending

Ruled out: the storm of configurations, which the same nodes had outlived. Test: TestAHangUpReadsTheSettingsAgain, TestSettings.

--- a/papayapass/internal/commander/node.go
+++ b/papayapass/internal/commander/node.go
@@ -17,11 +17,7 @@
 		Short: "Run a node of a deployment beside one backend server",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := launcher.ReadSettings(path)
-			if err != nil {
-				return err
-			}
-			return launcher.Run(cmd.Context(), s, adapter())
+			return launcher.Run(cmd.Context(), path, adapter())
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "node.toml", "settings file of the deployment")
--- a/papayapass/internal/conductor/budget.go
+++ b/papayapass/internal/conductor/budget.go
@@ -40,6 +40,12 @@
 	return &budget{bounds: b, clock: clock, services: make(map[string]*window)}
 }
 
+func (b *budget) setBounds(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds = bounds
+}
+
 func (b *budget) window(service string) *window {
 	w, ok := b.services[service]
 	if !ok {
--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -73,7 +73,7 @@
 	store       Store
 	calls       Calls
 	objects     Objects
-	bounds      Bounds
+	bounds      atomic.Pointer[Bounds]
 	timers      *timer.Service
 	granter     *granter.Granter
 	attendant   *attendant.Attendant
@@ -114,10 +114,11 @@
 	timers *timer.Service, g *granter.Granter, newPeer func(address string) *dispatcher.Peer, logger zerolog.Logger,
 ) *Conductor {
 	c := &Conductor{
-		self: self, incarnation: incarnation, store: store, objects: objects, bounds: bounds, timers: timers,
+		self: self, incarnation: incarnation, store: store, objects: objects, timers: timers,
 		granter: g, newPeer: newPeer, logger: logger, kick: make(chan struct{}, 1), changed: make(chan struct{}),
 		heard: timers.Now(), budget: newBudget(bounds, timers),
 	}
+	c.bounds.Store(&bounds)
 	empty := make(map[string]bool)
 	c.zonesOut.Store(&empty)
 	loads := make(map[partitioner.NodeID]overseer.ServerLoad)
@@ -128,6 +129,12 @@
 // Attach gives the conductor the attendant of the backend server, and its calls.
 func (c *Conductor) Attach(a *attendant.Attendant, calls Calls) { c.attendant, c.calls = a, calls }
 
+// SetBounds takes bounds of settings that have changed.
+func (c *Conductor) SetBounds(b Bounds) {
+	c.bounds.Store(&b)
+	c.budget.setBounds(b)
+}
+
 // Configuration returns the configuration in force, or nil before the first.
 func (c *Conductor) Configuration() *descriptor.Configuration { return c.configuration.Load() }
 
--- a/papayapass/internal/conductor/poll.go
+++ b/papayapass/internal/conductor/poll.go
@@ -137,7 +137,7 @@
 		out[z] = true
 	}
 	if !first && out[c.self.Zone] && !(*c.zonesOut.Load())[c.self.Zone] {
-		c.keysUntil.Store(int64(c.timers.Now().Add(time.Duration(keysShare * float64(c.bounds.ZoneOut)))))
+		c.keysUntil.Store(int64(c.timers.Now().Add(time.Duration(keysShare * float64(c.bounds.Load().ZoneOut)))))
 	}
 	c.zonesOut.Store(&out)
 	c.logger.Info().Strs("zones", zones).Uint64("revision", revision).Bool("ownZone", out[c.self.Zone]).Msg("zones out of service")
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,7 +67,14 @@
 )
 
 // Run runs a node until ctx ends, and stops it gracefully then.
-func Run(ctx context.Context, s *Settings, a Adapter) error {
+//
+// The settings file is read again on SIGHUP, and looked at from time to time, as it
+// may change without a signal.
+func Run(ctx context.Context, path string, a Adapter) error {
+	s, err := ReadSettings(path)
+	if err != nil {
+		return err
+	}
 	out := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
 		// The ring is full: say so past it, in the form of all lines.
 		_, _ = os.Stderr.WriteString(`{"level":"warn","message":"log lines dropped","count":` + strconv.Itoa(missed) + "}\n")
@@ -74,8 +83,11 @@
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	zerolog.DurationFieldUnit = time.Millisecond
 	logger := zerolog.New(out).With().Timestamp().Str("node", s.Node.ID).Logger()
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
 	n := newNode(s, a, logger)
-	return n.run(ctx)
+	return n.run(ctx, newReloader(path, s, n, hangUps))
 }
 
 // node is a running node.
@@ -99,14 +111,10 @@
 	store := a.Store(s.Store.Address, &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: controlIdle, DisableCompression: true,
 	})
-	bounds := conductor.Bounds{
-		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
-		ZoneOut: time.Duration(s.Bounds.ZoneOut),
-	}
 	n.enveloper = enveloper.NewEnveloper(dictionary(a.SampleHeader))
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, n.timers, n.enveloper) }
 	incarnation := uint64(time.Now().UnixNano())
-	n.conductor = conductor.NewConductor(self, incarnation, store, a.Objects, bounds, n.timers, g, newPeer, logger)
+	n.conductor = conductor.NewConductor(self, incarnation, store, a.Objects, s.bounds(), n.timers, g, newPeer, logger)
 	n.attendant = attendant.NewAttendant(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.Dialect, n.timers, g, n.conductor, logger)
 	n.conductor.Attach(n.attendant, newCalls(a.Orders, s.Node.Server, n.enveloper))
 	n.addGauges()
@@ -137,7 +145,7 @@
 	return 0
 }
 
-func (n *node) run(ctx context.Context) error {
+func (n *node) run(ctx context.Context, r *reloader) error {
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, life := errgroup.WithContext(life)
@@ -156,6 +164,7 @@
 	}
 	g.Go(func() error { return n.timers.Run(life) })
 	g.Go(func() error { return n.conductor.Run(life) })
+	g.Go(func() error { return r.run(life) })
 	n.logger.Info().Str("zone", n.settings.Node.Zone).Str("service", n.settings.Node.Service).Msg("node runs")
 	g.Go(func() error {
 		select {
--- /dev/null
+++ b/papayapass/internal/launcher/launcher_test.go
@@ -0,0 +1,111 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/shared/descriptor"
+)
+
+const testSettings = `
+[node]
+id = "node-1"
+zone = "zone-1"
+address = "127.0.0.1"
+service = "permits"
+server = "127.0.0.1:1"
+[listen]
+customers = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+heartbeats = "127.0.0.1:0"
+peers = 7660
+metrics = 7661
+[store]
+address = "127.0.0.1:1"
+[bounds]
+heartbeat = "1s"
+grace = "6s"
+zoneOut = "5s"
+retryRatio = 0.2
+retryWindow = "10s"
+retrySlack = 58
+later = "a field of a later version"
+`
+
+func writeSettings(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestSettings(t *testing.T) {
+	s, err := ReadSettings(writeSettings(t, testSettings))
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:7660", s.peers())
+	require.Equal(t, conductor.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 58, ZoneOut: 5 * time.Second}, s.bounds())
+	broken := map[string][2]string{
+		"no id":           {`id = "node-1"`, `id = ""`},
+		"no port":         {"127.0.0.1:1\"\n[listen]", "127.0.0.1\"\n[listen]"},
+		"no time unit":    {`grace = "6s"`, `grace = "6"`},
+		"no peers' port":  {"peers = 7660", "peers = 0"},
+		"not a number":    {"retrySlack = 58", `retrySlack = "many"`},
+		"negative window": {`retryWindow = "10s"`, `retryWindow = "-1s"`},
+	}
+	for name, change := range broken {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(testSettings, change[0], change[1], 1)
+			require.NotEqual(t, testSettings, text)
+			_, err := ReadSettings(writeSettings(t, text))
+			require.Error(t, err)
+		})
+	}
+}
+
+// emptyStore is a store that is away.
+type emptyStore struct{ conductor.Store }
+
+func testAdapter() Adapter {
+	return Adapter{
+		Store:        func(string, http.RoundTripper) conductor.Store { return emptyStore{} },
+		Objects:      conductor.Objects{Decode: func([]byte) (*descriptor.Configuration, error) { return nil, nil }},
+		SampleHeader: "{}",
+	}
+}
+
+// SIGHUP ended the node (two hunted storms of configurations, LOST). It only says
+// that the settings have changed.
+func TestAHangUpReadsTheSettingsAgain(t *testing.T) {
+	path := writeSettings(t, testSettings)
+	s, err := ReadSettings(path)
+	require.NoError(t, err)
+	var log bytes.Buffer
+	hangUps := make(chan os.Signal, 1)
+	r := newReloader(path, s, newNode(s, testAdapter(), zerolog.New(&log)), hangUps)
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(testSettings, "retrySlack = 58", "retrySlack = 60", 1)), 0o600))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- r.run(ctx) }()
+	hangUps <- syscall.SIGHUP
+	hangUps <- syscall.SIGHUP // the first has been taken
+	hangUps <- syscall.SIGHUP // the second has, so the first was served
+	cancel()
+	require.NoError(t, <-done)
+	require.Equal(t, 60.0, r.current.Bounds.RetrySlack)
+	require.Contains(t, log.String(), "settings changed")
+
+	require.NoError(t, os.WriteFile(path, []byte("not toml"), 0o600))
+	r.reload()
+	require.Equal(t, 60.0, r.current.Bounds.RetrySlack, "what cannot be read changes nothing")
+}
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
+
+	"papayapass.dev/papayapass/internal/conductor"
 )
 
 // Settings are the settings of a node beside one backend server.
@@ -93,6 +95,14 @@
 	}
 }
 
+// bounds returns what the conductor is bound by.
+func (s *Settings) bounds() conductor.Bounds {
+	return conductor.Bounds{
+		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
+		ZoneOut: time.Duration(s.Bounds.ZoneOut),
+	}
+}
+
 // metrics returns the address of the metrics page.
 func (s *Settings) metrics() string {
 	return net.JoinHostPort(s.Node.Address, strconv.Itoa(s.Listen.Metrics))
