--- a/papayapass/internal/conductor/budget.go
+++ b/papayapass/internal/conductor/budget.go
@@ -11,7 +11,7 @@
 	// requests: repeats of earlier windows and of calls count against it as well.
 	budgetShare = 0.5
 	// slackNodes is the number of nodes that the fixed part is divided among at
-	// least; a node that is alone may spend no more.
+	// least; a node that is alone, or knows no others yet, may spend no more.
 	slackNodes = 16
 	// budgetBuckets is the resolution of the window.
 	budgetBuckets = 10
@@ -28,6 +28,7 @@
 	bounds   Bounds
 	clock    timer.Clock
 	services map[string]*window
+	nodes    int
 }
 
 type window struct {
@@ -37,7 +38,7 @@
 }
 
 func newBudget(b Bounds, clock timer.Clock) *budget {
-	return &budget{bounds: b, clock: clock, services: make(map[string]*window)}
+	return &budget{bounds: b, clock: clock, services: make(map[string]*window), nodes: slackNodes}
 }
 
 func (b *budget) setBounds(bounds Bounds) {
@@ -46,6 +47,13 @@
 	b.bounds = bounds
 }
 
+// setNodes tells how many nodes share the fixed part.
+func (b *budget) setNodes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = max(n, slackNodes)
+}
+
 func (b *budget) window(service string) *window {
 	w, ok := b.services[service]
 	if !ok {
@@ -103,5 +111,5 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	return repeats+n <= budgetShare*(b.bounds.RetryRatio*requests+b.bounds.RetrySlack/slackNodes)
+	return repeats+n <= budgetShare*(b.bounds.RetryRatio*requests+b.bounds.RetrySlack/float64(b.nodes))
 }
--- a/papayapass/internal/conductor/budget_test.go
+++ b/papayapass/internal/conductor/budget_test.go
@@ -61,3 +61,21 @@
 	clock.Advance(11 * time.Second)
 	require.True(t, b.spend("front", false), "the window has passed")
 }
+
+// The fixed part is shared by all nodes of a large fleet, also where a service gets
+// so few requests that the ratio allows nothing.
+func TestBudgetOfALargeFleet(t *testing.T) {
+	const nodes = 300
+	bounds := Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 640}
+	clock := &timer.ManualClock{}
+	spent := 0
+	for range nodes {
+		b := newBudget(bounds, clock)
+		b.setNodes(nodes)
+		for b.spend("front", false) {
+			spent++
+		}
+	}
+	require.Positive(t, spent)
+	require.LessOrEqual(t, float64(spent), bounds.RetrySlack)
+}
--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -201,6 +201,7 @@
 	}
 	c.table.Store(t)
 	c.granter.SetTable(t)
+	c.budget.setNodes(len(t.Members))
 	c.logger.Info().Uint64("epoch", t.Epoch).Uint64("version", t.Version).Str("coordinator", string(t.Coordinator)).
 		Int("members", len(t.Members)).Int("owned", len(t.Owned(c.self.ID))).Msg("table")
 }
--- /dev/null
+++ b/papayapass/internal/conductor/conductor_test.go
@@ -0,0 +1,161 @@
+package conductor
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/attendant"
+	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/granter"
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// fakeStore holds one object of each kind.
+type fakeStore struct {
+	Store
+
+	version  uint64
+	zones    []string
+	revision uint64
+	err      error
+	table    descriptor.Object
+}
+
+func (s *fakeStore) Get(_ context.Context, kind, _ string) (descriptor.Object, error) {
+	if s.err != nil {
+		return descriptor.Object{}, s.err
+	}
+	if kind == tableKind {
+		if s.table.Spec == nil {
+			return descriptor.Object{}, descriptor.ErrNotFound
+		}
+		return s.table, nil
+	}
+	return descriptor.Object{Revision: s.revision, Spec: []byte(strconv.FormatUint(s.version, 10))}, nil
+}
+
+func (s *fakeStore) List(context.Context, string) ([]descriptor.Object, uint64, error) {
+	var out []descriptor.Object
+	for _, z := range s.zones {
+		out = append(out, descriptor.Object{Name: z})
+	}
+	return out, s.revision, s.err
+}
+
+func (s *fakeStore) Create(_ context.Context, _ string, o descriptor.Object) (uint64, error) {
+	s.revision++
+	o.Revision = s.revision
+	s.table = o
+	return s.revision, s.err
+}
+
+func decodeVersion(spec []byte) (*descriptor.Configuration, error) {
+	v, err := strconv.ParseUint(string(spec), 10, 64)
+	return &descriptor.Configuration{Version: v, Source: spec}, err
+}
+
+func newTestConductor(t *testing.T, s *fakeStore) (*Conductor, *timer.ManualClock) {
+	t.Helper()
+	clock := &timer.ManualClock{}
+	clock.Advance(time.Hour)
+	timers := timer.NewService(clock)
+	g := granter.NewGranter("node-1", clock.Now())
+	self := partitioner.Member{ID: "node-1", Address: "127.0.0.1:1", Zone: "zone-1"}
+	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, clock, nil) }
+	c := NewConductor(self, 1, s, Objects{Decode: decodeVersion}, Bounds{RetryWindow: time.Second, ZoneOut: 5 * time.Second}, timers, g, newPeer, zerolog.Nop())
+	c.Attach(attendant.NewAttendant("127.0.0.1:2", "permits", time.Second, nil, clock, g, c, zerolog.Nop()), nil)
+	return c, clock
+}
+
+func TestConfigurationsOnlyRise(t *testing.T) {
+	s := &fakeStore{version: 7, revision: 10}
+	c, _ := newTestConductor(t, s)
+	c.read(context.Background())
+	require.Equal(t, uint64(7), c.Configuration().Version)
+	s.version, s.revision = 6, 11
+	c.read(context.Background())
+	require.Equal(t, uint64(7), c.Configuration().Version)
+	require.NoError(t, c.take(overseer.Reply{Coordinates: true, Epoch: 1, Table: &partitioner.Table{Epoch: 1}, Configuration: []byte("9")}, 0))
+	require.Equal(t, uint64(9), c.Configuration().Version, "a peer's is as good")
+	require.NoError(t, c.take(overseer.Reply{Coordinates: true, Epoch: 1, Configuration: []byte("8")}, 0))
+	require.Equal(t, uint64(9), c.Configuration().Version)
+	require.NoError(t, c.take(overseer.Reply{Coordinates: true, Epoch: 1, Configuration: []byte("broken")}, 0))
+	require.Equal(t, uint64(9), c.Configuration().Version)
+}
+
+func TestZonesAreOrderedByTheStore(t *testing.T) {
+	s := &fakeStore{version: 1, revision: 10, zones: []string{"zone-1"}}
+	c, clock := newTestConductor(t, s)
+	c.read(context.Background())
+	require.True(t, c.ZoneOut(false))
+	require.True(t, c.ZoneOut(true), "how long it has been out is not known")
+	s.zones, s.revision = nil, 12
+	c.read(context.Background())
+	require.False(t, c.ZoneOut(false))
+	c.setZones([]string{"zone-1"}, 11)
+	require.False(t, c.ZoneOut(false), "a coordinator's older list")
+	c.setZones([]string{"zone-1"}, 13)
+	require.True(t, c.ZoneOut(false), "shared pools at once")
+	require.False(t, c.ZoneOut(true), "keys have time to move")
+	clock.Advance(2600 * time.Millisecond)
+	require.True(t, c.ZoneOut(true))
+}
+
+// The store turns the coordinator away (CONFIG on a hunted day): its word ends with
+// the failed reading, and the other nodes read themselves.
+func TestNodesReadThemselvesWhenTheCoordinatorCannot(t *testing.T) {
+	s := &fakeStore{version: 1, revision: 10}
+	c, clock := newTestConductor(t, s)
+	require.True(t, c.reads(), "nobody has told it yet")
+	c.seek(context.Background(), false) // founds the table, and coordinates
+	c.read(context.Background())
+	var r overseer.Reply
+	c.tell(&r, overseer.Beat{})
+	require.True(t, r.Fresh)
+	require.Equal(t, []byte("1"), r.Configuration)
+	changed := c.changed
+	s.err = errors.New("away")
+	c.read(context.Background())
+	select {
+	case <-changed:
+	default:
+		require.Fail(t, "waiting replies must go out")
+	}
+	r = overseer.Reply{}
+	c.tell(&r, overseer.Beat{ConfigurationVersion: 1})
+	require.False(t, r.Fresh)
+	require.Empty(t, r.Configuration)
+
+	other, otherClock := newTestConductor(t, &fakeStore{})
+	require.NoError(t, other.take(overseer.Reply{Coordinates: true, Epoch: 1, Table: &partitioner.Table{Epoch: 1}, Fresh: true}, 0))
+	require.False(t, other.reads())
+	require.NoError(t, other.take(overseer.Reply{Coordinates: true, Epoch: 1}, 0))
+	require.True(t, other.reads())
+	require.NoError(t, other.take(overseer.Reply{Coordinates: true, Epoch: 1, Fresh: true}, 0))
+	otherClock.Advance(freshness + time.Millisecond)
+	require.True(t, other.reads(), "a silent coordinator's word ends too")
+	clock.Advance(freshness)
+}
+
+func TestALaterEpochEndsTheRole(t *testing.T) {
+	c, _ := newTestConductor(t, &fakeStore{version: 1, revision: 10})
+	c.seek(context.Background(), false)
+	require.True(t, c.Status().Coordinates)
+	later := &partitioner.Table{Epoch: 2, Version: 1, Coordinator: "node-2"}
+	c.Announced(later)
+	require.False(t, c.Status().Coordinates)
+	r := c.Receive(context.Background(), overseer.Beat{Epoch: 1})
+	require.False(t, r.Coordinates)
+	require.Equal(t, later, r.Table, "a declined beat says who coordinates")
+	c.Announced(&partitioner.Table{Epoch: 1, Version: 9, Coordinator: "node-3"})
+	require.Equal(t, uint64(2), c.Status().Epoch)
+}
