Spread a hot stretch to many members at once

The planner halved a stretch from one member to the next, four moves at a time for 40 members, and moved nothing away from the owner of a key that is too hot by itself. Ruled out: the cut nodes (304 no-server), processor (0.04 cores at most). Change: the idle member is filled up to the mean; a service moves as many ranges at once as a third of its members; keys beside one that is too hot leave its owner. Test: TestKeysLeaveTheOwnerOfAKeyThatIsTooHot and TestLargeServicesMoveMoreAtOnce failed before.

--- a/papayapass/internal/partitioner/loads.go
+++ b/papayapass/internal/partitioner/loads.go
@@ -65,3 +65,32 @@
 	}
 	return from, to, ok
 }
+
+// runs returns the shortest run of keys with the wanted work, and the shortest ones
+// on both sides of it: one key may bring more work than may move, and the keys beside
+// it then go.
+func (l *Loads) runs(first, last uint16, want float64) [][2]uint16 {
+	a, b, ok := l.run(first, last, want)
+	if !ok {
+		return nil
+	}
+	out := [][2]uint16{{a, b}}
+	if first < a {
+		if from, to, ok := l.run(first, a-1, want); ok {
+			out = append(out, [2]uint16{from, to})
+		}
+	}
+	if b < last {
+		if from, to, ok := l.run(b+1, last, want); ok {
+			out = append(out, [2]uint16{from, to})
+		}
+	}
+	return out
+}
+
+// run returns the shortest run with the wanted work, or with nearly all when there
+// is less.
+func (l *Loads) run(first, last uint16, want float64) (from, to uint16, ok bool) {
+	const nearly = 0.99 // sums in another order differ
+	return l.Hottest(first, last, min(want, nearly*l.Sum(first, last)))
+}
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -11,8 +11,10 @@
 	spread = 0.2
 	// busy is the utilization below which no load moves: short queues form above it.
 	busy = 0.5
-	// movesAtOnce bounds the ranges of one service that are moving to balance load.
-	movesAtOnce = 4
+	// movesAtOnce bounds the ranges of one service that are moving to balance load;
+	// a large service has one for each membersPerMove of its members.
+	movesAtOnce    = 4
+	membersPerMove = 3
 	// leastMove is the least work worth a move, in busy slots.
 	leastMove = 0.3
 )
@@ -270,7 +272,8 @@
 func (p *Plan) Balance() {
 	for di := range p.table.Divisions {
 		d := &p.table.Divisions[di]
-		for moving := p.moving(d); moving < movesAtOnce; moving++ {
+		limit := max(movesAtOnce, len(p.candidates(d.Service))/membersPerMove)
+		for moving := p.moving(d); moving < limit; moving++ {
 			if !p.balance(d) {
 				break
 			}
@@ -295,7 +298,7 @@
 	}
 	u := p.utilization(d)
 	sort.SliceStable(list, func(i, j int) bool { return u.of(list[i]) < u.of(list[j]) })
-	idle := list[0]
+	idle, mean := list[0], u.mean(list)
 	// Hot keys on their way to a member cannot move on yet: only its cold ones could.
 	list = slices.DeleteFunc(list, func(m Member) bool { return receives(d, m.ID) })
 	if len(list) == 0 {
@@ -306,7 +309,9 @@
 	if p.standings[full.ID].Doubtful || gap < spread || u.of(full) < busy {
 		return false
 	}
-	want := gap / 2 * float64(min(full.Server.Slots, idle.Server.Slots))
+	// The idle member is filled up to the mean, so that a stretch with the work of
+	// many members goes to many at once instead of being halved from one to the next.
+	want := min(gap/2, mean-u.of(idle)) * float64(min(full.Server.Slots, idle.Server.Slots))
 	if want < leastMove {
 		return false
 	}
@@ -334,13 +339,10 @@
 		if r.Owner != owner || r.Next != "" {
 			continue
 		}
-		a, b, ok := l.Hottest(r.First, r.Last, min(want, l.Sum(r.First, r.Last)))
-		work := l.Sum(a, b)
-		if !ok || work < leastMove || work > 1.5*want {
-			continue
-		}
-		if work > most {
-			best, most, from, to = i, work, a, b
+		for _, run := range l.runs(r.First, r.Last, want) {
+			if work := l.Sum(run[0], run[1]); work >= leastMove && work <= 1.5*want && work > most {
+				best, most, from, to = i, work, run[0], run[1]
+			}
 		}
 	}
 	return best, from, to
@@ -406,6 +408,15 @@
 
 func (u *usage) of(m Member) float64 { return u.work[m.ID] / float64(max(m.Server.Slots, 1)) }
 
+// mean returns the mean utilization of members.
+func (u *usage) mean(list []Member) float64 {
+	sum := 0.0
+	for _, m := range list {
+		sum += u.of(m)
+	}
+	return sum / float64(len(list))
+}
+
 func (u *usage) least(list []Member) Member {
 	best := list[0]
 	for _, m := range list[1:] {
--- a/papayapass/internal/partitioner/planner_test.go
+++ b/papayapass/internal/partitioner/planner_test.go
@@ -200,3 +200,40 @@
 	_, _, ok = l.Hottest(600, 700, 1)
 	require.False(t, ok)
 }
+
+// One key brings more work than any backend server bears (hot_key of one thing). It
+// cannot be divided; the keys beside it leave its owner.
+func TestKeysLeaveTheOwnerOfAKeyThatIsTooHot(t *testing.T) {
+	table, standings, loads := testPool(t, 5)
+	l := loads[permits]
+	for k := range KeyCount {
+		l.Add(uint16(k), 20.0/KeyCount)
+	}
+	l.Add(6000, 12)
+	table, _ = settleMoves(table, standings, loads)
+	r, _ := table.Range(permits, 6000)
+	require.Equal(t, NodeID("node-0"), r.Owner, "moving it would help nobody")
+	rest := useOf(table, l, "node-0") - l.Key(6000)/10
+	require.Less(t, rest, 0.1, "its other keys have left")
+}
+
+// A large service spreads a natural hot stretch in a few rounds.
+func TestLargeServicesMoveMoreAtOnce(t *testing.T) {
+	table, standings, loads := testPool(t, 40)
+	l := loads[permits]
+	for k := range KeyCount {
+		l.Add(uint16(k), 160.0/KeyCount)
+	}
+	for k := range 600 {
+		l.Add(uint16(18200+k), 0.2)
+	}
+	p := NewPlan(table, standings, loads)
+	p.Balance()
+	moving := 0
+	for _, r := range p.Table().Divisions[0].Ranges {
+		if r.Next != "" {
+			moving++
+		}
+	}
+	require.Equal(t, 40/membersPerMove, moving)
+}
