--- a/papayapass/internal/commander/commander.go
+++ b/papayapass/internal/commander/commander.go
@@ -93,7 +93,7 @@
 	flags.StringVar(&t.node, "node", envOr("PAPAYAPASS_LISTEN_STATUS", "127.0.0.1:7003"), "status address of any node")
 	flags.StringVar(&t.author, "author", defaultAuthor(), "name to sign changes with")
 	root.AddCommand(
-		newRunCommand(), newNodeCommand(), newSettingsCommand(), newRulesCommand(t), newZoneCommand(t),
+		newRunCommand(), newNodeCommand(), newDeploymentCommand(), newSettingsCommand(), newRulesCommand(t), newZoneCommand(t),
 		newServerCommand(t), newStatusCommand(t), newOwnerCommand(t), newVersionCommand(),
 	)
 	root.SetHelpCommand(newHelpCommand(root))
--- /dev/null
+++ b/papayapass/internal/commander/deployment.go
@@ -0,0 +1,90 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/shared/descriptor"
+)
+
+// deploymentTimeout bounds the calls of the store together.
+const deploymentTimeout = 5 * time.Second
+
+func newDeploymentCommand() *cobra.Command {
+	var address string
+	cmd := &cobra.Command{
+		Use:   "deployment",
+		Short: "Show coordinator, owners, configuration and zones out of a deployment, as its store has them",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), deploymentTimeout)
+			defer cancel()
+			a := adapter()
+			return showDeployment(ctx, cmd.OutOrStdout(), a.Store(address, http.DefaultTransport), a.Objects)
+		},
+	}
+	cmd.Flags().StringVar(&address, "store", "127.0.0.1:8142", "address of the deployment's store")
+	return cmd
+}
+
+func showDeployment(ctx context.Context, w io.Writer, s conductor.Store, objects conductor.Objects) error {
+	t, err := conductor.ReadTable(ctx, s)
+	if err != nil {
+		return errors.Wrap(err, "read the table of owners")
+	}
+	version := "none"
+	o, err := s.Get(ctx, objects.ConfigurationKind, objects.ConfigurationName)
+	if err != nil && !errors.Is(err, descriptor.ErrNotFound) {
+		return errors.Wrap(err, "read the configuration")
+	}
+	if err == nil {
+		cfg, err := objects.Decode(o.Spec)
+		if err != nil {
+			return err
+		}
+		version = fmt.Sprintf("%d, %d routes", cfg.Version, len(cfg.Routes))
+	}
+	out, _, err := s.List(ctx, objects.ZonesOutKind)
+	if err != nil {
+		return errors.Wrap(err, "read the zones out")
+	}
+	var zones []string
+	for _, z := range out {
+		zones = append(zones, z.Name)
+	}
+	return writeDeployment(w, t, version, zones)
+}
+
+func writeDeployment(w io.Writer, t *partitioner.Table, configuration string, zonesOut []string) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "coordinator\t%s, epoch %d, table %d\n", t.Coordinator, t.Epoch, t.Version)
+	fmt.Fprintf(tw, "configuration\t%s\n", configuration)
+	fmt.Fprintf(tw, "zones out\t%s\n\n", strings.Join(zonesOut, ", "))
+	fmt.Fprintln(tw, "NODE\tZONE\tSERVICE\tSERVER\tSTATE\tRANGES\tKEYS")
+	for _, m := range t.Members {
+		keys := 0
+		owned := t.Owned(m.ID)
+		for _, r := range owned {
+			keys += int(r.Last) - int(r.First) + 1
+		}
+		state := "up"
+		switch {
+		case m.Server.Down || m.Server.ID == "":
+			state = "down"
+		case m.Server.Leaving:
+			state = "leaving"
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", m.ID, m.Zone, m.Server.Service, m.Server.ID, state, len(owned), keys)
+	}
+	return tw.Flush()
+}
--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -206,6 +206,15 @@
 		Int("members", len(t.Members)).Int("owned", len(t.Owned(c.self.ID))).Msg("table")
 }
 
+// ReadTable returns the table of owners that the store has.
+func ReadTable(ctx context.Context, s Store) (*partitioner.Table, error) {
+	o, err := s.Get(ctx, tableKind, tableName)
+	if err != nil {
+		return nil, err
+	}
+	return decodeTable(o.Spec)
+}
+
 func encodeTable(t *partitioner.Table) (json.RawMessage, error) { return json.Marshal(t) }
 
 func decodeTable(spec []byte) (*partitioner.Table, error) {
