Let the speed of backend servers count while there is room

Change: measured mean durations give a speed against the service's mean; a slot counts by it while the service is below 0.4 of its slots, and not at all above 0.7. Test: TestSlowServersGetLessWhileThereIsRoom.

--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -32,6 +32,8 @@
 	settle = 2 * time.Second
 	// loadMemory is the time constant of measured loads.
 	loadMemory = 2 * time.Second
+	// meanMemory is the time constant of mean durations, from which speeds follow.
+	meanMemory = 5 * time.Second
 	// keptTables is how many earlier tables deltas begin at.
 	keptTables = 32
 )
@@ -42,6 +44,8 @@
 	heard      timer.Instant
 	leaseUntil timer.Instant
 	echoed     timer.Instant
+	// mean is the smoothed mean duration of requests at the backend server.
+	mean float64
 }
 
 // Overseer is the state of a coordinator's term. The zero value coordinates nothing.
@@ -197,6 +201,7 @@
 		n = &node{}
 		o.nodes[id] = n
 	}
+	n.smooth(b, now)
 	n.beat, n.heard = b, now
 	if b.Epoch == o.table.Epoch && n.echoed.Before(b.Echo) {
 		n.echoed = b.Echo
@@ -212,6 +217,35 @@
 	return o.reply(n, b, now)
 }
 
+// smooth takes the mean duration that a beat reports.
+func (n *node) smooth(b Beat, now timer.Instant) {
+	switch {
+	case b.Mean <= 0:
+	case n.mean == 0 || b.Member.Server != n.beat.Member.Server:
+		n.mean = b.Mean.Seconds()
+	default:
+		n.mean += min(1, now.Sub(n.heard).Seconds()/meanMemory.Seconds()) * (b.Mean.Seconds() - n.mean)
+	}
+}
+
+// speeds returns the speeds of backend servers against the mean of their service.
+func (o *Overseer) speeds() map[partitioner.NodeID]float64 {
+	sums, counts := make(map[string]float64), make(map[string]int)
+	for _, n := range o.nodes {
+		if n.mean > 0 {
+			sums[n.beat.Member.Server.Service] += n.mean
+			counts[n.beat.Member.Server.Service]++
+		}
+	}
+	out := make(map[partitioner.NodeID]float64, len(o.nodes))
+	for id, n := range o.nodes {
+		if service := n.beat.Member.Server.Service; n.mean > 0 {
+			out[id] = sums[service] / float64(counts[service]) / n.mean
+		}
+	}
+	return out
+}
+
 // join counts inherited members that follow this term.
 func (o *Overseer) join(b Beat, now timer.Instant) {
 	if b.Epoch != o.table.Epoch || !o.inherited[b.Member.ID] {
@@ -381,9 +415,11 @@
 	for _, m := range o.table.Members {
 		out[m.ID] = partitioner.Standing{Silent: true, Gone: o.gone(m.ID, now)}
 	}
+	speeds := o.speeds()
 	for id, n := range o.nodes {
 		out[id] = partitioner.Standing{
-			Gone: o.gone(id, now), Silent: now.Sub(n.heard) > silence,
+			Speed: speeds[id],
+			Gone:  o.gone(id, now), Silent: now.Sub(n.heard) > silence,
 			Excluded: o.zonesOut[n.beat.Member.Zone], Cold: n.beat.Cold, Doubtful: n.beat.Doubtful,
 		}
 	}
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -15,6 +15,13 @@
 	// a large service has one for each membersPerMove of its members.
 	movesAtOnce    = 4
 	membersPerMove = 3
+	// roomy and crowded are the mean utilizations of a service up to which, and from
+	// which on, the speed of backend servers counts whole and not at all.
+	roomy   = 0.4
+	crowded = 0.7
+	// slowest and fastest bound a measured speed: few requests measure it badly.
+	slowest = 0.6
+	fastest = 1.6
 	// leastMove is the least work worth a move, in busy slots.
 	leastMove = 0.3
 )
@@ -30,6 +37,9 @@
 	Excluded bool
 	// Cold says that the backend server bears only a trickle for now.
 	Cold bool
+	// Speed is the measured speed of the backend server against the mean of its
+	// service; zero means that it is not known.
+	Speed float64
 	// Doubtful says that keys would leave the node only after a whole hold.
 	Doubtful bool
 }
@@ -389,10 +399,12 @@
 // usage is the planned work of each member, in busy slots.
 type usage struct {
 	work map[NodeID]float64
+	// weight is how much a slot of a member counts; one unless it is set.
+	weight map[NodeID]float64
 }
 
 func (p *Plan) utilization(d *Division) *usage {
-	u := &usage{work: make(map[NodeID]float64)}
+	u := &usage{work: make(map[NodeID]float64), weight: make(map[NodeID]float64)}
 	l := p.load(d.Service)
 	for _, r := range d.Ranges {
 		owner := r.Owner
@@ -401,12 +413,33 @@
 		}
 		u.add(owner, l.Sum(r.First, r.Last))
 	}
+	p.weigh(u, p.candidates(d.Service))
 	return u
 }
 
+// weigh favours fast backend servers while there is room: the same request is late
+// at a slow one. In an overload all slots count the same.
+func (p *Plan) weigh(u *usage, list []Member) {
+	if len(list) == 0 {
+		return
+	}
+	favour := min(max((crowded-u.mean(list))/(crowded-roomy), 0), 1)
+	for _, m := range list {
+		if s := p.standings[m.ID].Speed; s > 0 {
+			u.weight[m.ID] = 1 + favour*(min(max(s, slowest), fastest)-1)
+		}
+	}
+}
+
 func (u *usage) add(id NodeID, work float64) { u.work[id] += work }
 
-func (u *usage) of(m Member) float64 { return u.work[m.ID] / float64(max(m.Server.Slots, 1)) }
+func (u *usage) of(m Member) float64 {
+	slots := float64(max(m.Server.Slots, 1))
+	if w := u.weight[m.ID]; w > 0 {
+		slots *= w
+	}
+	return u.work[m.ID] / slots
+}
 
 // mean returns the mean utilization of members.
 func (u *usage) mean(list []Member) float64 {
--- a/papayapass/internal/partitioner/planner_test.go
+++ b/papayapass/internal/partitioner/planner_test.go
@@ -217,6 +217,28 @@
 	require.Less(t, rest, 0.1, "its other keys have left")
 }
 
+// On a quiet day a slow backend server answers late what a fast one would answer in
+// time: it gets less while there is room, and its share in an overload.
+func TestSlowServersGetLessWhileThereIsRoom(t *testing.T) {
+	for name, tt := range map[string]struct {
+		use   float64
+		moves bool
+	}{"quiet": {0.35, true}, "overload": {0.95, false}} {
+		t.Run(name, func(t *testing.T) {
+			table, standings, loads := testPool(t, 4)
+			standings["node-1"] = Standing{Speed: 0.5}
+			standings["node-2"] = Standing{Speed: 1.5}
+			for k := range KeyCount {
+				loads[permits].Add(uint16(k), tt.use*40/KeyCount)
+			}
+			before := useOf(table, loads[permits], "node-1")
+			table, _ = settleMoves(table, standings, loads)
+			require.Equal(t, tt.moves, useOf(table, loads[permits], "node-1") < 0.9*before)
+			require.Equal(t, tt.moves, useOf(table, loads[permits], "node-2") > 1.1*before)
+		})
+	}
+}
+
 // A large service spreads a natural hot stretch in a few rounds.
 func TestLargeServicesMoveMoreAtOnce(t *testing.T) {
 	table, standings, loads := testPool(t, 40)
