Split large files, and drop what nothing needs

Ruled out: changes of behaviour but for the two constants. Work of ranges is summed from prefix sums. Test: TestHoldsStayWithinWhatServersTake; all others pass.

--- a/papayapass/internal/attendant/attendant_test.go
+++ b/papayapass/internal/attendant/attendant_test.go
@@ -23,11 +23,10 @@
 // fakeDialect has short names for what backend servers say.
 type fakeDialect struct{ dispatcher.Dialect }
 
-func (fakeDialect) RequestID(h http.Header) string           { return h.Get("Id") }
-func (fakeDialect) AnswersTo(h http.Header, id string) bool  { return h.Get("Id") == id }
-func (fakeDialect) Sealed(h http.Header) bool                { return h.Get("Seal") != "" }
-func (fakeDialect) NotRun(_ int, h http.Header) bool         { return h.Get("Not-Run") != "" }
-func (fakeDialect) Load(http.Header) (descriptor.Load, bool) { return descriptor.Load{}, false }
+func (fakeDialect) RequestID(h http.Header) string          { return h.Get("Id") }
+func (fakeDialect) AnswersTo(h http.Header, id string) bool { return h.Get("Id") == id }
+func (fakeDialect) Sealed(h http.Header) bool               { return h.Get("Seal") != "" }
+func (fakeDialect) NotRun(_ int, h http.Header) bool        { return h.Get("Not-Run") != "" }
 func (fakeDialect) Prepare(h http.Header, server, caller string, left time.Duration) {
 	h.Set("Server", server)
 	h.Set("Caller", caller)
@@ -59,7 +58,7 @@
 	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
 	b := &bench{node: &fakeNode{cfg: &descriptor.Configuration{Services: map[string]descriptor.Service{"permits": {Divided: true, WarmUpRate: 18}, "records": {}}}}}
-	b.granter = granter.NewGranter("node-1", b.clock.Now().Add(-time.Minute))
+	b.granter = granter.NewGranter("node-1", 10*time.Second, b.clock.Now().Add(-time.Minute))
 	b.Attendant = NewAttendant(strings.TrimPrefix(s.URL, "http://"), "records", time.Second, fakeDialect{}, b.clock, b.granter, b.node, zerolog.Nop())
 	require.True(t, b.Heartbeat(b.heartbeat()))
 	return b
--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -64,6 +64,8 @@
 	RetrySlack  float64
 	// ZoneOut is the time within which a zone that was taken out gets no more work.
 	ZoneOut time.Duration
+	// Heartbeat is the time between two heartbeats of a backend server.
+	Heartbeat time.Duration
 }
 
 // Conductor joins one node to the deployment.
--- a/papayapass/internal/conductor/conductor_test.go
+++ b/papayapass/internal/conductor/conductor_test.go
@@ -68,7 +68,7 @@
 	clock := &timer.ManualClock{}
 	clock.Advance(time.Hour)
 	timers := timer.NewService(clock)
-	g := granter.NewGranter("node-1", clock.Now())
+	g := granter.NewGranter("node-1", 10*time.Second, clock.Now())
 	self := partitioner.Member{ID: "node-1", Address: "127.0.0.1:1", Zone: "zone-1"}
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, clock, nil) }
 	c := NewConductor(self, 1, s, Objects{Decode: decodeVersion}, Bounds{RetryWindow: time.Second, ZoneOut: 5 * time.Second}, timers, g, newPeer, zerolog.Nop())
--- a/papayapass/internal/conductor/follow.go
+++ b/papayapass/internal/conductor/follow.go
@@ -301,6 +301,6 @@
 		return
 	}
 	now := c.timers.Now()
-	c.overseer, c.revision = overseer.NewOverseer(c.self.ID, t, sent, now), revision
+	c.overseer, c.revision = overseer.NewOverseer(c.self.ID, t, c.bounds.Load().Heartbeat, sent, now), revision
 	c.joined, c.heard = t.Epoch, now
 }
--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -9,7 +9,6 @@
 
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/timer"
-	"papayapass.dev/shared/descriptor"
 )
 
 // Call is a request on its way to a backend server.
@@ -99,9 +98,6 @@
 	AnswersTo(h http.Header, id string) bool
 	Sealed(h http.Header) bool
 	NotRun(status int, h http.Header) bool
-	Load(h http.Header) (descriptor.Load, bool)
-	Server(h http.Header) string
-	ColdFor(h http.Header) (time.Duration, bool)
 }
 
 // Server runs calls at a backend server.
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"papayapass.dev/papayapass/internal/partitioner"
@@ -113,7 +114,7 @@
 
 func (d *Dispatcher) badBody(w http.ResponseWriter, err error) {
 	var large *http.MaxBytesError
-	if ok := asMaxBytes(err, &large); ok {
+	if errors.As(err, &large) {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -14,9 +14,9 @@
 
 // Times of grants.
 const (
-	// holdTime is the longest hold that is asked for: a tenure of the coordinator.
+	// holdTime is the longest hold that is of use: a tenure of the coordinator.
 	holdTime = 2200 * time.Millisecond
-	// renewal is the time between two grants of the same keys.
+	// renewal is the longest time between two grants of the same keys.
 	renewal = 500 * time.Millisecond
 	// refusedPause is how long a refused token is not offered again.
 	refusedPause = 3 * time.Second
@@ -96,11 +96,15 @@
 	server     partitioner.Server
 	// inheritedUntil is how long grants of an earlier life of the node may last.
 	inheritedUntil timer.Instant
+	// holdTime is the longest hold that is asked for.
+	holdTime time.Duration
 }
 
-// NewGranter returns a granter without keys.
-func NewGranter(self partitioner.NodeID, started timer.Instant) *Granter {
-	return &Granter{self: self, inheritedUntil: started.Add(holdTime + time.Duration(float64(holdTime)*drift))}
+// NewGranter returns a granter without keys; holdMax is the longest hold that the
+// backend server takes.
+func NewGranter(self partitioner.NodeID, holdMax time.Duration, started timer.Instant) *Granter {
+	hold := min(holdTime, holdMax)
+	return &Granter{self: self, holdTime: hold, inheritedUntil: started.Add(hold + time.Duration(float64(hold)*drift))}
 }
 
 // SetServer tells of the backend server. A new life holds nothing.
@@ -236,7 +240,7 @@
 		return Call{}, false
 	}
 	left := g.leaseUntil.Sub(now)
-	c.Hold = min(holdTime, left-time.Duration(float64(left)*drift))
+	c.Hold = min(g.holdTime, left-time.Duration(float64(left)*drift))
 	c.Handover = h.Handover
 	if c.Hold < leastHold {
 		return Call{}, false
@@ -270,7 +274,7 @@
 		h.gaveBack, h.handover = true, handover
 	default:
 		h.heldUntil = max(h.heldUntil, c.Sent.Add(c.Hold))
-		h.nextCall = c.Sent.Add(renewal)
+		h.nextCall = c.Sent.Add(min(renewal, c.Hold/3))
 	}
 }
 
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -21,7 +21,7 @@
 }
 
 func newTestGranter(now timer.Instant) *Granter {
-	g := NewGranter("node-1", now.Add(-time.Minute))
+	g := NewGranter("node-1", 10*time.Second, now.Add(-time.Minute))
 	g.SetServer(testServer)
 	g.SetLease(now.Add(time.Hour))
 	return g
@@ -118,3 +118,15 @@
 		require.Equal(t, want, ok, "key %d", key)
 	}
 }
+
+func TestHoldsStayWithinWhatServersTake(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := NewGranter("node-1", time.Second, now.Add(-time.Minute))
+	g.SetServer(testServer)
+	g.SetLease(now.Add(time.Hour))
+	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	c := g.Calls(now)[0]
+	require.LessOrEqual(t, c.Hold, time.Second)
+	g.Ended(c, Done, "", now)
+	require.Len(t, g.Calls(now.Add(c.Hold/2)), 1, "renewed well before it ends")
+}
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -106,7 +106,7 @@
 func newNode(s *Settings, a Adapter, logger zerolog.Logger) *node {
 	n := &node{settings: s, adapter: a, logger: logger, timers: timer.NewService(timer.BootClock{}), meter: meter.NewMeter()}
 	self := partitioner.Member{ID: partitioner.NodeID(s.Node.ID), Address: s.peers(), Zone: s.Node.Zone}
-	g := granter.NewGranter(self.ID, n.timers.Now())
+	g := granter.NewGranter(self.ID, time.Duration(s.Bounds.HoldMax), n.timers.Now())
 	dialer := exchanger.NewDialer(controlConnect)
 	store := a.Store(s.Store.Address, &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: controlIdle, DisableCompression: true,
--- a/papayapass/internal/launcher/launcher_test.go
+++ b/papayapass/internal/launcher/launcher_test.go
@@ -37,6 +37,7 @@
 heartbeat = "1s"
 grace = "6s"
 zoneOut = "5s"
+holdMax = "10s"
 retryRatio = 0.2
 retryWindow = "10s"
 retrySlack = 58
@@ -54,7 +55,7 @@
 	s, err := ReadSettings(writeSettings(t, testSettings))
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:7660", s.peers())
-	require.Equal(t, conductor.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 58, ZoneOut: 5 * time.Second}, s.bounds())
+	require.Equal(t, conductor.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 58, ZoneOut: 5 * time.Second, Heartbeat: time.Second}, s.bounds())
 	broken := map[string][2]string{
 		"no id":           {`id = "node-1"`, `id = ""`},
 		"no port":         {"127.0.0.1:1\"\n[listen]", "127.0.0.1\"\n[listen]"},
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -16,14 +16,11 @@
 // Settings are the settings of a node beside one backend server.
 type Settings struct {
 	Node struct {
-		ID          string  `toml:"id"`
-		Zone        string  `toml:"zone"`
-		Address     string  `toml:"address"` // IP address of the instance
-		Service     string  `toml:"service"`
-		Server      string  `toml:"server"` // IP address and port of the backend server
-		CPUShare    float64 `toml:"cpuShare"`
-		MemoryMB    int     `toml:"memoryMB"`
-		Descriptors int     `toml:"descriptors"`
+		ID      string `toml:"id"`
+		Zone    string `toml:"zone"`
+		Address string `toml:"address"` // IP address of the instance
+		Service string `toml:"service"`
+		Server  string `toml:"server"` // IP address and port of the backend server
 	} `toml:"node"`
 	Listen struct {
 		Customers  string `toml:"customers"`
@@ -38,8 +35,6 @@
 	Bounds struct {
 		Heartbeat   duration `toml:"heartbeat"`
 		Grace       duration `toml:"grace"`
-		Drain       duration `toml:"drain"`
-		Apply       duration `toml:"apply"`
 		ZoneOut     duration `toml:"zoneOut"`
 		HoldMax     duration `toml:"holdMax"`
 		RetryRatio  float64  `toml:"retryRatio"`
@@ -88,8 +83,8 @@
 		return errors.New("settings node.id, node.zone and node.service are required")
 	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
 		return errors.New("settings listen.peers and listen.metrics are required")
-	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0:
-		return errors.New("settings bounds.heartbeat, bounds.grace and bounds.retryWindow must be above zero")
+	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.HoldMax <= 0:
+		return errors.New("settings bounds.heartbeat, bounds.grace, bounds.holdMax and bounds.retryWindow must be above zero")
 	default:
 		return nil
 	}
@@ -99,7 +94,7 @@
 func (s *Settings) bounds() conductor.Bounds {
 	return conductor.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
-		ZoneOut: time.Duration(s.Bounds.ZoneOut),
+		ZoneOut: time.Duration(s.Bounds.ZoneOut), Heartbeat: time.Duration(s.Bounds.Heartbeat),
 	}
 }
 
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -27,9 +27,9 @@
 	leaseSlack = 20 * time.Millisecond
 	// silence is the time without a beat after which a node gets no new keys.
 	silence = 900 * time.Millisecond
-	// settle is how long a new service's backend servers are waited for before
-	// its keys are divided: a heartbeat and the start of the machines.
-	settle = 2 * time.Second
+	// settleSlack is added to a heartbeat for the time that a new service's backend
+	// servers are waited for before its keys are divided: machines start together.
+	settleSlack = 600 * time.Millisecond
 	// loadMemory is the time constant of measured loads.
 	loadMemory = 2 * time.Second
 	// meanMemory is the time constant of mean durations, from which speeds follow.
@@ -51,6 +51,7 @@
 // Overseer is the state of a coordinator's term. The zero value coordinates nothing.
 type Overseer struct {
 	self      partitioner.NodeID
+	heartbeat time.Duration
 	table     *partitioner.Table
 	confirmed timer.Instant
 	began     timer.Instant
@@ -73,10 +74,10 @@
 }
 
 // NewOverseer begins a term with a table that the store has acknowledged; sent is
-// when its write was sent.
-func NewOverseer(self partitioner.NodeID, t *partitioner.Table, sent, now timer.Instant) *Overseer {
+// when its write was sent. Backend servers report themselves each heartbeat.
+func NewOverseer(self partitioner.NodeID, t *partitioner.Table, heartbeat time.Duration, sent, now timer.Instant) *Overseer {
 	o := &Overseer{
-		self: self, table: t, confirmed: sent, began: now,
+		self: self, heartbeat: heartbeat, table: t, confirmed: sent, began: now,
 		inherited: make(map[partitioner.NodeID]bool), nodes: make(map[partitioner.NodeID]*node),
 		loads: make(map[string]*partitioner.Loads), decayed: now,
 		firstSeen: make(map[string]timer.Instant), electorate: len(t.Members),
@@ -346,94 +347,3 @@
 	}
 	return o.began.Add(Bridge+Tenure) < now
 }
-
-// Plan returns the table that should be written next, or nil when the table may
-// stay as it is. The caller writes it on the condition that the store still has
-// the table that it changes, and calls Confirmed.
-func (o *Overseer) Plan(now timer.Instant) *partitioner.Table {
-	o.decay(now)
-	p := partitioner.NewPlan(o.withMembers(now), o.standings(now), o.loads)
-	p.Free()
-	p.Released(o.released)
-	for service, first := range o.firstSeen {
-		if now.Sub(max(first, o.began)) > settle {
-			p.Divide(service)
-		}
-	}
-	p.Assign()
-	p.Evacuate()
-	p.Balance()
-	p.Merge()
-	next := p.Table()
-	membersChanged := o.dropGone(next, now)
-	if !p.Changed() && !membersChanged && membersEqual(next, o.table) {
-		return nil
-	}
-	next.Version = o.table.Version + 1
-	return next
-}
-
-func membersEqual(a, b *partitioner.Table) bool {
-	if len(a.Members) != len(b.Members) {
-		return false
-	}
-	for i := range a.Members {
-		if a.Members[i] != b.Members[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// withMembers returns a clone of the table with what the nodes say of themselves.
-func (o *Overseer) withMembers(now timer.Instant) *partitioner.Table {
-	t := o.table.Clone()
-	for id, n := range o.nodes {
-		if !o.gone(id, now) {
-			t.SetMember(n.beat.Member)
-		}
-	}
-	return t
-}
-
-// dropGone removes members that are gone and own nothing.
-func (o *Overseer) dropGone(t *partitioner.Table, now timer.Instant) bool {
-	dropped := false
-	for _, m := range append([]partitioner.Member(nil), t.Members...) {
-		if o.gone(m.ID, now) && len(t.Owned(m.ID)) == 0 {
-			t.RemoveMember(m.ID)
-			delete(o.nodes, m.ID)
-			delete(o.inherited, m.ID)
-			dropped = true
-		}
-	}
-	return dropped
-}
-
-func (o *Overseer) standings(now timer.Instant) map[partitioner.NodeID]partitioner.Standing {
-	out := make(map[partitioner.NodeID]partitioner.Standing)
-	for _, m := range o.table.Members {
-		out[m.ID] = partitioner.Standing{Silent: true, Gone: o.gone(m.ID, now)}
-	}
-	speeds := o.speeds()
-	for id, n := range o.nodes {
-		out[id] = partitioner.Standing{
-			Speed: speeds[id],
-			Gone:  o.gone(id, now), Silent: now.Sub(n.heard) > silence,
-			Excluded: o.zonesOut[n.beat.Member.Zone], Cold: n.beat.Cold, Doubtful: n.beat.Doubtful,
-		}
-	}
-	return out
-}
-
-func (o *Overseer) decay(now timer.Instant) {
-	elapsed := now.Sub(o.decayed)
-	if elapsed <= 0 {
-		return
-	}
-	o.decayed = now
-	factor := max(0, 1-elapsed.Seconds()/loadMemory.Seconds())
-	for _, l := range o.loads {
-		l.Decay(factor)
-	}
-}
--- /dev/null
+++ b/papayapass/internal/overseer/plan.go
@@ -0,0 +1,97 @@
+package overseer
+
+import (
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+// Plan returns the table that should be written next, or nil when the table may
+// stay as it is. The caller writes it on the condition that the store still has
+// the table that it changes, and calls Confirmed.
+func (o *Overseer) Plan(now timer.Instant) *partitioner.Table {
+	o.decay(now)
+	p := partitioner.NewPlan(o.withMembers(now), o.standings(now), o.loads)
+	p.Free()
+	p.Released(o.released)
+	for service, first := range o.firstSeen {
+		if now.Sub(max(first, o.began)) > o.heartbeat+settleSlack {
+			p.Divide(service)
+		}
+	}
+	p.Assign()
+	p.Evacuate()
+	p.Balance()
+	p.Merge()
+	next := p.Table()
+	membersChanged := o.dropGone(next, now)
+	if !p.Changed() && !membersChanged && membersEqual(next, o.table) {
+		return nil
+	}
+	next.Version = o.table.Version + 1
+	return next
+}
+
+func membersEqual(a, b *partitioner.Table) bool {
+	if len(a.Members) != len(b.Members) {
+		return false
+	}
+	for i := range a.Members {
+		if a.Members[i] != b.Members[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// withMembers returns a clone of the table with what the nodes say of themselves.
+func (o *Overseer) withMembers(now timer.Instant) *partitioner.Table {
+	t := o.table.Clone()
+	for id, n := range o.nodes {
+		if !o.gone(id, now) {
+			t.SetMember(n.beat.Member)
+		}
+	}
+	return t
+}
+
+// dropGone removes members that are gone and own nothing.
+func (o *Overseer) dropGone(t *partitioner.Table, now timer.Instant) bool {
+	dropped := false
+	for _, m := range append([]partitioner.Member(nil), t.Members...) {
+		if o.gone(m.ID, now) && len(t.Owned(m.ID)) == 0 {
+			t.RemoveMember(m.ID)
+			delete(o.nodes, m.ID)
+			delete(o.inherited, m.ID)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+func (o *Overseer) standings(now timer.Instant) map[partitioner.NodeID]partitioner.Standing {
+	out := make(map[partitioner.NodeID]partitioner.Standing)
+	for _, m := range o.table.Members {
+		out[m.ID] = partitioner.Standing{Silent: true, Gone: o.gone(m.ID, now)}
+	}
+	speeds := o.speeds()
+	for id, n := range o.nodes {
+		out[id] = partitioner.Standing{
+			Speed: speeds[id],
+			Gone:  o.gone(id, now), Silent: now.Sub(n.heard) > silence,
+			Excluded: o.zonesOut[n.beat.Member.Zone], Cold: n.beat.Cold, Doubtful: n.beat.Doubtful,
+		}
+	}
+	return out
+}
+
+func (o *Overseer) decay(now timer.Instant) {
+	elapsed := now.Sub(o.decayed)
+	if elapsed <= 0 {
+		return
+	}
+	o.decayed = now
+	factor := max(0, 1-elapsed.Seconds()/loadMemory.Seconds())
+	for _, l := range o.loads {
+		l.Decay(factor)
+	}
+}
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -136,7 +136,7 @@
 func (w *world) restart(m *member) {
 	m.incarnation = w.r.Uint64()
 	m.overseer, m.table, m.joined, m.echo, m.echoEpoch = nil, nil, 0, 0, 0
-	m.granter = granter.NewGranter(m.self.ID, w.clock(m))
+	m.granter = granter.NewGranter(m.self.ID, 10*time.Second, w.clock(m))
 	m.heard = w.clock(m).Add(-time.Second)
 	w.revive(m)
 }
@@ -312,7 +312,7 @@
 }
 
 func (w *world) adopt(m *member, t *partitioner.Table, revision uint64, sent timer.Instant) {
-	m.overseer, m.revision = overseer.NewOverseer(m.self.ID, t, sent, w.clock(m)), revision
+	m.overseer, m.revision = overseer.NewOverseer(m.self.ID, t, time.Second, sent, w.clock(m)), revision
 	m.joined, m.heard, m.wrote = t.Epoch, w.clock(m), sent
 }
 
--- a/papayapass/internal/partitioner/loads.go
+++ b/papayapass/internal/partitioner/loads.go
@@ -3,17 +3,24 @@
 // Loads is the work that keys of a divided service bring, in busy slots.
 type Loads struct {
 	perKey [KeyCount]float32
+	// before is the work of all keys below each key; it is made anew after changes.
+	before []float64
+	stale  bool
 }
 
 // NewLoads returns loads without work.
-func NewLoads() *Loads { return &Loads{} }
+func NewLoads() *Loads { return &Loads{stale: true} }
 
 // Add counts work of a key.
-func (l *Loads) Add(key uint16, work float64) { l.perKey[key] += float32(work) }
+func (l *Loads) Add(key uint16, work float64) {
+	l.perKey[key] += float32(work)
+	l.stale = true
+}
 
 // Decay multiplies all loads by a factor below one.
 func (l *Loads) Decay(factor float64) {
 	f := float32(factor)
+	l.stale = true
 	for i := range l.perKey {
 		l.perKey[i] *= f
 	}
@@ -28,11 +35,24 @@
 
 // Sum returns the work of the keys from first to last.
 func (l *Loads) Sum(first, last uint16) float64 {
+	if l.stale {
+		l.add()
+	}
+	return l.before[int(last)+1] - l.before[first] + basicLoad*float64(int(last)-int(first)+1)
+}
+
+// add makes the sums anew.
+func (l *Loads) add() {
+	if l.before == nil {
+		l.before = make([]float64, KeyCount+1)
+	}
 	sum := 0.0
-	for k := int(first); k <= int(last); k++ {
-		sum += float64(l.perKey[k])
+	for k, work := range l.perKey {
+		l.before[k] = sum
+		sum += float64(work)
 	}
-	return sum + basicLoad*float64(int(last)-int(first)+1)
+	l.before[KeyCount] = sum
+	l.stale = false
 }
 
 // Cut returns the last key of the shortest run from first that has at least the
--- a/shared/descriptor/configuration.go
+++ b/shared/descriptor/configuration.go
@@ -46,15 +46,11 @@
 
 // Service is a pool of backend servers.
 type Service struct {
-	Name        string
-	HealthPath  string
-	Connections int
+	Name string
 	// WarmUpRate is the number of requests a second that a cold backend server bears.
 	WarmUpRate float64
 	// Divided says that each key has one owner.
 	Divided bool
-	// KeyWarmUp is how long keys stay slow that arrive without a handover.
-	KeyWarmUp time.Duration
 }
 
 // Limits bound what a customer may send.
--- a/shared/descriptor/heartbeat.go
+++ b/shared/descriptor/heartbeat.go
@@ -23,16 +23,6 @@
 	Born int64
 }
 
-// Load is the load report of a backend server.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-	// Slowness is how long work takes at this moment, as a multiple of the usual
-	// time; zero means that it is not reported.
-	Slowness float64
-}
-
 // Object is a stored object of the platform's store.
 type Object struct {
 	Name     string
@@ -41,12 +31,6 @@
 	Status   json.RawMessage
 }
 
-// Event is one change of an object.
-type Event struct {
-	Object  Object
-	Removed bool
-}
-
 // Errors of the store. All others leave open whether a write took effect.
 var (
 	// ErrNotFound means that there is no such object.
@@ -55,6 +39,4 @@
 	ErrConflict = errors.New("object has another revision")
 	// ErrRejected means that the store did nothing.
 	ErrRejected = errors.New("store rejected the call")
-	// ErrHistoryGone means that a watch must start anew from a listing.
-	ErrHistoryGone = errors.New("history of the store is gone")
 )
