Make the model test fit for the race detector

Ruled out: fewer schedules or steps, which would test less. Change: the check calls require only when it fails; loads without work are not decayed or summed.

--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -363,7 +363,9 @@
 				owners++
 			}
 		}
-		require.LessOrEqual(w.t, owners, 1, "key %d at %s", key, w.now)
+		if owners > 1 { // a call of require for each key and step would take most of the time
+			require.Fail(w.t, "two owners", "key %d at %s", key, w.now)
+		}
 		w.checks++
 		w.served += owners
 	}
--- a/papayapass/internal/partitioner/loads.go
+++ b/papayapass/internal/partitioner/loads.go
@@ -6,6 +6,8 @@
 	// before is the work of all keys below each key; it is made anew after changes.
 	before []float64
 	stale  bool
+	// used says that work was ever added.
+	used bool
 }
 
 // NewLoads returns loads without work.
@@ -14,11 +16,14 @@
 // Add counts work of a key.
 func (l *Loads) Add(key uint16, work float64) {
 	l.perKey[key] += float32(work)
-	l.stale = true
+	l.stale, l.used = true, true
 }
 
 // Decay multiplies all loads by a factor below one.
 func (l *Loads) Decay(factor float64) {
+	if !l.used {
+		return
+	}
 	f := float32(factor)
 	l.stale = true
 	for i := range l.perKey {
