Assume coldness after a zone returns

Change: a backend server counts as cold from its zone's return to its next heartbeat. Test: TestAfterAZonesReturnColdnessIsAssumed.

--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -149,6 +149,13 @@
 	a.Configured()
 }
 
+// ZoneReturned tells that operators took the zone back into service. Its backend
+// servers may have become cold meanwhile: this one counts as cold until its next
+// heartbeat says otherwise.
+func (a *Attendant) ZoneReturned() {
+	a.setCold(a.clock.Now(), missedBeats*a.heartbeat)
+}
+
 // Configured takes what a new configuration says of the backend server's service.
 func (a *Attendant) Configured() {
 	rate := 0.0
--- a/papayapass/internal/attendant/attendant_test.go
+++ b/papayapass/internal/attendant/attendant_test.go
@@ -239,6 +239,23 @@
 	require.True(t, beat.Cold)
 }
 
+// A zone comes back; its backend servers became cold just before, and their last
+// heartbeats do not say so yet.
+func TestAfterAZonesReturnColdnessIsAssumed(t *testing.T) {
+	b := newBench(t, answer(200, nil))
+	var beat overseer.Beat
+	b.Counts(&beat)
+	require.False(t, beat.Cold)
+	b.ZoneReturned()
+	b.Counts(&beat)
+	require.True(t, beat.Cold)
+	h := b.heartbeat()
+	h.Sequence++
+	b.Heartbeat(h)
+	b.Counts(&beat)
+	require.False(t, beat.Cold, "its own word counts again")
+}
+
 func TestKeysThatAreNotOwnedAreRefused(t *testing.T) {
 	b := newBench(t, answer(200, map[string]string{"Seal": "s"}))
 	b.service = "permits"
--- a/papayapass/internal/conductor/poll.go
+++ b/papayapass/internal/conductor/poll.go
@@ -123,6 +123,7 @@
 	if revision < c.wishes.zonesRevision {
 		return
 	}
+	wasOut := (*c.zonesOut.Load())[c.self.Zone]
 	changed := len(zones) != len(c.wishes.zonesOut)
 	for i := 0; !changed && i < len(zones); i++ {
 		changed = zones[i] != c.wishes.zonesOut[i]
@@ -136,7 +137,10 @@
 	for _, z := range zones {
 		out[z] = true
 	}
-	if !first && out[c.self.Zone] && !(*c.zonesOut.Load())[c.self.Zone] {
+	if wasOut && !out[c.self.Zone] {
+		c.attendant.ZoneReturned()
+	}
+	if !first && out[c.self.Zone] && !wasOut {
 		c.keysUntil.Store(int64(c.timers.Now().Add(time.Duration(keysShare * float64(c.bounds.Load().ZoneOut)))))
 	}
 	c.zonesOut.Store(&out)
