--- /dev/null
+++ b/papayapass/internal/admitter/admitter.go
@@ -0,0 +1,253 @@
+// Package admitter decides when a request may go to the backend server beside a
+// node: within its slots, no faster than it bears while it is cold, more urgent
+// work first, and not at all when the request cannot be served in time. It is
+// pure: callers pass the time.
+package admitter
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+const (
+	// smoothing is the weight of a new duration in the mean.
+	smoothing = 0.1
+	// coldWindow is the span in which a cold backend server bears its rate.
+	coldWindow = time.Second
+	// coldReserve is the part of a cold backend server's rate that is not used, as
+	// requests on their way may bunch up.
+	coldReserve = 0.1
+	// leastRetry is the shortest time after which a refused customer may come back.
+	leastRetry = 50 * time.Millisecond
+)
+
+// Verdict is what becomes of an offered request.
+type Verdict int
+
+// Verdicts.
+const (
+	// Start means that the request may go to the backend server now.
+	Start Verdict = iota
+	// Wait means that the request has been queued.
+	Wait
+	// Refuse means that the request cannot be served in time.
+	Refuse
+)
+
+// Ticket is a request at the admitter.
+type Ticket struct {
+	kind     string
+	priority int
+	deadline timer.Instant
+	arrived  timer.Instant
+	started  timer.Instant
+	index    int
+	// admitted gets true when the request may start, and false when it may not.
+	admitted chan bool
+}
+
+// Admitted returns the channel that tells a waiting request whether it may start.
+func (t *Ticket) Admitted() <-chan bool { return t.admitted }
+
+// Admitter queues the requests for one backend server.
+type Admitter struct {
+	mu      sync.Mutex
+	slots   int
+	running int
+	queue   queue
+	means   map[string]time.Duration
+	mean    time.Duration
+	// coldUntil and coldRate bound the starts while the backend server is cold.
+	coldUntil timer.Instant
+	coldRate  float64
+	starts    []timer.Instant
+}
+
+// NewAdmitter returns an admitter that admits nothing until its slots are set.
+func NewAdmitter() *Admitter {
+	return &Admitter{means: make(map[string]time.Duration)}
+}
+
+// SetSlots sets how many requests the backend server runs at once.
+func (a *Admitter) SetSlots(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.slots = n
+}
+
+// SetCold says that the backend server bears rate requests a second until an instant.
+func (a *Admitter) SetCold(until timer.Instant, rate float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.coldUntil, a.coldRate = until, rate
+}
+
+// Cold says whether the backend server is cold.
+func (a *Admitter) Cold(now timer.Instant) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now < a.coldUntil
+}
+
+// Counts returns the requests that run and that wait.
+func (a *Admitter) Counts() (running, waiting int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running, len(a.queue)
+}
+
+// Mean returns the mean duration of requests, zero when none has ended.
+func (a *Admitter) Mean() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.mean
+}
+
+// Offer asks for a request to be admitted. After Refuse, retry is the time after
+// which there will be room.
+func (a *Admitter) Offer(kind string, priority int, deadline, now timer.Instant) (t *Ticket, v Verdict, retry time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t = &Ticket{kind: kind, priority: priority, deadline: deadline, arrived: now, admitted: make(chan bool, 1)}
+	if len(a.queue) == 0 && a.free(now) {
+		a.start(t, now)
+		return t, Start, 0
+	}
+	wait := a.expectedWait(t, now)
+	if now.Add(wait+a.means[kind]) > deadline {
+		return nil, Refuse, max(wait-deadline.Sub(now)+a.means[kind], leastRetry)
+	}
+	heap.Push(&a.queue, t)
+	return t, Wait, 0
+}
+
+// expectedWait predicts how long a request waits: for the requests before it,
+// which the slots work off at the mean duration.
+func (a *Admitter) expectedWait(t *Ticket, now timer.Instant) time.Duration {
+	before := 1
+	for _, q := range a.queue {
+		if q.before(t) {
+			before++
+		}
+	}
+	wait := time.Duration(float64(a.mean) * float64(before) / float64(max(a.slots, 1)))
+	if now < a.coldUntil && a.coldRate > 0 {
+		cold := time.Duration(float64(before) / a.coldRate * float64(time.Second))
+		wait = max(wait, min(cold, a.coldUntil.Sub(now)))
+	}
+	return wait
+}
+
+func (a *Admitter) free(now timer.Instant) bool {
+	return a.running < a.slots && a.coldAllows(now)
+}
+
+func (a *Admitter) coldAllows(now timer.Instant) bool {
+	if now >= a.coldUntil {
+		return true
+	}
+	n := 0
+	for n < len(a.starts) && now.Sub(a.starts[n]) >= coldWindow {
+		n++
+	}
+	a.starts = a.starts[n:]
+	return float64(len(a.starts)) < a.coldRate*(1-coldReserve)
+}
+
+func (a *Admitter) start(t *Ticket, now timer.Instant) {
+	a.running++
+	t.started = now
+	a.starts = append(a.starts, now)
+	const kept = 256 // more than a cold backend server bears in the window
+	if len(a.starts) > kept {
+		a.starts = a.starts[len(a.starts)-kept:]
+	}
+}
+
+// Done tells that a started request has ended, and whether its duration says how
+// long work takes.
+func (a *Admitter) Done(t *Ticket, ran bool, now timer.Instant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.running--
+	if ran {
+		d := now.Sub(t.started)
+		a.means[t.kind] = smooth(a.means[t.kind], d)
+		a.mean = smooth(a.mean, d)
+	}
+	a.admit(now)
+}
+
+func smooth(mean, d time.Duration) time.Duration {
+	if mean == 0 {
+		return d
+	}
+	return mean + time.Duration(smoothing*float64(d-mean))
+}
+
+// Leave takes a request out of the queue. It returns false when the request has
+// been started meanwhile; then Done is due.
+func (a *Admitter) Leave(t *Ticket) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t.index < 0 || t.started != 0 {
+		return t.started == 0
+	}
+	heap.Remove(&a.queue, t.index)
+	return true
+}
+
+// Tick starts what may start by now and refuses what has waited past use.
+func (a *Admitter) Tick(now timer.Instant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.admit(now)
+}
+
+func (a *Admitter) admit(now timer.Instant) {
+	for len(a.queue) > 0 && a.free(now) {
+		t := heap.Pop(&a.queue).(*Ticket)
+		if now.Add(a.means[t.kind]/2) > t.deadline {
+			t.admitted <- false
+			continue
+		}
+		a.start(t, now)
+		t.admitted <- true
+	}
+}
+
+// queue orders requests by priority and arrival.
+type queue []*Ticket
+
+func (t *Ticket) before(o *Ticket) bool {
+	if t.priority != o.priority {
+		return t.priority < o.priority
+	}
+	return t.arrived <= o.arrived
+}
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].before(q[j]) }
+func (q queue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push adds a request, for package heap.
+func (q *queue) Push(x any) {
+	t := x.(*Ticket)
+	t.index = len(*q)
+	*q = append(*q, t)
+}
+
+// Pop removes the last request, for package heap.
+func (q *queue) Pop() any {
+	old := *q
+	t := old[len(old)-1]
+	*q = old[:len(old)-1]
+	t.index = -1
+	return t
+}
--- /dev/null
+++ b/papayapass/internal/attendant/attendant.go
@@ -0,0 +1,377 @@
+// Package attendant looks after the backend server beside a node: it takes its
+// heartbeats, admits requests, and runs them. Only this node reaches it.
+package attendant
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"papayapass.dev/papayapass/internal/admitter"
+	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/exchanger"
+	"papayapass.dev/papayapass/internal/granter"
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+const (
+	// serverConnect bounds connecting on one instance.
+	serverConnect = 300 * time.Millisecond
+	// serverIdle is how long a connection to the backend server is kept.
+	serverIdle = 8 * time.Second
+	// freshIdempotent and freshOnce bound the idle time of connections by what may
+	// be lost with them: a request that may not run twice is not sent on one that
+	// the backend server could have forgotten.
+	freshIdempotent = 8 * time.Second
+	freshOnce       = 1500 * time.Millisecond
+	// maxAnswer is the largest body of an answer.
+	maxAnswer = 64 << 20
+	// missedBeats is how many heartbeats may be missing before the backend server
+	// counts as down.
+	missedBeats = 4
+	// refusedForDown is how many connections in a row fail before that.
+	refusedForDown = 2
+	// holdWait is how long a request waits at its owner for keys that are about to
+	// be granted.
+	holdWait = 300 * time.Millisecond
+	// holdCheck is the time between looks at them.
+	holdCheck = 10 * time.Millisecond
+)
+
+// Surroundings is what the attendant asks of the rest of the node.
+type Surroundings interface {
+	// Configuration returns the configuration in force, or nil.
+	Configuration() *descriptor.Configuration
+	// ZoneOut says whether operators took the instance's zone out of service.
+	ZoneOut() bool
+	// Kick has the coordinator told at once.
+	Kick()
+}
+
+// Attendant looks after one backend server.
+type Attendant struct {
+	address   string
+	service   string
+	heartbeat time.Duration
+	dialect   dispatcher.Dialect
+	clock     timer.Clock
+	granter   *granter.Granter
+	admitter  *admitter.Admitter
+	exchanger *exchanger.Exchanger
+	around    Surroundings
+	logger    zerolog.Logger
+	started   timer.Instant
+
+	mu       sync.Mutex
+	last     descriptor.Heartbeat
+	heard    timer.Instant
+	leaving  bool
+	down     bool
+	refusals int
+	slowness float64
+	work     map[uint16]float32
+}
+
+// NewAttendant returns an attendant that has not heard its backend server.
+func NewAttendant(address, service string, heartbeat time.Duration, dialect dispatcher.Dialect, clock timer.Clock,
+	g *granter.Granter, around Surroundings, logger zerolog.Logger,
+) *Attendant {
+	belongs := func(answer, request http.Header) bool {
+		return dialect.AnswersTo(answer, dialect.RequestID(request))
+	}
+	return &Attendant{
+		address: address, service: service, heartbeat: heartbeat, dialect: dialect, clock: clock, granter: g,
+		admitter:  admitter.NewAdmitter(),
+		exchanger: exchanger.NewExchanger(address, serverConnect, serverIdle, maxAnswer, belongs),
+		around:    around, logger: logger, started: clock.Now(), work: make(map[uint16]float32),
+	}
+}
+
+// Heartbeat takes what the backend server says of itself, and says whether it is
+// acknowledged: a report of an earlier life or of another service is not.
+func (a *Attendant) Heartbeat(h descriptor.Heartbeat) bool {
+	if h.Service != a.service || h.Address != a.address {
+		return false
+	}
+	now := a.clock.Now()
+	a.mu.Lock()
+	newLife := h.ID != a.last.ID || h.Born != a.last.Born
+	if newLife && h.Born < a.last.Born {
+		a.mu.Unlock()
+		return false
+	}
+	if !newLife && h.Sequence < a.last.Sequence {
+		a.mu.Unlock()
+		return true
+	}
+	if newLife {
+		a.leaving = false
+	}
+	changed := newLife || a.down || (h.Draining && !a.leaving)
+	a.last, a.heard, a.down, a.refusals = h, now, false, 0
+	a.leaving = a.leaving || h.Draining
+	a.mu.Unlock()
+	a.setCold(now, h.ColdFor)
+	a.admitter.SetSlots(h.Slots)
+	if changed {
+		a.logger.Info().Str("server", h.ID).Int64("born", h.Born).Bool("draining", h.Draining).
+			Dur("coldFor", h.ColdFor).Int64("sequence", h.Sequence).Msg("backend server changed")
+		a.granter.SetServer(a.Server())
+		a.around.Kick()
+	}
+	return true
+}
+
+func (a *Attendant) setCold(now timer.Instant, left time.Duration) {
+	cfg := a.around.Configuration()
+	if cfg == nil {
+		return
+	}
+	until := timer.Instant(0)
+	if left > 0 {
+		until = now.Add(left)
+	}
+	a.admitter.SetCold(until, cfg.Services[a.service].WarmUpRate)
+}
+
+// Leave takes the word of the backend server that it is gone for new work.
+func (a *Attendant) Leave(id string) {
+	a.mu.Lock()
+	if id != a.last.ID {
+		a.mu.Unlock()
+		return
+	}
+	changed := !a.leaving
+	a.leaving = true
+	a.mu.Unlock()
+	if changed {
+		a.logger.Info().Str("server", id).Msg("backend server leaves")
+		a.granter.SetServer(a.Server())
+		a.around.Kick()
+	}
+}
+
+// Server returns what is known of the backend server.
+func (a *Attendant) Server() partitioner.Server {
+	cfg := a.around.Configuration()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := partitioner.Server{ID: a.last.ID, Born: a.last.Born, Service: a.service, Slots: a.last.Slots, Leaving: a.leaving, Down: a.down}
+	if cfg != nil {
+		s.Divided = cfg.Services[a.service].Divided
+	}
+	return s
+}
+
+// Report fills in what the coordinator is told of the backend server.
+func (a *Attendant) Report(b *overseer.Beat) {
+	b.Member.Server = a.Server()
+	a.Counts(b)
+	b.Released = a.granter.Released()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for key, w := range a.work {
+		b.Work = append(b.Work, overseer.KeyWork{Key: key, Work: w})
+	}
+	clear(a.work)
+}
+
+// Counts fills in the load of the backend server.
+func (a *Attendant) Counts(b *overseer.Beat) {
+	b.Cold = a.admitter.Cold(a.clock.Now())
+	b.Running, b.Waiting = a.admitter.Counts()
+	b.Mean = a.admitter.Mean()
+}
+
+// Check looks whether the backend server is still heard, and lets waiting requests
+// start that may.
+func (a *Attendant) Check() {
+	now := a.clock.Now()
+	a.admitter.Tick(now)
+	a.mu.Lock()
+	silent := now.Sub(max(a.heard, a.started)) > missedBeats*a.heartbeat
+	changed := silent && !a.down
+	a.down = a.down || silent
+	a.mu.Unlock()
+	if changed {
+		a.wentDown("no heartbeat")
+	}
+}
+
+func (a *Attendant) wentDown(cause string) {
+	a.logger.Warn().Str("cause", cause).Str("server", a.Server().ID).Msg("backend server is down")
+	a.granter.SetServer(a.Server())
+	a.around.Kick()
+}
+
+// refused counts connections that the backend server did not take.
+func (a *Attendant) refused() {
+	a.mu.Lock()
+	a.refusals++
+	changed := a.refusals >= refusedForDown && !a.down
+	a.down = a.down || changed
+	a.mu.Unlock()
+	if changed {
+		a.wentDown("no connection")
+	}
+}
+
+// Serve runs a call at the backend server.
+func (a *Attendant) Serve(ctx context.Context, c *dispatcher.Call) dispatcher.Result {
+	if r, ok := a.mayServe(c); !ok {
+		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: r}
+	}
+	if c.Divided && !a.awaitHold(ctx, c) {
+		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonNotHeld}
+	}
+	ticket, verdict, retry := a.admitter.Offer(c.Route, c.Priority, c.Deadline, a.clock.Now())
+	switch verdict {
+	case admitter.Refuse:
+		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonFull, Retry: retry}
+	case admitter.Wait:
+		if r, ok := a.await(ctx, c, ticket); !ok {
+			return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: r}
+		}
+	}
+	res, ran := a.exchange(ctx, c)
+	now := a.clock.Now()
+	a.admitter.Done(ticket, ran, now)
+	return res
+}
+
+// mayServe says whether the backend server may get new work now.
+func (a *Attendant) mayServe(c *dispatcher.Call) (dispatcher.Reason, bool) {
+	s := a.Server()
+	switch {
+	case c.Service != a.service || !s.Up():
+		return dispatcher.ReasonNoServer, false
+	case a.around.ZoneOut():
+		return dispatcher.ReasonZoneOut, false
+	case c.Divided && !a.granter.Owns(c.Service, c.Key):
+		return dispatcher.ReasonNotOwner, false
+	default:
+		return dispatcher.ReasonNone, true
+	}
+}
+
+// awaitHold waits for a key that this node owns to be held by the backend server.
+func (a *Attendant) awaitHold(ctx context.Context, c *dispatcher.Call) bool {
+	until := a.clock.Now().Add(holdWait)
+	for {
+		now := a.clock.Now()
+		if _, _, ok := a.granter.Holds(c.Service, c.Key, now); ok {
+			return true
+		}
+		if until < now || !a.granter.Owns(c.Service, c.Key) {
+			return false
+		}
+		t := time.NewTimer(holdCheck)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		case <-t.C:
+		}
+	}
+}
+
+// await waits for admission and looks again whether the call may run.
+func (a *Attendant) await(ctx context.Context, c *dispatcher.Call, t *admitter.Ticket) (dispatcher.Reason, bool) {
+	admitted := false
+	select {
+	case admitted = <-t.Admitted():
+	case <-ctx.Done():
+		if a.admitter.Leave(t) {
+			return dispatcher.ReasonCanceled, false
+		}
+		a.admitter.Done(t, false, a.clock.Now())
+		return dispatcher.ReasonCanceled, false
+	}
+	if !admitted {
+		return dispatcher.ReasonDeadline, false
+	}
+	r, ok := a.mayServe(c)
+	if ok && c.Divided {
+		if _, _, held := a.granter.Holds(c.Service, c.Key, a.clock.Now()); !held {
+			r, ok = dispatcher.ReasonNotHeld, false
+		}
+	}
+	if !ok {
+		a.admitter.Done(t, false, a.clock.Now())
+	}
+	return r, ok
+}
+
+// exchange sends a call to the backend server. The second result says whether the
+// call's duration tells how long work takes.
+func (a *Attendant) exchange(ctx context.Context, c *dispatcher.Call) (dispatcher.Result, bool) {
+	sent := a.clock.Now()
+	left := c.Deadline.Sub(sent)
+	if left <= 0 {
+		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonDeadline}, false
+	}
+	if !c.Idempotent {
+		// What may not run twice is not broken off when its customer leaves.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), left+time.Second)
+		defer cancel()
+	}
+	h := c.Header.Clone()
+	a.dialect.Prepare(h, a.Server().ID, c.Caller, left)
+	fresh := freshOnce
+	if c.Idempotent {
+		fresh = freshIdempotent
+	}
+	answer, err := a.exchanger.Do(ctx, exchanger.Request{
+		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, FreshWithin: fresh,
+	})
+	a.count(c, a.clock.Now().Sub(sent))
+	switch {
+	case errors.Is(err, exchanger.ErrNotSent):
+		a.refused()
+		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonUnreachable}, false
+	case err != nil:
+		a.logger.Info().Str("request", c.ID).Err(err).Dur("elapsed", a.clock.Now().Sub(sent)).Msg("backend server gave no whole answer")
+		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Offered: true}, false
+	default:
+		return a.judge(c, answer)
+	}
+}
+
+// judge says what an answer means.
+func (a *Attendant) judge(c *dispatcher.Call, answer *exchanger.Answer) (dispatcher.Result, bool) {
+	a.mu.Lock()
+	a.refusals = 0
+	if load, ok := a.dialect.Load(answer.Header); ok && load.Slowness > 0 {
+		a.slowness = load.Slowness
+	}
+	a.mu.Unlock()
+	switch {
+	case a.dialect.NotRun(answer.Status, answer.Header):
+		a.logger.Info().Str("request", c.ID).Int("status", answer.Status).Uint16("key", c.Key).
+			Msg("backend server did not run the request")
+		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonShed, Offered: true}, false
+	case answer.Status < http.StatusMultipleChoices && (!a.dialect.Sealed(answer.Header) || answer.Header.Get("Content-Encoding") != ""):
+		a.logger.Info().Str("request", c.ID).Int("status", answer.Status).Msg("answer is not the backend server's")
+		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Offered: true}, false
+	default:
+		return dispatcher.Result{Outcome: dispatcher.Answered, Answer: answer, Offered: true}, answer.Status < http.StatusMultipleChoices
+	}
+}
+
+// count adds the work of a key to what the coordinator is told.
+func (a *Attendant) count(c *dispatcher.Call, d time.Duration) {
+	if !c.Divided {
+		return
+	}
+	a.mu.Lock()
+	a.work[c.Key] += float32(d.Seconds())
+	a.mu.Unlock()
+}
--- /dev/null
+++ b/papayapass/internal/commander/node.go
@@ -0,0 +1,50 @@
+package commander
+
+import (
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/papayapass/internal/launcher"
+	"papayapass.dev/platform"
+)
+
+func newNodeCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "node",
+		Short: "Run a node of a deployment beside one backend server",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := launcher.ReadSettings(path)
+			if err != nil {
+				return err
+			}
+			return launcher.Run(cmd.Context(), s, adapter())
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "node.toml", "settings file of the deployment")
+	return cmd
+}
+
+// adapter joins the product to the users' platform.
+func adapter() launcher.Adapter {
+	kind, name := platform.ConfigurationObject()
+	return launcher.Adapter{
+		Store: func(address string, transport http.RoundTripper) conductor.Store {
+			return platform.NewStore(address, transport)
+		},
+		Dialect: platform.Dialect{},
+		Objects: conductor.Objects{
+			ConfigurationKind: kind, ConfigurationName: name,
+			ZonesOutKind: platform.ZonesOutKind(), Decode: platform.DecodeConfiguration,
+		},
+		Orders: launcher.Orders{
+			GrantPath: platform.GrantPath, ReleasePath: platform.ReleasePath, HandoverHeader: platform.HeaderHandover,
+			EncodeGrant: platform.EncodeGrant, EncodeRelease: platform.EncodeRelease,
+		},
+		ReadyPath: platform.ReadyPath, HeartbeatPath: platform.HeartbeatPath,
+		DecodeHeartbeat: platform.DecodeHeartbeat, DecodeLeave: platform.DecodeLeave,
+	}
+}
--- /dev/null
+++ b/papayapass/internal/conductor/budget.go
@@ -0,0 +1,80 @@
+package conductor
+
+import (
+	"sync"
+
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+const (
+	// budgetShare is the part of the allowed ratio that a node spends on its own
+	// requests: repeats of earlier windows and of calls count against it as well.
+	budgetShare = 0.5
+	// slackNodes is the number of nodes that the fixed part is divided among at
+	// least; a node that is alone may spend no more.
+	slackNodes = 16
+	// budgetBuckets is the resolution of the window.
+	budgetBuckets = 10
+)
+
+// budget bounds how often calls reach a backend server more than once. Each node
+// spends by the requests that it took itself, so that all together keep the ratio
+// without talking to each other.
+type budget struct {
+	mu       sync.Mutex
+	bounds   Bounds
+	clock    timer.Clock
+	services map[string]*window
+}
+
+type window struct {
+	requests [budgetBuckets]float64
+	repeats  [budgetBuckets]float64
+	bucket   int64
+}
+
+func newBudget(b Bounds, clock timer.Clock) *budget {
+	return &budget{bounds: b, clock: clock, services: make(map[string]*window)}
+}
+
+func (b *budget) window(service string) *window {
+	w, ok := b.services[service]
+	if !ok {
+		w = &window{}
+		b.services[service] = w
+	}
+	size := max(int64(b.bounds.RetryWindow)/budgetBuckets, 1)
+	bucket := int64(b.clock.Now()) / size
+	for n := 0; w.bucket < bucket && n < budgetBuckets; n++ {
+		w.bucket++
+		i := w.bucket % budgetBuckets
+		w.requests[i], w.repeats[i] = 0, 0
+		if n == budgetBuckets-1 {
+			w.bucket = bucket
+		}
+	}
+	return w
+}
+
+func (b *budget) count(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	w.requests[w.bucket%budgetBuckets]++
+}
+
+func (b *budget) spend(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	requests, repeats := 0.0, 0.0
+	for i := range w.requests {
+		requests += w.requests[i]
+		repeats += w.repeats[i]
+	}
+	if repeats+1 > b.bounds.RetryRatio*budgetShare*requests+b.bounds.RetrySlack*budgetShare/slackNodes {
+		return false
+	}
+	w.repeats[w.bucket%budgetBuckets]++
+	return true
+}
--- /dev/null
+++ b/papayapass/internal/conductor/conductor.go
@@ -0,0 +1,191 @@
+// Package conductor joins a node to the deployment: it follows the configuration,
+// the coordinator and its leases, and coordinates when it falls to this node. The
+// decisions are in packages overseer, partitioner and granter.
+package conductor
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"papayapass.dev/papayapass/internal/attendant"
+	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/granter"
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// Store is the platform's store of objects.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (descriptor.Object, error)
+	List(ctx context.Context, kind string) ([]descriptor.Object, uint64, error)
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]descriptor.Event, uint64, error)
+	Create(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
+	Replace(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
+	ReplaceStatus(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
+}
+
+// Calls makes calls of other nodes and of the backend server.
+type Calls interface {
+	// Beat sends a beat to the node at an address.
+	Beat(ctx context.Context, address string, b overseer.Beat) (overseer.Reply, error)
+	// Probe asks the node at an address whether it hears its coordinator.
+	Probe(ctx context.Context, address string) (overseer.Probe, error)
+	// Order makes a call of the backend server about keys.
+	Order(ctx context.Context, c granter.Call) (granter.Result, string)
+}
+
+// Objects says where things lie in the store, and how to read them.
+type Objects struct {
+	ConfigurationKind string
+	ConfigurationName string
+	ZonesOutKind      string
+	Decode            func(spec []byte) (*descriptor.Configuration, error)
+}
+
+// The table's object.
+const (
+	tableKind = "papayapass-tables"
+	tableName = "main"
+)
+
+// Bounds are times that the deployment's settings give.
+type Bounds struct {
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+}
+
+// Conductor joins one node to the deployment.
+type Conductor struct {
+	self        partitioner.Member
+	incarnation uint64
+	store       Store
+	calls       Calls
+	objects     Objects
+	bounds      Bounds
+	timers      *timer.Service
+	granter     *granter.Granter
+	attendant   *attendant.Attendant
+	logger      zerolog.Logger
+	kick        chan struct{}
+	stopping    atomic.Bool
+
+	configuration atomic.Pointer[descriptor.Configuration]
+	zonesOut      atomic.Pointer[map[string]bool]
+	table         atomic.Pointer[partitioner.Table]
+	loads         atomic.Pointer[map[partitioner.NodeID]overseer.ServerLoad]
+	peers         sync.Map // address to *dispatcher.Peer
+	budget        *budget
+
+	mu        sync.Mutex
+	overseer  *overseer.Overseer
+	revision  uint64 // of the table's object, as this coordinator last knew it
+	changed   chan struct{}
+	heard     timer.Instant // the last reply of a coordinator
+	echo      timer.Instant
+	echoEpoch uint64
+	joined    uint64 // the highest epoch that this node follows
+}
+
+// NewConductor returns a conductor of a node. Attach completes it.
+func NewConductor(self partitioner.Member, incarnation uint64, store Store, objects Objects, bounds Bounds,
+	timers *timer.Service, g *granter.Granter, logger zerolog.Logger,
+) *Conductor {
+	c := &Conductor{
+		self: self, incarnation: incarnation, store: store, objects: objects, bounds: bounds, timers: timers,
+		granter: g, logger: logger, kick: make(chan struct{}, 1), changed: make(chan struct{}),
+		heard: timers.Now(), budget: newBudget(bounds, timers),
+	}
+	empty := make(map[string]bool)
+	c.zonesOut.Store(&empty)
+	loads := make(map[partitioner.NodeID]overseer.ServerLoad)
+	c.loads.Store(&loads)
+	return c
+}
+
+// Attach gives the conductor the attendant of the backend server, and its calls.
+func (c *Conductor) Attach(a *attendant.Attendant, calls Calls) { c.attendant, c.calls = a, calls }
+
+// Configuration returns the configuration in force, or nil before the first.
+func (c *Conductor) Configuration() *descriptor.Configuration { return c.configuration.Load() }
+
+// ZoneOut says whether operators took this instance's zone out of service.
+func (c *Conductor) ZoneOut() bool { return (*c.zonesOut.Load())[c.self.Zone] }
+
+// Kick has the coordinator told of a change at once.
+func (c *Conductor) Kick() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Ready says whether the node takes new work of customers.
+func (c *Conductor) Ready() bool { return c.Configuration() != nil && !c.stopping.Load() }
+
+// Stop begins a graceful stop.
+func (c *Conductor) Stop() { c.stopping.Store(true) }
+
+// Run joins the deployment until the context ends.
+func (c *Conductor) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.watchConfiguration(ctx) })
+	g.Go(func() error { return c.watchZones(ctx) })
+	g.Go(func() error { return c.follow(ctx) })
+	g.Go(func() error { return c.coordinate(ctx) })
+	g.Go(func() error { return c.grant(ctx) })
+	return g.Wait()
+}
+
+// apply puts a configuration in force unless an equal or newer one is.
+func (c *Conductor) apply(cfg *descriptor.Configuration, from string) {
+	for {
+		old := c.configuration.Load()
+		if old != nil && old.Version >= cfg.Version {
+			return
+		}
+		if c.configuration.CompareAndSwap(old, cfg) {
+			c.logger.Info().Uint64("version", cfg.Version).Int("routes", len(cfg.Routes)).Str("from", from).Msg("configuration in force")
+			return
+		}
+	}
+}
+
+// applyTable takes a table unless an equal or newer one is known.
+func (c *Conductor) applyTable(t *partitioner.Table) {
+	old := c.table.Load()
+	if !t.Newer(old) {
+		return
+	}
+	c.table.Store(t)
+	c.granter.SetTable(t)
+	c.logger.Info().Uint64("epoch", t.Epoch).Uint64("version", t.Version).Str("coordinator", string(t.Coordinator)).
+		Int("members", len(t.Members)).Int("owned", len(t.Owned(c.self.ID))).Msg("table")
+}
+
+func encodeTable(t *partitioner.Table) (json.RawMessage, error) { return json.Marshal(t) }
+
+func decodeTable(spec []byte) (*partitioner.Table, error) {
+	var t partitioner.Table
+	if err := json.Unmarshal(spec, &t); err != nil {
+		return nil, err
+	}
+	return &t, nil
+}
+
+// peer returns the peer at an address.
+func (c *Conductor) peer(address string) *dispatcher.Peer {
+	if p, ok := c.peers.Load(address); ok {
+		return p.(*dispatcher.Peer)
+	}
+	p, _ := c.peers.LoadOrStore(address, dispatcher.NewPeer(address, c.timers))
+	return p.(*dispatcher.Peer)
+}
--- /dev/null
+++ b/papayapass/internal/conductor/coordinate.go
@@ -0,0 +1,216 @@
+package conductor
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"papayapass.dev/papayapass/internal/granter"
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+const (
+	// planInterval is the time between two looks at the table.
+	planInterval = 100 * time.Millisecond
+	// rejectedPause is the time before a write that the store rejected is tried again.
+	rejectedPause = 250 * time.Millisecond
+	// grantInterval is the time between looks at grants and waiting requests.
+	grantInterval = 25 * time.Millisecond
+)
+
+// Receive takes a beat of a node.
+func (c *Conductor) Receive(ctx context.Context, b overseer.Beat) overseer.Reply {
+	c.mu.Lock()
+	if c.overseer == nil {
+		defer c.mu.Unlock()
+		return overseer.Reply{Epoch: c.joined}
+	}
+	r := c.overseer.Receive(b, c.timers.Now())
+	changed := c.changed
+	c.mu.Unlock()
+	if r.Table == nil && b.Wait > 0 {
+		t := time.NewTimer(b.Wait)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+		b.Work, b.Released = nil, nil
+		c.mu.Lock()
+		if c.overseer == nil {
+			defer c.mu.Unlock()
+			return overseer.Reply{Epoch: c.joined}
+		}
+		r = c.overseer.Receive(b, c.timers.Now())
+		c.mu.Unlock()
+	}
+	if cfg := c.Configuration(); cfg != nil && cfg.Version > b.ConfigurationVersion {
+		r.Configuration = cfg.Source
+	}
+	return r
+}
+
+// coordinate plans and writes the table while this node has the role.
+func (c *Conductor) coordinate(ctx context.Context) error {
+	tick := c.timers.Subscribe(planInterval)
+	defer tick.Stop()
+	renewed := timer.Instant(0)
+	counter := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C():
+		}
+		next, revision, ok := c.plan()
+		if !ok {
+			continue
+		}
+		sent := c.timers.Now()
+		var err error
+		switch {
+		case next != nil:
+			revision, err = c.writeTable(ctx, next, revision)
+		case sent.Sub(renewed) >= overseer.Renewal:
+			counter++
+			revision, err = c.writeStatus(ctx, counter, revision)
+		default:
+			continue
+		}
+		renewed = sent
+		c.wrote(ctx, next, revision, sent, err)
+	}
+}
+
+func (c *Conductor) plan() (*partitioner.Table, uint64, bool) {
+	zones := *c.zonesOut.Load()
+	list := make([]string, 0, len(zones))
+	for z := range zones {
+		list = append(list, z)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.overseer == nil {
+		return nil, 0, false
+	}
+	c.overseer.SetZonesOut(list)
+	return c.overseer.Plan(c.timers.Now()), c.revision, true
+}
+
+func (c *Conductor) writeTable(ctx context.Context, t *partitioner.Table, revision uint64) (uint64, error) {
+	spec, err := encodeTable(t)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return c.store.Replace(ctx, tableKind, descriptor.Object{Name: tableName, Revision: revision, Spec: spec})
+}
+
+// tenureStatus is the status of the table's object; it changes with each renewal.
+type tenureStatus struct {
+	Incarnation uint64 `json:"incarnation"`
+	Renewals    int    `json:"renewals"`
+}
+
+func (c *Conductor) writeStatus(ctx context.Context, counter int, revision uint64) (uint64, error) {
+	status, err := json.Marshal(tenureStatus{Incarnation: c.incarnation, Renewals: counter})
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return c.store.ReplaceStatus(ctx, tableKind, descriptor.Object{Name: tableName, Revision: revision, Status: status})
+}
+
+// wrote takes the result of a write.
+func (c *Conductor) wrote(ctx context.Context, t *partitioner.Table, revision uint64, sent timer.Instant, err error) {
+	if err == nil {
+		c.confirm(t, revision, sent)
+		return
+	}
+	c.logger.Warn().Err(err).Bool("table", t != nil).Msg("write of the table failed")
+	if errors.Is(err, descriptor.ErrRejected) {
+		pause(ctx, rejectedPause)
+		return
+	}
+	c.reread(ctx)
+}
+
+func (c *Conductor) confirm(t *partitioner.Table, revision uint64, sent timer.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.overseer == nil {
+		return
+	}
+	c.revision = revision
+	c.overseer.Confirmed(t, sent)
+	if t != nil {
+		close(c.changed)
+		c.changed = make(chan struct{})
+		c.Kick()
+	}
+}
+
+// reread learns what the store holds after a write whose outcome is open, or that
+// came upon another revision.
+func (c *Conductor) reread(ctx context.Context) {
+	sent := c.timers.Now()
+	rctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	o, err := c.store.Get(rctx, tableKind, tableName)
+	cancel()
+	if err != nil {
+		c.logger.Warn().Err(err).Msg("the table cannot be read back")
+		return
+	}
+	t, err := decodeTable(o.Spec)
+	if err != nil {
+		c.logger.Error().Err(err).Msg("the stored table cannot be decoded")
+		return
+	}
+	if t.Coordinator == c.self.ID && t.Incarnation == c.incarnation {
+		c.confirm(t, o.Revision, sent)
+		return
+	}
+	c.mu.Lock()
+	c.overseer = nil
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.mu.Unlock()
+	c.logger.Info().Uint64("epoch", t.Epoch).Str("coordinator", string(t.Coordinator)).Msg("coordinator's role lost")
+	c.applyTable(t)
+}
+
+// grant keeps the backend server's grants as the table and the lease say.
+func (c *Conductor) grant(ctx context.Context) error {
+	tick := c.timers.Subscribe(grantInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C():
+		}
+		c.attendant.Check()
+		for _, call := range c.granter.Calls(c.timers.Now()) {
+			go c.order(ctx, call)
+		}
+	}
+}
+
+func (c *Conductor) order(ctx context.Context, call granter.Call) {
+	result, handover := c.calls.Order(ctx, call)
+	c.granter.Ended(call, result, handover, c.timers.Now())
+	if call.Release || result != granter.Done {
+		c.logger.Info().Bool("release", call.Release).Uint16("first", call.First).Uint16("last", call.Last).
+			Uint64("token", call.Token).Int("result", int(result)).Dur("hold", call.Hold).
+			Bool("handover", handover != "").Msg("order about keys")
+		c.Kick()
+	}
+}
--- /dev/null
+++ b/papayapass/internal/conductor/view.go
@@ -0,0 +1,97 @@
+package conductor
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
+)
+
+const (
+	// farCost is what a request in another zone costs on top of its expected time:
+	// bytes between zones are paid for.
+	farCost = 60 * time.Millisecond
+	// usualMean is assumed of backend servers of which no request has ended yet.
+	usualMean = 100 * time.Millisecond
+	// crowding is how much longer work takes at a backend server with all slots busy.
+	crowding = 0.5
+)
+
+// Count counts a request for a service.
+func (c *Conductor) Count(service string) { c.budget.count(service) }
+
+// Spend says whether a call may reach a backend server once more.
+func (c *Conductor) Spend(service string) bool { return c.budget.spend(service) }
+
+// Choose returns the server that a call should go to, leaving some nodes out.
+func (c *Conductor) Choose(call *dispatcher.Call, tried map[partitioner.NodeID]bool) (dispatcher.Server, partitioner.NodeID, dispatcher.Reason) {
+	t := c.table.Load()
+	if t == nil {
+		return nil, "", dispatcher.ReasonNoServer
+	}
+	if call.Divided {
+		r, ok := t.Range(call.Service, call.Key)
+		if !ok || r.Owner == "" {
+			return nil, "", dispatcher.ReasonNotOwner
+		}
+		m, ok := t.Member(r.Owner)
+		if !ok || tried[m.ID] {
+			return nil, "", dispatcher.ReasonUnreachable
+		}
+		return c.server(m), m.ID, dispatcher.ReasonNone
+	}
+	best, found, bestCost := partitioner.Member{}, false, time.Duration(0)
+	for _, m := range t.Members {
+		if m.Server.Service != call.Service || !m.Server.Up() || tried[m.ID] || (*c.zonesOut.Load())[m.Zone] {
+			continue
+		}
+		if m.ID != c.self.ID && !c.peer(m.Address).Reachable() {
+			continue
+		}
+		cost := c.cost(m)
+		if !found || cost < bestCost || (cost == bestCost && rand.IntN(2) == 0) {
+			best, found, bestCost = m, true, cost
+		}
+	}
+	if !found {
+		return nil, "", dispatcher.ReasonNoServer
+	}
+	return c.server(best), best.ID, dispatcher.ReasonNone
+}
+
+func (c *Conductor) server(m partitioner.Member) dispatcher.Server {
+	if m.ID == c.self.ID {
+		return c.attendant
+	}
+	return c.peer(m.Address)
+}
+
+// cost estimates how long a request takes at a backend server of a shared pool.
+func (c *Conductor) cost(m partitioner.Member) time.Duration {
+	load := (*c.loads.Load())[m.ID]
+	if m.ID == c.self.ID {
+		var b overseer.Beat
+		c.attendant.Counts(&b)
+		load = overseer.ServerLoad{Running: b.Running, Waiting: b.Waiting, Mean: b.Mean, Cold: b.Cold}
+	}
+	mean := load.Mean
+	if mean == 0 {
+		mean = usualMean
+	}
+	n := float64(load.Running + load.Waiting)
+	if m.ID != c.self.ID {
+		n = max(n, float64(c.peer(m.Address).InFlight()))
+	}
+	slots := float64(max(m.Server.Slots, 1))
+	use := min(n/slots, 1)
+	expected := float64(mean) * (1 + crowding*use*use + max(0, n+1-slots)/slots)
+	if load.Cold {
+		expected *= 3 // a cold backend server bears a trickle
+	}
+	if m.Zone != c.self.Zone {
+		expected += float64(farCost)
+	}
+	return time.Duration(expected)
+}
--- /dev/null
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -0,0 +1,262 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// Times of a request at the node where it arrived.
+const (
+	// defaultWait is the deadline of requests that name none on routes without one.
+	defaultWait = 30 * time.Second
+	// answerSlack is how much longer than its deadline a request waits for the
+	// backend server's own answer.
+	answerSlack = 150 * time.Millisecond
+	// retryPause is the time between looks at an owner that does not hold a key yet.
+	retryPause = 25 * time.Millisecond
+	// movePatience is how long a request waits for keys that change their owner.
+	movePatience = 800 * time.Millisecond
+	// leastRetryAfter is the shortest time after which a refused customer comes back.
+	leastRetryAfter = 50 * time.Millisecond
+	// retryShare is the part of the time left that customers wait at most.
+	retryShare = 3
+)
+
+// View is what the dispatcher knows of the deployment.
+type View interface {
+	// Configuration returns the configuration in force, or nil before the first.
+	Configuration() *descriptor.Configuration
+	// Choose returns the server that a call should go to, leaving some nodes out.
+	Choose(c *Call, tried map[partitioner.NodeID]bool) (Server, partitioner.NodeID, Reason)
+	// Spend says whether a call may reach a backend server once more.
+	Spend(service string) bool
+	// Count counts a request for a service.
+	Count(service string)
+}
+
+// Dispatcher serves customers.
+type Dispatcher struct {
+	view    View
+	dialect Dialect
+	clock   timer.Clock
+	caller  string
+	logger  zerolog.Logger
+}
+
+// NewDispatcher returns a dispatcher; caller is the service of this instance.
+func NewDispatcher(view View, dialect Dialect, clock timer.Clock, caller string, logger zerolog.Logger) *Dispatcher {
+	return &Dispatcher{view: view, dialect: dialect, clock: clock, caller: caller, logger: logger}
+}
+
+// ServeHTTP serves one request of a customer.
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := d.clock.Now()
+	cfg := d.view.Configuration()
+	if cfg == nil {
+		refuse(w, http.StatusServiceUnavailable, time.Second)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := cfg.Match(r.Host, path)
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(cfg.Limits.BodyBytes, 1)))
+	if err != nil {
+		d.badBody(w, err)
+		return
+	}
+	c := d.newCall(r, route, body, arrived)
+	if s, ok := cfg.Services[c.Service]; ok && s.Divided {
+		c.Divided = true
+		if c.Key, ok = d.dialect.Key(r.Header); !ok {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	d.view.Count(c.Service)
+	ctx, cancel := context.WithTimeout(r.Context(), c.Deadline.Sub(arrived)+answerSlack)
+	defer cancel()
+	res, tries := d.run(ctx, c, route)
+	d.finish(w, c, res, arrived, tries)
+}
+
+func (d *Dispatcher) badBody(w http.ResponseWriter, err error) {
+	var large *http.MaxBytesError
+	if ok := asMaxBytes(err, &large); ok {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusBadRequest)
+}
+
+func (d *Dispatcher) newCall(r *http.Request, route *descriptor.Route, body []byte, arrived timer.Instant) *Call {
+	c := &Call{
+		ID: d.dialect.RequestID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
+		Header: forwarded(r.Header), Body: body, Route: route.Name, Service: pick(route.Targets),
+		Idempotent: route.Idempotent, Priority: route.Priority, Objective: route.Objective, Caller: d.caller,
+	}
+	wait := route.Timeout
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if left, ok := d.dialect.Deadline(r.Header); ok {
+		wait = min(wait, left)
+	}
+	c.Deadline = arrived.Add(wait)
+	return c
+}
+
+// pick draws a service by the weights of a route's targets.
+func pick(targets []descriptor.Target) string {
+	total := 0
+	for _, t := range targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	n := rand.IntN(total)
+	for _, t := range targets {
+		if n -= t.Weight; n < 0 {
+			return t.Service
+		}
+	}
+	return ""
+}
+
+// run brings a call to backend servers until its outcome is final.
+func (d *Dispatcher) run(ctx context.Context, c *Call, route *descriptor.Route) (Result, int) {
+	tried := make(map[partitioner.NodeID]bool)
+	began := d.clock.Now()
+	reached := 0
+	last := Result{Outcome: NotRun, Reason: ReasonNoServer}
+	for {
+		server, id, reason := d.view.Choose(c, tried)
+		if server == nil {
+			if last.Outcome != NotRun {
+				return last, reached // an earlier try may have run
+			}
+			if reason != ReasonNone {
+				last.Reason = reason
+			}
+			if !d.await(ctx, c, began, last) {
+				return last, reached
+			}
+			clear(tried)
+			continue
+		}
+		res := server.Serve(ctx, c)
+		if res.Offered {
+			reached++
+		}
+		if ctx.Err() != nil || (res.Outcome == Answered && !d.failed(res)) {
+			return res, reached
+		}
+		if last.Outcome == NotRun || res.Outcome == Answered {
+			last = res
+		}
+		if !d.again(c, route, res, reached) {
+			return last, reached
+		}
+		if !c.Divided {
+			tried[id] = true
+			continue
+		}
+		if res.Outcome == NotRun && !d.await(ctx, c, began, res) {
+			return last, reached
+		}
+	}
+}
+
+// failed says whether the answer is a failure that another try may mend.
+func (d *Dispatcher) failed(r Result) bool {
+	return r.Answer.Status == http.StatusInternalServerError || r.Answer.Status == http.StatusBadGateway
+}
+
+// again says whether a call may be tried once more after a result.
+func (d *Dispatcher) again(c *Call, route *descriptor.Route, res Result, reached int) bool {
+	left := c.Deadline.Sub(d.clock.Now())
+	if left <= 0 {
+		return false
+	}
+	if !res.Offered {
+		return true
+	}
+	if res.Outcome != NotRun && !c.Idempotent {
+		return false
+	}
+	if reached >= route.Attempts || left < c.Objective/4 {
+		return false
+	}
+	return d.view.Spend(c.Service)
+}
+
+// await waits for keys that are about to be served again, as long as that is of use.
+func (d *Dispatcher) await(ctx context.Context, c *Call, began timer.Instant, res Result) bool {
+	if !c.Divided {
+		return false
+	}
+	switch res.Reason {
+	case ReasonNotHeld, ReasonNotOwner:
+	default:
+		return false
+	}
+	now := d.clock.Now()
+	if now.Sub(began) > movePatience || c.Deadline.Sub(now) < c.Objective/4 {
+		return false
+	}
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (d *Dispatcher) finish(w http.ResponseWriter, c *Call, res Result, arrived timer.Instant, tries int) {
+	now := d.clock.Now()
+	left := c.Deadline.Sub(now)
+	status := 0
+	switch res.Outcome {
+	case Answered:
+		status = res.Answer.Status
+		writeAnswer(w, res.Answer)
+	case NotRun:
+		status = http.StatusServiceUnavailable
+		retry := min(max(res.Retry, leastRetryAfter), max(left, leastRetryAfter)/retryShare)
+		refuse(w, status, retry)
+	default:
+		status = http.StatusBadGateway
+		if left <= 0 {
+			status = http.StatusGatewayTimeout
+		}
+		w.WriteHeader(status)
+	}
+	if res.Outcome != Answered || status >= http.StatusInternalServerError {
+		d.logger.Info().Str("request", c.ID).Str("route", c.Route).Str("service", c.Service).Uint16("key", c.Key).
+			Stringer("outcome", res.Outcome).Str("reason", string(res.Reason)).Int("status", status).Int("reached", tries).
+			Dur("elapsed", now.Sub(arrived)).Dur("left", left).Msg("request failed")
+	}
+}
+
+// refuse answers that a request has not run, and when to come back.
+func refuse(w http.ResponseWriter, status int, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	w.WriteHeader(status)
+}
--- /dev/null
+++ b/papayapass/internal/granter/granter.go
@@ -0,0 +1,264 @@
+// Package granter decides which keys the backend server beside a node is given,
+// renews them and takes them back. It is pure: the caller makes the calls.
+package granter
+
+import (
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+// Times of grants.
+const (
+	// holdTime is the longest hold that is asked for: a tenure of the coordinator.
+	holdTime = 2500 * time.Millisecond
+	// renewal is the time between two grants of the same keys.
+	renewal = 500 * time.Millisecond
+	// refusedPause is how long a refused token is not offered again.
+	refusedPause = 3 * time.Second
+	// drift is how much slower a backend server's clock may run, in parts of a hold.
+	drift = 0.02
+	// leastHold is the shortest hold worth a call.
+	leastHold = 100 * time.Millisecond
+	// ReleaseTimeout bounds a release, which waits for the work on the keys.
+	ReleaseTimeout = 3 * time.Second
+	// GrantTimeout bounds a grant.
+	GrantTimeout = 300 * time.Millisecond
+)
+
+// Call is a call to the backend server that should be made now.
+type Call struct {
+	Release  bool
+	Service  string
+	First    uint16
+	Last     uint16
+	Token    uint64
+	Hold     time.Duration
+	Handover string
+	Sent     timer.Instant
+	// Server is the id of the backend server that the call is meant for.
+	Server string
+}
+
+// Result is how a call ended.
+type Result int
+
+// Results of calls.
+const (
+	// Done means that the backend server did it.
+	Done Result = iota
+	// Refused means that the backend server has seen a higher token.
+	Refused
+	// Unknown means that the call may still take effect.
+	Unknown
+	// NotDone means that the call did not reach the backend server.
+	NotDone
+)
+
+// holding is a run of keys that this node is to own, and what is known of it.
+type holding struct {
+	partitioner.Range
+	service string
+	// heldUntil is how long the backend server certainly holds the keys.
+	heldUntil timer.Instant
+	// mayHoldUntil is how long it may hold them at most.
+	mayHoldUntil timer.Instant
+	nextCall     timer.Instant
+	calling      bool
+	released     bool
+	handover     string
+}
+
+// Granter holds the keys of the backend server beside a node.
+type Granter struct {
+	mu         sync.Mutex
+	self       partitioner.NodeID
+	holdings   []*holding
+	leaseUntil timer.Instant
+	server     partitioner.Server
+	// inheritedUntil is how long grants of an earlier life of the node may last.
+	inheritedUntil timer.Instant
+}
+
+// NewGranter returns a granter without keys.
+func NewGranter(self partitioner.NodeID, started timer.Instant) *Granter {
+	return &Granter{self: self, inheritedUntil: started.Add(holdTime + time.Duration(float64(holdTime)*drift))}
+}
+
+// SetServer tells of the backend server. A new life holds nothing.
+func (g *Granter) SetServer(s partitioner.Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.ID != "" && g.server.ID != "" && !s.SameLife(g.server.ID, g.server.Born) {
+		for _, h := range g.holdings {
+			h.heldUntil, h.mayHoldUntil = 0, 0
+		}
+		g.inheritedUntil = 0
+	}
+	g.server = s
+}
+
+// SetLease tells how long the node may renew grants.
+func (g *Granter) SetLease(until timer.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaseUntil = until
+}
+
+// SetTable takes the ranges that the node owns. What is known of keys that stay
+// under the same token is kept.
+func (g *Granter) SetTable(t *partitioner.Table) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var next []*holding
+	for _, d := range t.Divisions {
+		for _, r := range d.Ranges {
+			if r.Owner == g.self {
+				next = append(next, g.inherit(d.Service, r))
+			}
+		}
+	}
+	sort.Slice(next, func(i, j int) bool { return next[i].First < next[j].First })
+	g.holdings = next
+}
+
+func (g *Granter) inherit(service string, r partitioner.Range) *holding {
+	h := &holding{Range: r, service: service, mayHoldUntil: g.inheritedUntil}
+	covered := 0
+	for _, old := range g.holdings {
+		if old.service != service || old.Last < r.First || r.Last < old.First {
+			continue
+		}
+		h.mayHoldUntil = max(h.mayHoldUntil, old.mayHoldUntil)
+		if old.Token != r.Token {
+			continue
+		}
+		if covered == 0 || old.heldUntil < h.heldUntil {
+			h.heldUntil = old.heldUntil
+		}
+		covered += int(min(old.Last, r.Last)) - int(max(old.First, r.First)) + 1
+		same := old.First == r.First && old.Last == r.Last
+		if same && old.released {
+			h.released, h.handover = true, old.handover
+		}
+		if same && old.calling && (old.Next != "") == (r.Next != "") {
+			h.calling, h.nextCall = true, old.nextCall
+		}
+	}
+	if covered <= int(r.Last)-int(r.First) {
+		h.heldUntil = 0
+	}
+	return h
+}
+
+// Holds returns the token under which the backend server certainly holds a key and
+// may get new work on it, and how long.
+func (g *Granter) Holds(service string, key uint16, now timer.Instant) (token uint64, until timer.Instant, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := g.find(service, key)
+	if h == nil || h.Next != "" || h.released || h.heldUntil <= now {
+		return 0, 0, false
+	}
+	return h.Token, h.heldUntil, true
+}
+
+// Owns says whether the newest table gives a key to this node, held yet or not.
+func (g *Granter) Owns(service string, key uint16) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := g.find(service, key)
+	return h != nil && h.Next == ""
+}
+
+func (g *Granter) find(service string, key uint16) *holding {
+	i := sort.Search(len(g.holdings), func(i int) bool { return g.holdings[i].Last >= key })
+	if i == len(g.holdings) || !g.holdings[i].Contains(key) || g.holdings[i].service != service {
+		return nil
+	}
+	return g.holdings[i]
+}
+
+// Calls returns the calls to make now.
+func (g *Granter) Calls(now timer.Instant) []Call {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Call
+	for _, h := range g.holdings {
+		if c, ok := g.call(h, now); ok {
+			h.calling = true
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (g *Granter) call(h *holding, now timer.Instant) (Call, bool) {
+	if h.calling || h.released || now < h.nextCall {
+		return Call{}, false
+	}
+	c := Call{Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Sent: now, Server: h.Server}
+	if h.Next != "" {
+		if h.mayHoldUntil <= now {
+			h.released = true
+			return Call{}, false
+		}
+		c.Release = true
+		return c, !g.server.Down && g.server.SameLife(h.Server, h.Born)
+	}
+	if !g.server.SameLife(h.Server, h.Born) || g.server.Down || g.server.Leaving {
+		return Call{}, false
+	}
+	left := g.leaseUntil.Sub(now)
+	c.Hold = min(holdTime, left-time.Duration(float64(left)*drift))
+	c.Handover = h.Handover
+	if c.Hold < leastHold {
+		return Call{}, false
+	}
+	h.mayHoldUntil = max(h.mayHoldUntil, now.Add(c.Hold+time.Duration(float64(c.Hold)*drift)))
+	return c, true
+}
+
+// Ended takes the result of a call.
+func (g *Granter) Ended(c Call, result Result, handover string, now timer.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := slices.IndexFunc(g.holdings, func(h *holding) bool {
+		return h.service == c.Service && h.First == c.First && h.Last == c.Last && h.Token == c.Token
+	})
+	if i < 0 {
+		return
+	}
+	h := g.holdings[i]
+	h.calling = false
+	switch {
+	case result == Refused:
+		h.nextCall = now.Add(refusedPause)
+	case result != Done:
+		h.nextCall = now
+	case c.Release:
+		h.released, h.handover = true, handover
+	default:
+		h.heldUntil = max(h.heldUntil, c.Sent.Add(c.Hold))
+		h.nextCall = c.Sent.Add(renewal)
+	}
+}
+
+// Released returns the ranges that the node gave back and still has in its table.
+func (g *Granter) Released() []partitioner.Release {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []partitioner.Release
+	for _, h := range g.holdings {
+		if h.released {
+			out = append(out, partitioner.Release{
+				Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Handover: h.handover,
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/papayapass/internal/launcher/launcher.go
@@ -0,0 +1,227 @@
+package launcher
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"golang.org/x/sync/errgroup"
+
+	"papayapass.dev/papayapass/internal/attendant"
+	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/exchanger"
+	"papayapass.dev/papayapass/internal/granter"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// Adapter is what a platform's adapter gives the node.
+type Adapter struct {
+	Store           func(address string, transport http.RoundTripper) conductor.Store
+	Dialect         dispatcher.Dialect
+	Objects         conductor.Objects
+	Orders          Orders
+	ReadyPath       string
+	HeartbeatPath   string
+	DecodeHeartbeat func(path string, body []byte) (descriptor.Heartbeat, error)
+	DecodeLeave     func(path string) string
+}
+
+const (
+	// logLines is the ring of log lines that wait for standard output; a full ring
+	// drops lines and counts them.
+	logLines = 4096
+	// logPoll is how often the ring is looked at.
+	logPoll = 20 * time.Millisecond
+	// headerTimeout bounds how long a customer may take to send a header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above the longest that operators let customers stay idle.
+	idleTimeout = 120 * time.Second
+	// maxHeader bounds a header.
+	maxHeader = 64 << 10
+	// maxHeartbeat bounds a heartbeat.
+	maxHeartbeat = 64 << 10
+	// lameDuck is how long a stopping node goes on to take requests: the platform
+	// asks once a second whether it is ready, and believes two answers.
+	lameDuck = 2500 * time.Millisecond
+	// stopReserve is the part of the grace that is kept for ending.
+	stopReserve = time.Second
+)
+
+// Run runs a node until ctx ends, and stops it gracefully then.
+func Run(ctx context.Context, s *Settings, a Adapter) error {
+	out := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
+		// The ring is full: say so past it, in the form of all lines.
+		_, _ = os.Stderr.WriteString(`{"level":"warn","message":"log lines dropped","count":` + strconv.Itoa(missed) + "}\n")
+	})
+	defer func() { _ = out.Close() }() // nowhere to report it
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	zerolog.DurationFieldUnit = time.Millisecond
+	logger := zerolog.New(out).With().Timestamp().Str("node", s.Node.ID).Logger()
+	n := newNode(s, a, logger)
+	return n.run(ctx)
+}
+
+// node is a running node.
+type node struct {
+	settings  *Settings
+	adapter   Adapter
+	logger    zerolog.Logger
+	timers    *timer.Service
+	conductor *conductor.Conductor
+	attendant *attendant.Attendant
+	servers   []*http.Server
+}
+
+func newNode(s *Settings, a Adapter, logger zerolog.Logger) *node {
+	n := &node{settings: s, adapter: a, logger: logger, timers: timer.NewService(timer.BootClock{})}
+	self := partitioner.Member{ID: partitioner.NodeID(s.Node.ID), Address: s.peers(), Zone: s.Node.Zone}
+	g := granter.NewGranter(self.ID, n.timers.Now())
+	dialer := exchanger.NewDialer(controlConnect)
+	store := a.Store(s.Store.Address, &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: controlIdle, DisableCompression: true,
+	})
+	bounds := conductor.Bounds{
+		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
+	}
+	incarnation := uint64(time.Now().UnixNano())
+	n.conductor = conductor.NewConductor(self, incarnation, store, a.Objects, bounds, n.timers, g, logger)
+	n.attendant = attendant.NewAttendant(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.Dialect, n.timers, g, n.conductor, logger)
+	n.conductor.Attach(n.attendant, newCalls(a.Orders, s.Node.Server))
+	return n
+}
+
+func (n *node) run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, life := errgroup.WithContext(life)
+	customers := dispatcher.NewDispatcher(n.conductor, n.adapter.Dialect, n.timers, n.settings.Node.Service, n.logger)
+	peers := dispatcher.NewPeerHandler(n.attendant, n.timers)
+	control := controlHandler(n.conductor)
+	for address, h := range map[string]http.Handler{
+		n.settings.Listen.Customers:  customers,
+		n.settings.Listen.Ready:      http.HandlerFunc(n.ready),
+		n.settings.Listen.Heartbeats: http.HandlerFunc(n.heartbeat),
+		n.settings.peers(): http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(dispatcher.HeaderHop) == "" {
+				control.ServeHTTP(w, r)
+				return
+			}
+			peers.ServeHTTP(w, r)
+		}),
+	} {
+		if err := n.listen(g, address, h); err != nil {
+			return err
+		}
+	}
+	g.Go(func() error { return n.timers.Run(life) })
+	g.Go(func() error { return n.conductor.Run(life) })
+	n.logger.Info().Str("zone", n.settings.Node.Zone).Str("service", n.settings.Node.Service).Msg("node runs")
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.stop(life)
+		case <-life.Done():
+		}
+		end()
+		for _, s := range n.servers {
+			_ = s.Close() // whatever is still open is past the grace
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+func (n *node) listen(g *errgroup.Group, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", address)
+	}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: nil,
+	}
+	n.servers = append(n.servers, s)
+	g.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serve at %s", address)
+		}
+		return nil
+	})
+	return nil
+}
+
+func (n *node) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != n.adapter.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !n.conductor.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *node) heartbeat(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, n.adapter.HeartbeatPath) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	switch r.Method {
+	case http.MethodDelete:
+		n.attendant.Leave(n.adapter.DecodeLeave(r.URL.Path))
+	case http.MethodPut:
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeat))
+		if err != nil {
+			return // the backend server sends another heartbeat
+		}
+		h, err := n.adapter.DecodeHeartbeat(r.URL.Path, body)
+		if err != nil {
+			n.logger.Warn().Err(err).Msg("heartbeat cannot be read")
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if !n.attendant.Heartbeat(h) {
+			n.logger.Warn().Str("server", h.ID).Str("service", h.Service).Str("address", h.Address).Msg("heartbeat is not for this node")
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, "{}") // the backend server sends another heartbeat
+}
+
+// stop lets customers go elsewhere and ends what runs.
+func (n *node) stop(ctx context.Context) {
+	n.logger.Info().Msg("node stops")
+	n.conductor.Stop()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Bounds.Grace)-stopReserve)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(lameDuck):
+	}
+	g := errgroup.Group{}
+	for _, s := range n.servers {
+		g.Go(func() error { return s.Shutdown(ctx) })
+	}
+	if err := g.Wait(); err != nil {
+		n.logger.Warn().Err(err).Msg("requests were still in progress at the end of the grace")
+	}
+	n.logger.Info().Msg("node ends")
+}
--- /dev/null
+++ b/papayapass/internal/launcher/settings.go
@@ -0,0 +1,99 @@
+// Package launcher puts a node of a deployment together, runs it and stops it.
+package launcher
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings are the settings of a node beside one backend server.
+type Settings struct {
+	Node struct {
+		ID          string  `toml:"id"`
+		Zone        string  `toml:"zone"`
+		Address     string  `toml:"address"` // IP address of the instance
+		Service     string  `toml:"service"`
+		Server      string  `toml:"server"` // IP address and port of the backend server
+		CPUShare    float64 `toml:"cpuShare"`
+		MemoryMB    int     `toml:"memoryMB"`
+		Descriptors int     `toml:"descriptors"`
+	} `toml:"node"`
+	Listen struct {
+		Customers  string `toml:"customers"`
+		Ready      string `toml:"ready"`
+		Heartbeats string `toml:"heartbeats"`
+		Peers      int    `toml:"peers"`
+		Metrics    int    `toml:"metrics"`
+	} `toml:"listen"`
+	Store struct {
+		Address string `toml:"address"`
+	} `toml:"store"`
+	Bounds struct {
+		Heartbeat   duration `toml:"heartbeat"`
+		Grace       duration `toml:"grace"`
+		Drain       duration `toml:"drain"`
+		Apply       duration `toml:"apply"`
+		ZoneOut     duration `toml:"zoneOut"`
+		HoldMax     duration `toml:"holdMax"`
+		RetryRatio  float64  `toml:"retryRatio"`
+		RetryWindow duration `toml:"retryWindow"`
+		RetrySlack  float64  `toml:"retrySlack"`
+	} `toml:"bounds"`
+}
+
+// duration is a time with its unit, such as "1500ms".
+type duration time.Duration
+
+// UnmarshalText reads a time with its unit.
+func (d *duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return err
+	}
+	*d = duration(v)
+	return nil
+}
+
+// ReadSettings reads and checks a settings file.
+func ReadSettings(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the settings")
+	}
+	var s Settings
+	if err := toml.Unmarshal(b, &s); err != nil {
+		return nil, errors.Wrapf(err, "settings in %s", path)
+	}
+	return &s, s.check()
+}
+
+func (s *Settings) check() error {
+	for name, address := range map[string]string{
+		"node.server": s.Node.Server, "listen.customers": s.Listen.Customers, "listen.ready": s.Listen.Ready,
+		"listen.heartbeats": s.Listen.Heartbeats, "store.address": s.Store.Address,
+	} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return errors.Wrapf(err, "setting %s", name)
+		}
+	}
+	switch {
+	case s.Node.ID == "" || s.Node.Zone == "" || s.Node.Service == "":
+		return errors.New("settings node.id, node.zone and node.service are required")
+	case s.Listen.Peers <= 0:
+		return errors.New("setting listen.peers is required")
+	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0:
+		return errors.New("settings bounds.heartbeat, bounds.grace and bounds.retryWindow must be above zero")
+	default:
+		return nil
+	}
+}
+
+// peers returns the address for other nodes.
+func (s *Settings) peers() string {
+	return net.JoinHostPort(s.Node.Address, strconv.Itoa(s.Listen.Peers))
+}
--- /dev/null
+++ b/papayapass/internal/overseer/message.go
@@ -0,0 +1,76 @@
+// Package overseer is the coordinator of a deployment: it renews the leases of the
+// nodes and changes the table of owners. It is pure: no clock, no sockets. Its
+// authority rests on conditional writes to the platform's store; while the store
+// is away, on the echoes of a majority of the members.
+package overseer
+
+import (
+	"time"
+
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+// KeyWork is the work that a key brought since the last beat, in slot-seconds.
+type KeyWork struct {
+	Key  uint16  `json:"key"`
+	Work float32 `json:"work"`
+}
+
+// Beat is what a node tells the coordinator.
+type Beat struct {
+	Member      partitioner.Member `json:"member"`
+	Incarnation uint64             `json:"incarnation"`
+	Epoch       uint64             `json:"epoch"`
+	Version     uint64             `json:"version"`
+	// Echo is the newest stamp that the node had from the coordinator of Epoch.
+	Echo timer.Instant `json:"echo"`
+	// Stopping says that the node stops; its backend server stays.
+	Stopping bool `json:"stopping,omitempty"`
+	// Cold says that the backend server bears only a trickle for now.
+	Cold     bool                  `json:"cold,omitempty"`
+	Released []partitioner.Release `json:"released,omitempty"`
+	Work     []KeyWork             `json:"work,omitempty"`
+	// Waiting and Running are the requests at the node's backend server.
+	Running int `json:"running,omitempty"`
+	Waiting int `json:"waiting,omitempty"`
+	// Mean is the mean duration of the requests that ended there.
+	Mean time.Duration `json:"mean,omitempty"`
+	// ConfigurationVersion is the configuration in force at the node.
+	ConfigurationVersion uint64 `json:"configurationVersion,omitempty"`
+	// Wait is how long the answer may be held back for a change.
+	Wait time.Duration `json:"wait,omitempty"`
+}
+
+// ServerLoad is the load of the backend server beside a node.
+type ServerLoad struct {
+	Node    partitioner.NodeID `json:"node"`
+	Running int                `json:"running"`
+	Waiting int                `json:"waiting"`
+	Mean    time.Duration      `json:"mean"`
+	Cold    bool               `json:"cold,omitempty"`
+}
+
+// Reply is the coordinator's answer to a beat.
+type Reply struct {
+	// Coordinates is false at a node that is not the coordinator.
+	Coordinates bool               `json:"coordinates"`
+	Epoch       uint64             `json:"epoch"`
+	Stamp       timer.Instant      `json:"stamp"`
+	Lease       time.Duration      `json:"lease"`
+	Table       *partitioner.Table `json:"table,omitempty"`
+	Loads       []ServerLoad       `json:"loads,omitempty"`
+	// StoreDown says that the coordinator cannot write; a node that can may take over.
+	StoreDown bool `json:"storeDown,omitempty"`
+	// Configuration is the encoded configuration, when it is newer than the node's.
+	Configuration []byte `json:"configuration,omitempty"`
+	// ZonesOut are the zones that operators took out, as the coordinator knows them.
+	ZonesOut []string `json:"zonesOut,omitempty"`
+}
+
+// Probe is the answer to the question whether a node hears its coordinator.
+type Probe struct {
+	Epoch uint64 `json:"epoch"`
+	// Heard says that the node heard the coordinator of Epoch lately.
+	Heard bool `json:"heard"`
+}
--- /dev/null
+++ b/papayapass/internal/overseer/overseer.go
@@ -0,0 +1,324 @@
+package overseer
+
+import (
+	"sort"
+	"time"
+
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+// Times of the protocol.
+const (
+	// Tenure is how long one acknowledged write or one majority of echoes carries
+	// the coordinator's authority. A lost owner's keys are free after it.
+	Tenure = 2500 * time.Millisecond
+	// Renewal is the time between writes that only renew the tenure.
+	Renewal = 600 * time.Millisecond
+	// Bridge is the longest time that echoes carry the authority without the store.
+	Bridge = 20 * time.Second
+	// drift covers clocks whose rates differ, in parts of a duration.
+	drift = 0.02
+	// leaseSlack is taken off each lease for the way to the node.
+	leaseSlack = 20 * time.Millisecond
+	// silence is the time without a beat after which a node gets no new keys.
+	silence = 900 * time.Millisecond
+	// settle is how long a new service's backend servers are waited for before
+	// its keys are divided: a heartbeat and the start of the machines.
+	settle = 2 * time.Second
+	// loadMemory is the time constant of measured loads.
+	loadMemory = 2 * time.Second
+)
+
+// node is what the coordinator knows of a member.
+type node struct {
+	beat       Beat
+	heard      timer.Instant
+	leaseUntil timer.Instant
+	echoed     timer.Instant
+}
+
+// Overseer is the state of a coordinator's term. The zero value coordinates nothing.
+type Overseer struct {
+	self      partitioner.NodeID
+	table     *partitioner.Table
+	confirmed timer.Instant
+	began     timer.Instant
+	// majorityAt is when a majority of the inherited members had joined.
+	majorityAt timer.Instant
+	inherited  map[partitioner.NodeID]bool
+	// electorate is the number of members that the term began with.
+	electorate int
+	nodes      map[partitioner.NodeID]*node
+	loads      map[string]*partitioner.Loads
+	decayed    timer.Instant
+	firstSeen  map[string]timer.Instant
+	released   []partitioner.Release
+	zonesOut   map[string]bool
+}
+
+// NewOverseer begins a term with a table that the store has acknowledged; sent is
+// when its write was sent.
+func NewOverseer(self partitioner.NodeID, t *partitioner.Table, sent, now timer.Instant) *Overseer {
+	o := &Overseer{
+		self: self, table: t, confirmed: sent, began: now,
+		inherited: make(map[partitioner.NodeID]bool), nodes: make(map[partitioner.NodeID]*node),
+		loads: make(map[string]*partitioner.Loads), decayed: now,
+		firstSeen: make(map[string]timer.Instant), electorate: len(t.Members),
+	}
+	for _, m := range t.Members {
+		if m.ID != self {
+			o.inherited[m.ID] = true
+		}
+	}
+	if len(o.inherited) == 0 {
+		o.majorityAt = now
+	}
+	return o
+}
+
+// Table returns the newest table that the store has acknowledged.
+func (o *Overseer) Table() *partitioner.Table { return o.table }
+
+// Confirmed tells that the store acknowledged a write that was sent at an instant.
+// The table is nil for a write that only renewed the tenure.
+func (o *Overseer) Confirmed(t *partitioner.Table, sent timer.Instant) {
+	if t != nil {
+		o.table = t
+		o.released = nil
+	}
+	if o.confirmed.Before(sent) {
+		o.confirmed = sent
+	}
+}
+
+// SetZonesOut replaces the zones that operators took out.
+func (o *Overseer) SetZonesOut(zones []string) {
+	o.zonesOut = make(map[string]bool, len(zones))
+	for _, z := range zones {
+		o.zonesOut[z] = true
+	}
+}
+
+// Authority returns the end of the coordinator's right to renew leases.
+func (o *Overseer) Authority() timer.Instant {
+	end := o.confirmed.Add(Tenure)
+	echo, ok := o.majorityEcho()
+	bridged := min(echo.Add(Tenure), o.confirmed.Add(Bridge))
+	if ok && end.Before(bridged) {
+		return bridged
+	}
+	return end
+}
+
+// majorityEcho returns the newest stamp that more than half of the members have
+// echoed; the coordinator itself always has.
+func (o *Overseer) majorityEcho() (timer.Instant, bool) {
+	members := len(o.table.Members)
+	var list []timer.Instant
+	for _, m := range o.table.Members {
+		if n, ok := o.nodes[m.ID]; ok && m.ID != o.self && n.echoed > 0 {
+			list = append(list, n.echoed)
+		}
+	}
+	need := members / 2 // with itself more than half
+	if need == 0 || len(list) < need {
+		return 0, false
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] > list[j] })
+	return list[need-1], true
+}
+
+// StoreDown says whether the store has not acknowledged a write for longer than a
+// renewal takes.
+func (o *Overseer) StoreDown(now timer.Instant) bool {
+	return now.Sub(o.confirmed) > Renewal+silence
+}
+
+// Receive takes a beat and returns the reply to it.
+func (o *Overseer) Receive(b Beat, now timer.Instant) Reply {
+	id := b.Member.ID
+	n, ok := o.nodes[id]
+	if !ok {
+		n = &node{}
+		o.nodes[id] = n
+	}
+	n.beat, n.heard = b, now
+	if b.Epoch == o.table.Epoch && n.echoed.Before(b.Echo) {
+		n.echoed = b.Echo
+	}
+	o.join(b, now)
+	o.count(b)
+	if s := b.Member.Server; s.Divided && s.Up() {
+		if _, seen := o.firstSeen[s.Service]; !seen {
+			o.firstSeen[s.Service] = now
+		}
+	}
+	o.released = append(o.released, b.Released...)
+	return o.reply(n, b, now)
+}
+
+// join counts inherited members that follow this term.
+func (o *Overseer) join(b Beat, now timer.Instant) {
+	if b.Epoch != o.table.Epoch || !o.inherited[b.Member.ID] {
+		return
+	}
+	delete(o.inherited, b.Member.ID)
+	if o.majorityAt == 0 && 2*len(o.inherited) < o.electorate {
+		o.majorityAt = now
+	}
+}
+
+func (o *Overseer) count(b Beat) {
+	if !b.Member.Server.Divided || len(b.Work) == 0 {
+		return
+	}
+	l, ok := o.loads[b.Member.Server.Service]
+	if !ok {
+		l = partitioner.NewLoads()
+		o.loads[b.Member.Server.Service] = l
+	}
+	for _, w := range b.Work {
+		l.Add(w.Key, float64(w.Work)/loadMemory.Seconds())
+	}
+}
+
+func (o *Overseer) reply(n *node, b Beat, now timer.Instant) Reply {
+	r := Reply{Coordinates: true, Epoch: o.table.Epoch, Stamp: now, StoreDown: o.StoreDown(now)}
+	left := o.Authority().Sub(now) - leaseSlack
+	if left > 0 {
+		r.Lease = left - time.Duration(float64(left)*drift)
+		if end := now.Add(left); n.leaseUntil.Before(end) {
+			n.leaseUntil = end
+		}
+	}
+	if b.Epoch != o.table.Epoch || b.Version < o.table.Version {
+		r.Table = o.table
+	}
+	r.Loads = o.serverLoads(now)
+	for z := range o.zonesOut {
+		r.ZonesOut = append(r.ZonesOut, z)
+	}
+	sort.Strings(r.ZonesOut)
+	return r
+}
+
+func (o *Overseer) serverLoads(now timer.Instant) []ServerLoad {
+	var out []ServerLoad
+	for id, n := range o.nodes {
+		s := n.beat.Member.Server
+		if s.ID == "" || s.Divided || now.Sub(n.heard) > silence {
+			continue
+		}
+		out = append(out, ServerLoad{
+			Node: id, Running: n.beat.Running, Waiting: n.beat.Waiting, Mean: n.beat.Mean, Cold: n.beat.Cold,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
+
+// gone says whether no lease of a member can be valid any more. Leases of earlier
+// terms end a tenure after a majority has joined this one, or after the bridge.
+func (o *Overseer) gone(id partitioner.NodeID, now timer.Instant) bool {
+	if id == o.self {
+		return false
+	}
+	if n, ok := o.nodes[id]; ok {
+		margin := time.Duration(float64(Tenure) * drift)
+		return now.Sub(n.heard) > silence && n.leaseUntil.Add(margin) < now
+	}
+	if o.majorityAt > 0 {
+		return o.majorityAt.Add(Tenure+time.Duration(float64(Tenure)*drift)) < now
+	}
+	return o.began.Add(Bridge+Tenure) < now
+}
+
+// Plan returns the table that should be written next, or nil when the table may
+// stay as it is. The caller writes it on the condition that the store still has
+// the table that it changes, and calls Confirmed.
+func (o *Overseer) Plan(now timer.Instant) *partitioner.Table {
+	o.decay(now)
+	p := partitioner.NewPlan(o.withMembers(now), o.standings(now), o.loads)
+	p.Free()
+	p.Released(o.released)
+	for service, first := range o.firstSeen {
+		if now.Sub(max(first, o.began)) > settle {
+			p.Divide(service)
+		}
+	}
+	p.Assign()
+	p.Evacuate()
+	p.Balance()
+	p.Merge()
+	next := p.Table()
+	membersChanged := o.dropGone(next, now)
+	if !p.Changed() && !membersChanged && membersEqual(next, o.table) {
+		return nil
+	}
+	next.Version = o.table.Version + 1
+	return next
+}
+
+func membersEqual(a, b *partitioner.Table) bool {
+	if len(a.Members) != len(b.Members) {
+		return false
+	}
+	for i := range a.Members {
+		if a.Members[i] != b.Members[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// withMembers returns a clone of the table with what the nodes say of themselves.
+func (o *Overseer) withMembers(now timer.Instant) *partitioner.Table {
+	t := o.table.Clone()
+	for id, n := range o.nodes {
+		if !o.gone(id, now) {
+			t.SetMember(n.beat.Member)
+		}
+	}
+	return t
+}
+
+// dropGone removes members that are gone and own nothing.
+func (o *Overseer) dropGone(t *partitioner.Table, now timer.Instant) bool {
+	dropped := false
+	for _, m := range append([]partitioner.Member(nil), t.Members...) {
+		if o.gone(m.ID, now) && len(t.Owned(m.ID)) == 0 {
+			t.RemoveMember(m.ID)
+			delete(o.nodes, m.ID)
+			delete(o.inherited, m.ID)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+func (o *Overseer) standings(now timer.Instant) map[partitioner.NodeID]partitioner.Standing {
+	out := make(map[partitioner.NodeID]partitioner.Standing)
+	for _, m := range o.table.Members {
+		out[m.ID] = partitioner.Standing{Silent: true, Gone: o.gone(m.ID, now)}
+	}
+	for id, n := range o.nodes {
+		out[id] = partitioner.Standing{
+			Gone: o.gone(id, now), Silent: now.Sub(n.heard) > silence,
+			Excluded: o.zonesOut[n.beat.Member.Zone], Cold: n.beat.Cold,
+		}
+	}
+	return out
+}
+
+func (o *Overseer) decay(now timer.Instant) {
+	elapsed := now.Sub(o.decayed)
+	if elapsed <= 0 {
+		return
+	}
+	o.decayed = now
+	factor := max(0, 1-elapsed.Seconds()/loadMemory.Seconds())
+	for _, l := range o.loads {
+		l.Decay(factor)
+	}
+}
--- /dev/null
+++ b/papayapass/internal/partitioner/planner.go
@@ -0,0 +1,394 @@
+package partitioner
+
+import (
+	"slices"
+	"sort"
+)
+
+// Limits of the planner.
+const (
+	// spread is the difference in utilization above which load moves.
+	spread = 0.2
+	// busy is the utilization below which no load moves: short queues form above it.
+	busy = 0.5
+	// movesAtOnce bounds the ranges of one service that are moving to balance load.
+	movesAtOnce = 4
+	// leastMove is the least work worth a move, in busy slots.
+	leastMove = 0.3
+)
+
+// Standing is what the coordinator knows of a member at the moment of planning.
+type Standing struct {
+	// Gone says that no lease of the node can be valid any more.
+	Gone bool
+	// Silent says that nothing was heard of the node lately.
+	Silent bool
+	// Excluded says that operators took the instance's zone out of service, or that
+	// the node stops for good.
+	Excluded bool
+	// Cold says that the backend server bears only a trickle for now.
+	Cold bool
+}
+
+// Release is a range that its owner gave back.
+type Release struct {
+	Service  string `json:"service"`
+	First    uint16 `json:"first"`
+	Last     uint16 `json:"last"`
+	Token    uint64 `json:"token"`
+	Handover string `json:"handover,omitempty"`
+}
+
+// Plan is one round of planning on a clone of the table.
+type Plan struct {
+	table     *Table
+	standings map[NodeID]Standing
+	loads     map[string]*Loads
+	changed   bool
+}
+
+// NewPlan begins a round.
+func NewPlan(t *Table, standings map[NodeID]Standing, loads map[string]*Loads) *Plan {
+	return &Plan{table: t.Clone(), standings: standings, loads: loads}
+}
+
+// Table returns the table after the round.
+func (p *Plan) Table() *Table { return p.table }
+
+// Changed says whether the round changed anything.
+func (p *Plan) Changed() bool { return p.changed }
+
+func (p *Plan) load(service string) *Loads {
+	if l, ok := p.loads[service]; ok {
+		return l
+	}
+	l := NewLoads()
+	p.loads[service] = l
+	return l
+}
+
+// eligible says whether a member may get keys of a service.
+func (p *Plan) eligible(m Member, service string) bool {
+	s := p.standings[m.ID]
+	return m.Server.Up() && m.Server.Service == service && !s.Gone && !s.Silent && !s.Excluded
+}
+
+// candidates returns the members that may get keys of a service; cold backend
+// servers only when there are no others.
+func (p *Plan) candidates(service string) []Member {
+	var warm, all []Member
+	for _, m := range p.table.Members {
+		if !p.eligible(m, service) {
+			continue
+		}
+		all = append(all, m)
+		if !p.standings[m.ID].Cold {
+			warm = append(warm, m)
+		}
+	}
+	if len(warm) > 0 {
+		return warm
+	}
+	return all
+}
+
+// Divide gives out all keys of a service that has no ranges, evenly.
+func (p *Plan) Divide(service string) {
+	if _, ok := p.table.Division(service); ok {
+		return
+	}
+	list := p.candidates(service)
+	if len(list) == 0 {
+		return
+	}
+	slots := 0
+	for _, m := range list {
+		slots += m.Server.Slots
+	}
+	d := Division{Service: service}
+	given, first := 0, 0
+	for _, m := range list {
+		given += m.Server.Slots
+		end := KeyCount*given/slots - 1
+		r := Range{First: uint16(first), Last: uint16(end)}
+		p.own(&r, m)
+		d.Ranges = append(d.Ranges, r)
+		first = end + 1
+	}
+	p.table.Divisions = append(p.table.Divisions, d)
+	p.changed = true
+}
+
+func (p *Plan) own(r *Range, m Member) {
+	r.Owner, r.Server, r.Born, r.Next = m.ID, m.Server.ID, m.Server.Born, ""
+	r.Token = p.table.nextToken()
+	p.changed = true
+}
+
+// Free takes ranges from owners that cannot hold them any more: their lease has
+// run out, or their backend server has another life.
+func (p *Plan) Free() {
+	for _, d := range p.table.Divisions {
+		for i := range d.Ranges {
+			r := &d.Ranges[i]
+			if r.Owner == "" {
+				continue
+			}
+			m, ok := p.table.Member(r.Owner)
+			switch {
+			case !ok || p.standings[r.Owner].Gone:
+				p.free(r, "")
+			case m.Server.ID != "" && !m.Server.SameLife(r.Server, r.Born) && !p.standings[r.Owner].Silent:
+				p.free(r, "")
+			}
+		}
+	}
+}
+
+func (p *Plan) free(r *Range, handover string) {
+	r.Owner, r.Server, r.Born, r.Handover = "", "", 0, handover
+	p.changed = true
+}
+
+// Released applies ranges that their owners gave back.
+func (p *Plan) Released(list []Release) {
+	for _, rel := range list {
+		for _, d := range p.table.Divisions {
+			if d.Service != rel.Service {
+				continue
+			}
+			i := d.Find(rel.First)
+			r := &d.Ranges[i]
+			if r.First != rel.First || r.Last != rel.Last || r.Token != rel.Token || r.Owner == "" {
+				continue
+			}
+			p.free(r, rel.Handover)
+		}
+	}
+}
+
+// Assign gives ranges without an owner to members, and divides large ones among
+// several.
+func (p *Plan) Assign() {
+	for di := range p.table.Divisions {
+		d := &p.table.Divisions[di]
+		u := p.utilization(d)
+		for i := 0; i < len(d.Ranges); i++ {
+			if d.Ranges[i].Owner == "" {
+				i += p.assign(d, i, u) - 1
+			}
+		}
+	}
+}
+
+// assign gives one free range out and returns the number of ranges it became.
+func (p *Plan) assign(d *Division, i int, u *usage) int {
+	r := d.Ranges[i]
+	if next, ok := p.table.Member(r.Next); ok && p.eligible(next, d.Service) {
+		p.own(&d.Ranges[i], next)
+		u.add(next.ID, p.load(d.Service).Sum(r.First, r.Last))
+		return 1
+	}
+	list := p.candidates(d.Service)
+	if len(list) == 0 {
+		return 1
+	}
+	pieces := p.split(d.Service, r, p.pieces(d.Service, r, len(list)))
+	for j := range pieces {
+		m := u.least(list)
+		p.own(&pieces[j], m)
+		u.add(m.ID, p.load(d.Service).Sum(pieces[j].First, pieces[j].Last))
+	}
+	d.Ranges = slices.Replace(d.Ranges, i, i+1, pieces...)
+	return len(pieces)
+}
+
+// pieces returns in how many parts a range is given out: one for small ranges.
+func (p *Plan) pieces(service string, r Range, members int) int {
+	size := int(r.Last) - int(r.First) + 1
+	if size < KeyCount/64 && p.load(service).Sum(r.First, r.Last) < 1 {
+		return 1
+	}
+	return members
+}
+
+// split divides a free range into parts of about the same work.
+func (p *Plan) split(service string, r Range, n int) []Range {
+	l := p.load(service)
+	want := l.Sum(r.First, r.Last) / float64(n)
+	var out []Range
+	first := r.First
+	for len(out) < n-1 && first < r.Last {
+		last := l.Cut(first, r.Last, want)
+		if last == r.Last {
+			break
+		}
+		out = append(out, Range{First: first, Last: last, Token: r.Token, Handover: r.Handover})
+		first = last + 1
+	}
+	return append(out, Range{First: first, Last: r.Last, Token: r.Token, Handover: r.Handover})
+}
+
+// Evacuate moves the ranges of members that leave or that operators took out.
+func (p *Plan) Evacuate() {
+	for di := range p.table.Divisions {
+		d := &p.table.Divisions[di]
+		list := p.candidates(d.Service)
+		if len(list) == 0 {
+			continue
+		}
+		u := p.utilization(d)
+		for i := 0; i < len(d.Ranges); i++ {
+			r := d.Ranges[i]
+			if r.Owner == "" || r.Next != "" {
+				continue
+			}
+			m, _ := p.table.Member(r.Owner)
+			known := m.Server.ID != "" || m.Server.Down
+			if s := p.standings[r.Owner]; !known || (m.Server.Up() && !s.Excluded) {
+				continue
+			}
+			pieces := p.split(d.Service, r, p.pieces(d.Service, r, len(list)))
+			for j := range pieces {
+				pieces[j].Owner, pieces[j].Server, pieces[j].Born = r.Owner, r.Server, r.Born
+				next := u.least(list)
+				pieces[j].Next = next.ID
+				u.add(next.ID, p.load(d.Service).Sum(pieces[j].First, pieces[j].Last))
+			}
+			d.Ranges = slices.Replace(d.Ranges, i, i+1, pieces...)
+			i += len(pieces) - 1
+			p.changed = true
+		}
+	}
+}
+
+// Balance moves the hottest keys of the busiest backend servers to idle ones. It
+// answers a stretch of neighbouring keys that takes a third of the traffic within
+// a second: the shortest run with the wanted work goes first.
+func (p *Plan) Balance() {
+	for di := range p.table.Divisions {
+		d := &p.table.Divisions[di]
+		for moving := p.moving(d); moving < movesAtOnce; moving++ {
+			if !p.balance(d) {
+				break
+			}
+		}
+	}
+}
+
+func (p *Plan) moving(d *Division) int {
+	n := 0
+	for _, r := range d.Ranges {
+		if r.Next != "" {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Plan) balance(d *Division) bool {
+	list := p.candidates(d.Service)
+	if len(list) < 2 {
+		return false
+	}
+	u := p.utilization(d)
+	sort.SliceStable(list, func(i, j int) bool { return u.of(list[i]) < u.of(list[j]) })
+	idle, full := list[0], list[len(list)-1]
+	gap := u.of(full) - u.of(idle)
+	if gap < spread || u.of(full) < busy {
+		return false
+	}
+	want := gap / 2 * float64(min(full.Server.Slots, idle.Server.Slots))
+	if want < leastMove {
+		return false
+	}
+	l := p.load(d.Service)
+	best, from, to := -1, uint16(0), uint16(0)
+	for i, r := range d.Ranges {
+		if r.Owner != full.ID || r.Next != "" {
+			continue
+		}
+		a, b, ok := l.Hottest(r.First, r.Last, min(want, l.Sum(r.First, r.Last)))
+		if !ok || l.Sum(a, b) < leastMove || l.Sum(a, b) > 1.5*want {
+			continue
+		}
+		if best < 0 || l.Sum(a, b) > l.Sum(from, to) {
+			best, from, to = i, a, b
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	p.carve(d, best, from, to, idle.ID)
+	return true
+}
+
+// carve cuts the keys from first to last out of a range and lets them move.
+func (p *Plan) carve(d *Division, i int, first, last uint16, next NodeID) {
+	r := d.Ranges[i]
+	var out []Range
+	if r.First < first {
+		left := r
+		left.Last = first - 1
+		out = append(out, left)
+	}
+	middle := r
+	middle.First, middle.Last, middle.Next = first, last, next
+	out = append(out, middle)
+	if last < r.Last {
+		right := r
+		right.First = last + 1
+		out = append(out, right)
+	}
+	d.Ranges = slices.Replace(d.Ranges, i, i+1, out...)
+	p.changed = true
+}
+
+// Merge joins neighbouring ranges of one owner that are not moving.
+func (p *Plan) Merge() {
+	for di := range p.table.Divisions {
+		d := &p.table.Divisions[di]
+		for i := 0; i+1 < len(d.Ranges); {
+			a, b := d.Ranges[i], d.Ranges[i+1]
+			if a.Owner == "" || a.Owner != b.Owner || a.Token != b.Token || a.Next != "" || b.Next != "" {
+				i++
+				continue
+			}
+			a.Last = b.Last
+			d.Ranges = slices.Replace(d.Ranges, i, i+2, a)
+			p.changed = true
+		}
+	}
+}
+
+// usage is the planned work of each member, in busy slots.
+type usage struct {
+	work map[NodeID]float64
+}
+
+func (p *Plan) utilization(d *Division) *usage {
+	u := &usage{work: make(map[NodeID]float64)}
+	l := p.load(d.Service)
+	for _, r := range d.Ranges {
+		owner := r.Owner
+		if r.Next != "" {
+			owner = r.Next
+		}
+		u.add(owner, l.Sum(r.First, r.Last))
+	}
+	return u
+}
+
+func (u *usage) add(id NodeID, work float64) { u.work[id] += work }
+
+func (u *usage) of(m Member) float64 { return u.work[m.ID] / float64(max(m.Server.Slots, 1)) }
+
+func (u *usage) least(list []Member) Member {
+	best := list[0]
+	for _, m := range list[1:] {
+		if u.of(m) < u.of(best) {
+			best = m
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/papayapass/internal/partitioner/table.go
@@ -0,0 +1,182 @@
+// Package partitioner holds which backend server owns which keys of each divided
+// service, and decides how that changes. It is pure: no clock, no sockets.
+package partitioner
+
+import (
+	"slices"
+	"sort"
+)
+
+// KeyCount is the number of keys of a divided service.
+const KeyCount = 1 << 16
+
+// LastKey is the last key of a divided service.
+const LastKey = KeyCount - 1
+
+// NodeID names a node, and the instance that it runs on.
+type NodeID string
+
+// Server is the backend server beside a node.
+type Server struct {
+	ID      string `json:"id"`
+	Born    int64  `json:"born"`
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+	Divided bool   `json:"divided,omitempty"`
+	// Leaving says that the backend server gets no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Down says that the backend server does not answer.
+	Down bool `json:"down,omitempty"`
+}
+
+// Up says whether the backend server may own keys and get new work.
+func (s Server) Up() bool { return s.ID != "" && !s.Leaving && !s.Down }
+
+// SameLife says whether two descriptions are of one start of a backend server.
+func (s Server) SameLife(id string, born int64) bool { return s.ID == id && s.Born == born }
+
+// Member is a node as the table knows it.
+type Member struct {
+	ID      NodeID `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Server  Server `json:"server"`
+}
+
+// Range is a run of keys with its owner.
+type Range struct {
+	First uint16 `json:"first"`
+	Last  uint16 `json:"last"`
+	// Owner is the node beside the owning backend server; it is empty while there
+	// is none.
+	Owner    NodeID `json:"owner,omitempty"`
+	Server   string `json:"server,omitempty"`
+	Born     int64  `json:"born,omitempty"`
+	Token    uint64 `json:"token"`
+	Handover string `json:"handover,omitempty"`
+	// Next is the node that the range is moving to.
+	Next NodeID `json:"next,omitempty"`
+}
+
+// Contains says whether a key lies in the range.
+func (r Range) Contains(key uint16) bool { return r.First <= key && key <= r.Last }
+
+// Division is a divided service: its ranges cover all keys, in their order.
+type Division struct {
+	Service string  `json:"service"`
+	Ranges  []Range `json:"ranges"`
+}
+
+// Find returns the index of the range of a key.
+func (d Division) Find(key uint16) int {
+	return sort.Search(len(d.Ranges), func(i int) bool { return d.Ranges[i].Last >= key })
+}
+
+// Table is the assignment of a deployment. A published table is never changed.
+type Table struct {
+	Epoch       uint64     `json:"epoch"`
+	Version     uint64     `json:"version"`
+	Coordinator NodeID     `json:"coordinator"`
+	Incarnation uint64     `json:"incarnation"`
+	LastToken   uint64     `json:"lastToken"`
+	Members     []Member   `json:"members"`
+	Divisions   []Division `json:"divisions"`
+}
+
+// Newer says whether the table supersedes another.
+func (t *Table) Newer(other *Table) bool {
+	if other == nil {
+		return true
+	}
+	if t.Epoch != other.Epoch {
+		return t.Epoch > other.Epoch
+	}
+	return t.Version > other.Version
+}
+
+// Member returns a member by name.
+func (t *Table) Member(id NodeID) (Member, bool) {
+	i, ok := t.findMember(id)
+	if !ok {
+		return Member{}, false
+	}
+	return t.Members[i], true
+}
+
+func (t *Table) findMember(id NodeID) (int, bool) {
+	return slices.BinarySearchFunc(t.Members, id, func(m Member, id NodeID) int {
+		switch {
+		case m.ID < id:
+			return -1
+		case m.ID > id:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+// SetMember adds or replaces a member of a clone.
+func (t *Table) SetMember(m Member) {
+	i, ok := t.findMember(m.ID)
+	if ok {
+		t.Members[i] = m
+		return
+	}
+	t.Members = slices.Insert(t.Members, i, m)
+}
+
+// RemoveMember forgets a member of a clone.
+func (t *Table) RemoveMember(id NodeID) {
+	if i, ok := t.findMember(id); ok {
+		t.Members = slices.Delete(t.Members, i, i+1)
+	}
+}
+
+// Division returns a divided service.
+func (t *Table) Division(service string) (Division, bool) {
+	for _, d := range t.Divisions {
+		if d.Service == service {
+			return d, true
+		}
+	}
+	return Division{}, false
+}
+
+// Range returns the range of a key of a divided service.
+func (t *Table) Range(service string, key uint16) (Range, bool) {
+	d, ok := t.Division(service)
+	if !ok || len(d.Ranges) == 0 {
+		return Range{}, false
+	}
+	return d.Ranges[d.Find(key)], true
+}
+
+// Owned returns the ranges of a node, by service.
+func (t *Table) Owned(id NodeID) []Range {
+	var out []Range
+	for _, d := range t.Divisions {
+		for _, r := range d.Ranges {
+			if r.Owner == id {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// Clone returns a copy that can be changed.
+func (t *Table) Clone() *Table {
+	c := *t
+	c.Members = slices.Clone(t.Members)
+	c.Divisions = make([]Division, len(t.Divisions))
+	for i, d := range t.Divisions {
+		c.Divisions[i] = Division{Service: d.Service, Ranges: slices.Clone(d.Ranges)}
+	}
+	return &c
+}
+
+func (t *Table) nextToken() uint64 {
+	t.LastToken++
+	return t.LastToken
+}
--- /dev/null
+++ b/shared/descriptor/heartbeat.go
@@ -0,0 +1,60 @@
+package descriptor
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Heartbeat is what a backend server says of itself.
+type Heartbeat struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	// ColdFor is how much longer the backend server stays cold.
+	ColdFor time.Duration
+	// Sequence grows with each heartbeat of one life.
+	Sequence int64
+	// Born is the Unix millisecond of the start; it tells lives apart.
+	Born int64
+}
+
+// Load is the load report of a backend server.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Slowness is how long work takes at this moment, as a multiple of the usual
+	// time; zero means that it is not reported.
+	Slowness float64
+}
+
+// Object is a stored object of the platform's store.
+type Object struct {
+	Name     string
+	Revision uint64
+	Spec     json.RawMessage
+	Status   json.RawMessage
+}
+
+// Event is one change of an object.
+type Event struct {
+	Object  Object
+	Removed bool
+}
+
+// Errors of the store. All others leave open whether a write took effect.
+var (
+	// ErrNotFound means that there is no such object.
+	ErrNotFound = errors.New("object not found")
+	// ErrConflict means that the object has another revision, or exists already.
+	ErrConflict = errors.New("object has another revision")
+	// ErrRejected means that the store did nothing.
+	ErrRejected = errors.New("store rejected the call")
+	// ErrHistoryGone means that a watch must start anew from a listing.
+	ErrHistoryGone = errors.New("history of the store is gone")
+)
