Give ranges out in parts that are worth their calls

Cause: a range with more than one busy slot was cut into as many parts as there are members; rolling stops of grown pptia made 450 to 540 releases within a second, each a call that waits for running work, and the table kept the parts for good. Change: a part for each busy slot of work or 1,024 keys, up to the number of members.

--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -1,6 +1,7 @@
 package partitioner
 
 import (
+	"math"
 	"slices"
 )
 
@@ -23,6 +24,10 @@
 	fastest = 1.6
 	// leastMove is the least work worth a move, in busy slots.
 	leastMove = 0.3
+	// pieceWork and pieceKeys are the work, in busy slots, and the number of keys of
+	// the parts in which a range is given out. Each part costs a call of its owner.
+	pieceWork = 1.0
+	pieceKeys = KeyCount / 64
 )
 
 // Standing is what the coordinator knows of a member at the moment of planning.
@@ -216,13 +221,12 @@
 	return len(pieces)
 }
 
-// pieces returns in how many parts a range is given out: one for small ranges.
+// pieces returns in how many parts a range is given out: as many as its work or its
+// size is worth, up to the number of members.
 func (p *Plan) pieces(service string, r Range, members int) int {
 	size := int(r.Last) - int(r.First) + 1
-	if size < KeyCount/64 && p.load(service).Sum(r.First, r.Last) < 1 {
-		return 1
-	}
-	return members
+	n := max(int(math.Ceil(p.load(service).Sum(r.First, r.Last)/pieceWork)), size/pieceKeys)
+	return min(max(n, 1), members)
 }
 
 // split divides a free range into parts of about the same work.
--- a/papayapass/internal/partitioner/planner_test.go
+++ b/papayapass/internal/partitioner/planner_test.go
@@ -10,7 +10,7 @@
 const permits = "permits"
 
 // testPool returns a table of n members with ten slots each, divided evenly.
-func testPool(t *testing.T, n int) (*Table, map[NodeID]Standing, map[string]*Loads) {
+func testPool(t testing.TB, n int) (*Table, map[NodeID]Standing, map[string]*Loads) {
 	t.Helper()
 	table := &Table{Epoch: 1, Version: 1}
 	standings := make(map[NodeID]Standing)
@@ -155,6 +155,27 @@
 	}
 }
 
+// A server with three popular ranges leaves a pool of 40 (rolling stops of the grown
+// pptia site: 450 releases within a second). Each part that moves is worth its call.
+func TestLeavingOwnersAreNotCutToPieces(t *testing.T) {
+	table, standings, loads := testPool(t, 40)
+	change(table, func(s *Server) { s.Leaving = true })
+	r := table.Owned("node-1")[0]
+	p := NewPlan(table, standings, loads)
+	p.carve(&p.table.Divisions[0], 1, r.First+500, r.First+599, "")
+	for k := r.First; k <= r.Last; k++ {
+		loads[permits].Add(k, 9.0/float64(int(r.Last)-int(r.First)+1))
+	}
+	p.Evacuate()
+	parts := 0
+	for _, owned := range p.Table().Owned("node-1") {
+		require.NotEmpty(t, owned.Next)
+		parts++
+	}
+	require.LessOrEqual(t, parts, 9+3, "a busy slot each, and one more for each range")
+	require.GreaterOrEqual(t, parts, 9, "and shared out")
+}
+
 // A node that has just restarted does not know its backend server yet: its keys stay.
 func TestKeysStayWhileANodeLearnsItsServer(t *testing.T) {
 	table, standings, loads := testPool(t, 4)
