Log summaries of requests, and which node was asked last

Cause: successes left no line at all, and a refusal did not say which owner refused it, so that finding the full owner took a guess from keys. Change: one line for each route and 5 s with counts by outcome, mean and longest time; request failed names the last node asked and how many were asked.

--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -105,11 +105,11 @@
 	d.view.Count(c.Service)
 	ctx, cancel := context.WithTimeout(r.Context(), c.Deadline.Sub(arrived)+answerSlack)
 	defer cancel()
-	res, tries := d.run(ctx, c, route)
+	res, way := d.run(ctx, c, route)
 	if r.Context().Err() != nil {
 		res.Reason = ReasonCanceled
 	}
-	d.finish(w, c, res, arrived, tries)
+	d.finish(w, c, res, arrived, way)
 }
 
 func (d *Dispatcher) badBody(w http.ResponseWriter, err error) {
@@ -157,12 +157,32 @@
 	return ""
 }
 
+// trail is the way that a call has taken so far.
+type trail struct {
+	began timer.Instant
+	// reached counts the backend servers that were offered the call.
+	reached int
+	// asked counts the nodes that were asked to serve it, and last is the last one.
+	asked int
+	last  partitioner.NodeID
+}
+
+// serve asks a node to serve a call.
+func (t *trail) serve(ctx context.Context, s Server, id partitioner.NodeID, c *Call) Result {
+	t.asked++
+	t.last = id
+	res := s.Serve(ctx, c)
+	if res.Offered {
+		t.reached++
+	}
+	return res
+}
+
 // run brings a call to backend servers until its outcome is final.
-func (d *Dispatcher) run(ctx context.Context, c *Call, route *descriptor.Route) (Result, int) {
+func (d *Dispatcher) run(ctx context.Context, c *Call, route *descriptor.Route) (Result, *trail) {
 	tried := make(map[partitioner.NodeID]bool)
 	var queues shortest
-	began := d.clock.Now()
-	reached := 0
+	way := &trail{began: d.clock.Now()}
 	last := Result{Outcome: NotRun, Reason: ReasonNoServer}
 	for {
 		server, id, reason := d.view.Choose(c, tried)
@@ -172,23 +192,20 @@
 		}
 		if server == nil {
 			if last.Outcome != NotRun {
-				return last, reached // an earlier try may have run
+				return last, way // an earlier try may have run
 			}
 			if reason != ReasonNone && last.Reason == ReasonNoServer {
 				last.Reason = reason
 			}
-			if !d.await(ctx, c, began, last) {
-				return last, reached
+			if !d.await(ctx, c, way, last) {
+				return last, way
 			}
 			clear(tried)
 			continue
 		}
-		res := server.Serve(ctx, c)
-		if res.Offered {
-			reached++
-		}
+		res := way.serve(ctx, server, id, c)
 		if ctx.Err() != nil || (res.Outcome == Answered && !d.failed(res)) {
-			return res, reached
+			return res, way
 		}
 		if last.Outcome == NotRun || res.Outcome == Answered {
 			last = res
@@ -196,15 +213,15 @@
 		if res.Reason == ReasonBusy {
 			queues.add(id, res.Retry)
 		}
-		if !d.again(c, route, res, reached) {
-			return last, reached
+		if !d.again(c, route, res, way.reached) {
+			return last, way
 		}
 		if !c.Divided {
 			tried[id] = true
 			continue
 		}
-		if res.Outcome == NotRun && !d.await(ctx, c, began, res) {
-			return last, reached
+		if res.Outcome == NotRun && !d.await(ctx, c, way, res) {
+			return last, way
 		}
 	}
 }
@@ -263,7 +280,7 @@
 }
 
 // await waits for keys that are about to be served again, as long as that is of use.
-func (d *Dispatcher) await(ctx context.Context, c *Call, began timer.Instant, res Result) bool {
+func (d *Dispatcher) await(ctx context.Context, c *Call, way *trail, res Result) bool {
 	if !c.Divided {
 		return false
 	}
@@ -273,7 +290,7 @@
 		return false
 	}
 	now := d.clock.Now()
-	if now.Sub(began) > movePatience || c.Deadline.Sub(now) < c.Objective/4 {
+	if now.Sub(way.began) > movePatience || c.Deadline.Sub(now) < c.Objective/4 {
 		return false
 	}
 	t := time.NewTimer(retryPause)
@@ -286,7 +303,7 @@
 	}
 }
 
-func (d *Dispatcher) finish(w http.ResponseWriter, c *Call, res Result, arrived timer.Instant, tries int) {
+func (d *Dispatcher) finish(w http.ResponseWriter, c *Call, res Result, arrived timer.Instant, way *trail) {
 	now := d.clock.Now()
 	left := c.Deadline.Sub(now)
 	status := 0
@@ -308,7 +325,8 @@
 	d.counter.End(c.Route, res.Outcome.String(), string(res.Reason), status, now.Sub(arrived))
 	if res.Outcome != Answered || status >= http.StatusInternalServerError {
 		d.logger.Info().Str("request", c.ID).Str("route", c.Route).Str("service", c.Service).Uint16("key", c.Key).
-			Stringer("outcome", res.Outcome).Str("reason", string(res.Reason)).Int("status", status).Int("reached", tries).
+			Stringer("outcome", res.Outcome).Str("reason", string(res.Reason)).Int("status", status).
+			Str("server", string(way.last)).Int("asked", way.asked).Int("reached", way.reached).
 			Dur("elapsed", now.Sub(arrived)).Dur("left", left).Msg("request failed")
 	}
 }
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -27,6 +27,7 @@
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/meter"
 	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/summarizer"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/shared/descriptor"
 )
@@ -150,7 +151,8 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, life := errgroup.WithContext(life)
-	customers := dispatcher.NewDispatcher(n.conductor, n.adapter.Dialect, n.timers, n.settings.Node.Service, meter.NewTraffic(n.meter), n.logger)
+	ends := summarizer.NewSummarizer(meter.NewTraffic(n.meter), n.logger)
+	customers := dispatcher.NewDispatcher(n.conductor, n.adapter.Dialect, n.timers, n.settings.Node.Service, ends, n.logger)
 	peers := dispatcher.NewPeerHandler(n.attendant, n.timers, n.enveloper)
 	for address, h := range map[string]http.Handler{
 		n.settings.Listen.Customers:  customers,
@@ -166,6 +168,7 @@
 	g.Go(func() error { return n.timers.Run(life) })
 	g.Go(func() error { return n.conductor.Run(life) })
 	g.Go(func() error { return r.run(life) })
+	g.Go(func() error { return ends.Run(life, n.timers) })
 	n.logger.Info().Str("zone", n.settings.Node.Zone).Str("service", n.settings.Node.Service).Msg("node runs")
 	g.Go(func() error {
 		select {
