Test three nodes on real sockets, a stop and a leaving customer

Change: three nodes with backend servers, a store in memory and customers on kept connections. Whatever ran is answered while a node stops; the work of a customer who leaves ends beside another node. Conclusion: no timing is asserted; waits have a patience of 30 s.

--- /dev/null
+++ b/papayapass/internal/launcher/deployment_test.go
@@ -0,0 +1,406 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/shared/descriptor"
+)
+
+// patience bounds waiting for what must come, on a machine however busy.
+const patience = 30 * time.Second
+
+// memoryStore is a store of objects in memory.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]descriptor.Object
+}
+
+func (s *memoryStore) Get(_ context.Context, kind, name string) (descriptor.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return o, descriptor.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *memoryStore) List(_ context.Context, kind string) ([]descriptor.Object, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []descriptor.Object
+	for path, o := range s.objects {
+		if strings.HasPrefix(path, kind+"/") {
+			out = append(out, o)
+		}
+	}
+	return out, s.revision, nil
+}
+
+func (s *memoryStore) Create(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+	return s.write(kind, o, func(old descriptor.Object, ok bool) bool { return !ok }, func(old, o descriptor.Object) descriptor.Object { return o })
+}
+
+func (s *memoryStore) Replace(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+	return s.write(kind, o, sameRevision(o), func(old, o descriptor.Object) descriptor.Object { o.Status = old.Status; return o })
+}
+
+func (s *memoryStore) ReplaceStatus(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+	return s.write(kind, o, sameRevision(o), func(old, o descriptor.Object) descriptor.Object { o.Spec = old.Spec; return o })
+}
+
+func sameRevision(o descriptor.Object) func(descriptor.Object, bool) bool {
+	return func(old descriptor.Object, ok bool) bool { return ok && old.Revision == o.Revision }
+}
+
+func (s *memoryStore) write(kind string, o descriptor.Object, may func(descriptor.Object, bool) bool, join func(old, o descriptor.Object) descriptor.Object) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.objects[kind+"/"+o.Name]
+	if !may(old, ok) {
+		return 0, descriptor.ErrConflict
+	}
+	s.revision++
+	o = join(old, o)
+	o.Revision = s.revision
+	s.objects[kind+"/"+o.Name] = o
+	return s.revision, nil
+}
+
+// plainDialect reads and writes headers of short names.
+type plainDialect struct{}
+
+func (plainDialect) RequestID(h http.Header) string { return h.Get("Id") }
+func (plainDialect) Deadline(h http.Header) (time.Duration, bool) {
+	d, err := time.ParseDuration(h.Get("Wait"))
+	return d, err == nil
+}
+
+func (plainDialect) Key(h http.Header) (uint16, bool) {
+	n, err := strconv.ParseUint(h.Get("Key"), 10, 16)
+	return uint16(n), err == nil
+}
+func (plainDialect) Prepare(h http.Header, server, _ string, _ time.Duration) { h.Set("Server", server) }
+func (plainDialect) AnswersTo(h http.Header, id string) bool                  { return h.Get("Id") == id }
+func (plainDialect) Sealed(h http.Header) bool                                { return h.Get("Seal") != "" }
+func (plainDialect) NotRun(_ int, h http.Header) bool                         { return h.Get("Not-Run") != "" }
+
+// grantMessage is an order about keys.
+type grantMessage struct {
+	First, Last uint16
+	Token       uint64
+}
+
+func plainAdapter(s *memoryStore) Adapter {
+	encode := func(first, last uint16, token uint64) []byte {
+		b, _ := json.Marshal(grantMessage{first, last, token}) // has no unsupported type
+		return b
+	}
+	return Adapter{
+		Store: func(string, http.RoundTripper) conductor.Store { return s },
+		Objects: conductor.Objects{
+			ConfigurationKind: "configurations", ConfigurationName: "main", ZonesOutKind: "zonesOut",
+			Decode: func(spec []byte) (*descriptor.Configuration, error) {
+				cfg := &descriptor.Configuration{}
+				err := json.Unmarshal(spec, cfg)
+				cfg.Source = spec
+				cfg.Index()
+				return cfg, err
+			},
+		},
+		Orders: Orders{
+			GrantPath: "/grant", ReleasePath: "/release", HandoverHeader: "Handover",
+			EncodeGrant: func(first, last uint16, token uint64, _ time.Duration, _ string) []byte {
+				return encode(first, last, token)
+			},
+			EncodeRelease: encode,
+		},
+		Dialect: plainDialect{}, ReadyPath: "/ready", HeartbeatPath: "/beats/", SampleHeader: "{}",
+		DecodeHeartbeat: func(_ string, body []byte) (h descriptor.Heartbeat, err error) {
+			err = json.Unmarshal(body, &h)
+			return h, err
+		},
+		DecodeLeave: func(path string) string { return strings.TrimPrefix(path, "/beats/") },
+	}
+}
+
+// instance is a node and the backend server beside it.
+type instance struct {
+	t         *testing.T
+	customers string
+	ready     string
+	beats     string
+	server    *httptest.Server
+	stop      context.CancelFunc
+	ended     chan error
+
+	mu  sync.Mutex
+	ran map[string]bool
+	// run is what the backend server does with a request.
+	run func(r *http.Request)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
+func port(address string) string {
+	_, p, _ := net.SplitHostPort(address) // comes from a listener
+	return p
+}
+
+// startInstance starts a backend server and its node, which ends with the test.
+func startInstance(t *testing.T, s *memoryStore, id, service string) *instance {
+	t.Helper()
+	i := &instance{t: t, customers: freeAddress(t), ready: freeAddress(t), beats: freeAddress(t), ran: make(map[string]bool), ended: make(chan error, 1)}
+	i.server = httptest.NewServer(i)
+	t.Cleanup(i.server.Close)
+	text := fmt.Sprintf(`
+[node]
+id = %q
+zone = "zone-1"
+address = "127.0.0.1"
+service = %q
+server = %q
+[listen]
+customers = %q
+ready = %q
+heartbeats = %q
+peers = %s
+metrics = %s
+[store]
+address = "127.0.0.1:1"
+[bounds]
+heartbeat = "500ms"
+grace = "6s"
+zoneOut = "5s"
+holdMax = "10s"
+retryRatio = 0.2
+retryWindow = "10s"
+retrySlack = 58
+`, id, service, strings.TrimPrefix(i.server.URL, "http://"), i.customers, i.ready, i.beats, port(freeAddress(t)), port(freeAddress(t)))
+	path := writeSettings(t, text)
+	settings, err := ReadSettings(path)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	i.stop = stop
+	n := newNode(settings, plainAdapter(s), zerolog.Nop())
+	go func() { i.ended <- n.run(ctx, newReloader(path, settings, n, nil)) }()
+	beats, end := context.WithCancel(context.Background())
+	go i.beat(beats, "server-"+id, service)
+	t.Cleanup(func() {
+		stop()
+		end()
+	})
+	return i
+}
+
+// beat sends heartbeats as backend servers do.
+func (i *instance) beat(ctx context.Context, id, service string) {
+	for sequence := int64(1); ctx.Err() == nil; sequence++ {
+		body, _ := json.Marshal(descriptor.Heartbeat{ // has no unsupported type
+			ID: id, Service: service, Address: strings.TrimPrefix(i.server.URL, "http://"), Slots: 8, Sequence: sequence, Born: 1,
+		})
+		req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+i.beats+"/beats/"+id, bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close() // the next heartbeat follows
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// ServeHTTP is the backend server.
+func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/grant" || r.URL.Path == "/release" {
+		w.Header().Set("Handover", "h")
+		return
+	}
+	id := r.Header.Get("Id")
+	i.mu.Lock()
+	i.ran[id] = true
+	run := i.run
+	i.mu.Unlock()
+	if run != nil {
+		run(r)
+	}
+	w.Header().Set("Id", id)
+	w.Header().Set("Seal", "s")
+	_, _ = io.WriteString(w, id) // the node may have gone
+}
+
+func (i *instance) setRun(run func(r *http.Request)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.run = run
+}
+
+func (i *instance) has(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.ran[id]
+}
+
+// request makes a request of a customer of this instance.
+func (i *instance) request(ctx context.Context, method, path, id string, key int) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+i.customers+path, nil)
+	require.NoError(i.t, err)
+	req.Host = "h"
+	req.Header.Set("Id", id)
+	req.Header.Set("Wait", "10s")
+	req.Header.Set("Key", strconv.Itoa(key))
+	return req
+}
+
+// startDeployment starts three nodes of two services and waits until all keys are
+// served through each of them.
+func startDeployment(t *testing.T) []*instance {
+	t.Helper()
+	s := &memoryStore{objects: make(map[string]descriptor.Object)}
+	cfg := descriptor.Configuration{
+		Version: 1, Limits: descriptor.Limits{BodyBytes: 1 << 10},
+		Services: map[string]descriptor.Service{"permits": {Name: "permits", Divided: true, WarmUpRate: 20}, "records": {Name: "records"}},
+		Routes: []descriptor.Route{
+			{Name: "status", Host: "h", Prefix: "/status/", Idempotent: true, Targets: []descriptor.Target{{Service: "permits", Weight: 1}}},
+			{Name: "renew", Host: "h", Prefix: "/renew/", Targets: []descriptor.Target{{Service: "permits", Weight: 1}}},
+			{Name: "record", Host: "h", Prefix: "/record/", Idempotent: true, Targets: []descriptor.Target{{Service: "records", Weight: 1}}},
+		},
+	}
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout, cfg.Routes[i].Objective, cfg.Routes[i].Attempts = 10*time.Second, 5*time.Second, 2
+	}
+	spec, err := json.Marshal(cfg)
+	require.NoError(t, err)
+	_, err = s.Create(context.Background(), "configurations", descriptor.Object{Name: "main", Spec: spec})
+	require.NoError(t, err)
+	list := []*instance{startInstance(t, s, "node-1", "permits"), startInstance(t, s, "node-2", "permits"), startInstance(t, s, "node-3", "records")}
+	for _, i := range list {
+		require.Eventually(t, func() bool { return i.servesAll() }, patience, 50*time.Millisecond)
+	}
+	return list
+}
+
+// servesAll says whether requests with keys of all parts, and without, are served.
+func (i *instance) servesAll() bool {
+	const parts = 8
+	for k := range parts {
+		if status, _ := i.do(http.DefaultClient, http.MethodGet, "/status/", "probe", k*65536/parts); status != http.StatusOK {
+			return false
+		}
+	}
+	status, _ := i.do(http.DefaultClient, http.MethodGet, "/record/", "probe", 0)
+	return status == http.StatusOK
+}
+
+// do makes a request; the status is zero when there was no whole answer.
+func (i *instance) do(client *http.Client, method, path, id string, key int) (int, error) {
+	resp, err := client.Do(i.request(context.Background(), method, path, id, key))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }() // it has been read
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	if resp.StatusCode == http.StatusOK && string(body) != id {
+		return 0, fmt.Errorf("answer %q to request %q", body, id)
+	}
+	return resp.StatusCode, nil
+}
+
+// While customers renew on kept connections without a pause, a node stops. Whatever a
+// backend server ran is answered, and the node ends within its grace.
+func TestAStopLosesNothingThatRan(t *testing.T) {
+	list := startDeployment(t)
+	for _, i := range list {
+		i.setRun(func(*http.Request) { time.Sleep(5 * time.Millisecond) })
+	}
+	const customers = 8
+	var wg sync.WaitGroup
+	lost := make(chan string, customers)
+	for c := range customers {
+		wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for n := 0; ; n++ {
+				id := fmt.Sprintf("renewal-%d-%d", c, n)
+				status, err := list[0].do(client, http.MethodPost, "/renew/", id, (c*8192+n*97)%65536)
+				ran := list[0].has(id) || list[1].has(id)
+				if ran && status != http.StatusOK || !ran && status == http.StatusOK {
+					lost <- fmt.Sprintf("%s: ran %t, status %d, %v", id, ran, status, err)
+					return
+				}
+				if err != nil && strings.Contains(err.Error(), "refused") {
+					return // the node has ended
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return list[0].has("renewal-0-20") || list[1].has("renewal-0-20") }, patience, time.Millisecond)
+	list[0].stop()
+	select {
+	case err := <-list[0].ended:
+		require.NoError(t, err)
+	case <-time.After(patience):
+		require.Fail(t, "the node did not end")
+	}
+	wg.Wait()
+	close(lost)
+	for l := range lost {
+		require.Fail(t, "lost", l)
+	}
+}
+
+// A customer leaves while its request runs beside another node: the work ends there.
+func TestACustomersLeaveEndsItsWorkAtTheOtherNode(t *testing.T) {
+	list := startDeployment(t)
+	running, ended := make(chan struct{}), make(chan struct{})
+	list[2].setRun(func(r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan error, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(list[0].request(ctx, http.MethodGet, "/record/", "left", 0))
+		if err == nil {
+			_ = resp.Body.Close() // the customer has left
+		}
+		left <- err
+	}()
+	<-running
+	leave()
+	require.Error(t, <-left)
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		require.Fail(t, "the backend server works on")
+	}
+}
