--- a/papayapass/internal/launcher/deployment_test.go
+++ b/papayapass/internal/launcher/deployment_test.go
@@ -55,7 +55,7 @@
 }
 
 func (s *memoryStore) Create(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
-	return s.write(kind, o, func(old descriptor.Object, ok bool) bool { return !ok }, func(old, o descriptor.Object) descriptor.Object { return o })
+	return s.write(kind, o, func(_ descriptor.Object, ok bool) bool { return !ok }, func(_, o descriptor.Object) descriptor.Object { return o })
 }
 
 func (s *memoryStore) Replace(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
@@ -97,10 +97,13 @@
 	n, err := strconv.ParseUint(h.Get("Key"), 10, 16)
 	return uint16(n), err == nil
 }
-func (plainDialect) Prepare(h http.Header, server, _ string, _ time.Duration) { h.Set("Server", server) }
-func (plainDialect) AnswersTo(h http.Header, id string) bool                  { return h.Get("Id") == id }
-func (plainDialect) Sealed(h http.Header) bool                                { return h.Get("Seal") != "" }
-func (plainDialect) NotRun(_ int, h http.Header) bool                         { return h.Get("Not-Run") != "" }
+
+func (plainDialect) Prepare(h http.Header, server, _ string, _ time.Duration) {
+	h.Set("Server", server)
+}
+func (plainDialect) AnswersTo(h http.Header, id string) bool { return h.Get("Id") == id }
+func (plainDialect) Sealed(h http.Header) bool               { return h.Get("Seal") != "" }
+func (plainDialect) NotRun(_ int, h http.Header) bool        { return h.Get("Not-Run") != "" }
 
 // grantMessage is an order about keys.
 type grantMessage struct {
