Take bounds from the settings, with defaults for what is not named

Cause: readings of the configuration were timed for the two sites known (2 s); a deployment with a shorter bound would break it, and one that names no budget or bound of zones would not start, as its settings would not parse. Figures: for 2 s the same times as before; TestBoundsThatAreNotNamedHaveDefaults fails before. Conclusion: no figure of one site is left in the reading of the configuration.

--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -64,6 +64,8 @@
 	RetrySlack  float64
 	// ZoneOut is the time within which a zone that was taken out gets no more work.
 	ZoneOut time.Duration
+	// Apply is the time within which a configuration must be in force.
+	Apply time.Duration
 	// Heartbeat is the time between two heartbeats of a backend server.
 	Heartbeat time.Duration
 }
--- a/papayapass/internal/conductor/conductor_test.go
+++ b/papayapass/internal/conductor/conductor_test.go
@@ -71,7 +71,7 @@
 	g := granter.NewGranter("node-1", 10*time.Second, clock.Now())
 	self := partitioner.Member{ID: "node-1", Address: "127.0.0.1:1", Zone: "zone-1"}
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, clock, nil) }
-	c := NewConductor(self, 1, s, Objects{Decode: decodeVersion}, Bounds{RetryWindow: time.Second, ZoneOut: 5 * time.Second}, timers, g, newPeer, zerolog.Nop())
+	c := NewConductor(self, 1, s, Objects{Decode: decodeVersion}, Bounds{RetryWindow: time.Second, ZoneOut: 5 * time.Second, Apply: 2 * time.Second}, timers, g, newPeer, zerolog.Nop())
 	c.Attach(attendant.NewAttendant("127.0.0.1:2", "permits", time.Second, nil, clock, g, c, zerolog.Nop()), nil)
 	return c, clock
 }
@@ -141,9 +141,9 @@
 	require.NoError(t, other.take(overseer.Reply{Coordinates: true, Epoch: 1}, 0))
 	require.True(t, other.reads())
 	require.NoError(t, other.take(overseer.Reply{Coordinates: true, Epoch: 1, Fresh: true}, 0))
-	otherClock.Advance(freshness + time.Millisecond)
+	otherClock.Advance(other.bounds.Load().freshness() + time.Millisecond)
 	require.True(t, other.reads(), "a silent coordinator's word ends too")
-	clock.Advance(freshness)
+	clock.Advance(c.bounds.Load().freshness())
 }
 
 func TestALaterEpochEndsTheRole(t *testing.T) {
--- a/papayapass/internal/conductor/poll.go
+++ b/papayapass/internal/conductor/poll.go
@@ -15,22 +15,33 @@
 // Times of reading what operators wrote. A watch may go silent while changes are
 // made, and forget them; so the coordinator reads, and tells all others.
 const (
-	// pollInterval is the time between two readings; with pollTimeout and a beat it
-	// stays under the time within which a configuration must be in force.
-	pollInterval = 700 * time.Millisecond
-	// pollTimeout bounds one call.
-	pollTimeout = 900 * time.Millisecond
+	// pollShare is the part of the time within which a configuration must be in force
+	// that passes between two readings; with a call's time-out and a beat it stays
+	// under that time.
+	pollShare = 0.35
+	// pollTimeoutShare is the part of the same time that bounds one call.
+	pollTimeoutShare = 0.45
 	// pollCheck is how often a node looks whether it must read itself.
 	pollCheck = 100 * time.Millisecond
 	// keysShare is the part of the bound for zones taken out in which their keys are
 	// still served; readings and slow nodes take up to a third of it.
 	keysShare = 0.5
-	// freshness is how old the coordinator's reading, and its word of it, may be for
-	// a node to rely on it; with pollInterval it stays under the time within which a
-	// configuration must be in force.
-	freshness = 1000 * time.Millisecond
+	// freshShare is the part of the same time that the coordinator's reading, and its
+	// word of it, may be old for a node to rely on it.
+	freshShare = 0.5
 )
 
+// pollInterval is the time between two readings.
+func (b *Bounds) pollInterval() time.Duration { return share(b.Apply, pollShare) }
+
+// pollTimeout bounds one call of a reading.
+func (b *Bounds) pollTimeout() time.Duration { return share(b.Apply, pollTimeoutShare) }
+
+// freshness is how old a reading may be for a node to rely on it.
+func (b *Bounds) freshness() time.Duration { return share(b.Apply, freshShare) }
+
+func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
 // wishes is what operators want, as read from the store at one moment.
 type wishes struct {
 	readAt timer.Instant // of the oldest part, by this node's clock
@@ -45,7 +56,7 @@
 	next := c.timers.Now()
 	for ctx.Err() == nil {
 		if now := c.timers.Now(); next <= now && c.reads() {
-			next = now.Add(pollInterval)
+			next = now.Add(c.bounds.Load().pollInterval())
 			c.read(ctx)
 		}
 		pause(ctx, pollCheck)
@@ -57,7 +68,7 @@
 func (c *Conductor) reads() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.overseer != nil || c.timers.Now().Sub(c.coveredAt) > freshness
+	return c.overseer != nil || c.timers.Now().Sub(c.coveredAt) > c.bounds.Load().freshness()
 }
 
 func (c *Conductor) read(ctx context.Context) {
@@ -76,7 +87,7 @@
 }
 
 func (c *Conductor) readConfiguration(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.bounds.Load().pollTimeout())
 	defer cancel()
 	o, err := c.store.Get(ctx, c.objects.ConfigurationKind, c.objects.ConfigurationName)
 	if errors.Is(err, descriptor.ErrNotFound) {
@@ -100,7 +111,7 @@
 }
 
 func (c *Conductor) readZones(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.bounds.Load().pollTimeout())
 	defer cancel()
 	list, revision, err := c.store.List(ctx, c.objects.ZonesOutKind)
 	if err != nil {
@@ -157,7 +168,7 @@
 // tell adds what operators want to a reply. The caller holds c.mu.
 func (c *Conductor) tell(r *overseer.Reply, b overseer.Beat) {
 	r.ZonesOut, r.ZonesRevision = c.wishes.zonesOut, c.wishes.zonesRevision
-	r.Fresh = c.wishes.readAt > 0 && c.timers.Now().Sub(c.wishes.readAt) <= freshness
+	r.Fresh = c.wishes.readAt > 0 && c.timers.Now().Sub(c.wishes.readAt) <= c.bounds.Load().freshness()
 	if cfg := c.Configuration(); cfg != nil && cfg.Version > b.ConfigurationVersion {
 		r.Configuration = cfg.Source
 	}
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -256,7 +256,7 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-time.After(lameDuck):
+	case <-time.After(min(lameDuck, time.Duration(n.settings.Bounds.Grace)/2)):
 	}
 	g := errgroup.Group{}
 	for _, d := range n.drainers {
--- a/papayapass/internal/launcher/launcher_test.go
+++ b/papayapass/internal/launcher/launcher_test.go
@@ -55,7 +55,7 @@
 	s, err := ReadSettings(writeSettings(t, testSettings))
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:7660", s.peers())
-	require.Equal(t, conductor.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 58, ZoneOut: 5 * time.Second, Heartbeat: time.Second}, s.bounds())
+	require.Equal(t, conductor.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 58, ZoneOut: 5 * time.Second, Apply: 2 * time.Second, Heartbeat: time.Second}, s.bounds())
 	broken := map[string][2]string{
 		"no id":           {`id = "node-1"`, `id = ""`},
 		"no port":         {"127.0.0.1:1\"\n[listen]", "127.0.0.1\"\n[listen]"},
@@ -74,6 +74,15 @@
 	}
 }
 
+// A deployment need not name all bounds: without them the node starts all the same.
+func TestBoundsThatAreNotNamedHaveDefaults(t *testing.T) {
+	text, _, _ := strings.Cut(testSettings, "[bounds]")
+	s, err := ReadSettings(writeSettings(t, text))
+	require.NoError(t, err)
+	require.Equal(t, 2*time.Second, s.bounds().Apply)
+	require.Zero(t, s.bounds().RetryRatio, "nothing is sent again without a budget")
+}
+
 // emptyStore is a store that is away.
 type emptyStore struct{ conductor.Store }
 
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -36,6 +36,7 @@
 		Heartbeat   duration `toml:"heartbeat"`
 		Grace       duration `toml:"grace"`
 		ZoneOut     duration `toml:"zoneOut"`
+		Apply       duration `toml:"apply"`
 		HoldMax     duration `toml:"holdMax"`
 		RetryRatio  float64  `toml:"retryRatio"`
 		RetryWindow duration `toml:"retryWindow"`
@@ -43,6 +44,15 @@
 	} `toml:"bounds"`
 }
 
+// defaults returns the bounds of a deployment that names none: those of a small site.
+func defaults() *Settings {
+	s := &Settings{}
+	b := &s.Bounds
+	b.Heartbeat, b.Grace, b.ZoneOut = duration(time.Second), duration(6*time.Second), duration(5*time.Second)
+	b.Apply, b.HoldMax, b.RetryWindow = duration(2*time.Second), duration(10*time.Second), duration(10*time.Second)
+	return s
+}
+
 // duration is a time with its unit, such as "1500ms".
 type duration time.Duration
 
@@ -62,11 +72,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the settings")
 	}
-	var s Settings
-	if err := toml.Unmarshal(b, &s); err != nil {
+	s := defaults()
+	if err := toml.Unmarshal(b, s); err != nil {
 		return nil, errors.Wrapf(err, "settings in %s", path)
 	}
-	return &s, s.check()
+	return s, s.check()
 }
 
 func (s *Settings) check() error {
@@ -83,8 +93,8 @@
 		return errors.New("settings node.id, node.zone and node.service are required")
 	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
 		return errors.New("settings listen.peers and listen.metrics are required")
-	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.HoldMax <= 0:
-		return errors.New("settings bounds.heartbeat, bounds.grace, bounds.holdMax and bounds.retryWindow must be above zero")
+	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.HoldMax <= 0 || s.Bounds.Apply <= 0:
+		return errors.New("settings bounds.heartbeat, bounds.grace, bounds.holdMax, bounds.apply and bounds.retryWindow must be above zero")
 	default:
 		return nil
 	}
@@ -94,7 +104,7 @@
 func (s *Settings) bounds() conductor.Bounds {
 	return conductor.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
-		ZoneOut: time.Duration(s.Bounds.ZoneOut), Heartbeat: time.Duration(s.Bounds.Heartbeat),
+		ZoneOut: time.Duration(s.Bounds.ZoneOut), Apply: time.Duration(s.Bounds.Apply), Heartbeat: time.Duration(s.Bounds.Heartbeat),
 	}
 }
 
