Use nearly all of the retry budget, half of it for calls alone

Half of the allowed repeats were never used, and a run that was sent again spent two repeats of the called service where the call alone needs one. Ruled out: more tries of one call; the routes allow two. Change: nine tenths of the allowed repeats are spent, counted over a bucket more than the window; repeats of runs take at most half of the budget of the services called. Figures: test over sliding windows of 10 s with falling traffic: at most the bound, and over 0.7 of it used.

--- a/papayapass/internal/conductor/budget.go
+++ b/papayapass/internal/conductor/budget.go
@@ -7,14 +7,21 @@
 )
 
 const (
-	// budgetShare is the part of the allowed ratio that a node spends on its own
-	// requests: repeats of earlier windows and of calls count against it as well.
-	budgetShare = 0.5
+	// budgetShare is the part of the allowed repeats that a node spends by the requests
+	// that it took itself; the rest is for requests that arrive in another window than
+	// they were counted in.
+	budgetShare = 0.9
+	// callsShare is the part up to which repeats of runs may use the budgets of the
+	// services that they call. The rest is for repeats of calls: one call sent again
+	// costs less than its whole run.
+	callsShare = 0.45
 	// slackNodes is the number of nodes that the fixed part is divided among at
 	// least; a node that is alone, or knows no others yet, may spend no more.
 	slackNodes = 16
-	// budgetBuckets is the resolution of the window.
+	// budgetBuckets is the resolution of the window. One bucket more is kept, so that
+	// repeats count for at least the whole window.
 	budgetBuckets = 10
+	keptBuckets   = budgetBuckets + 1
 	// callsOfRun is how many calls of other services a run makes at most, as far as
 	// the budget is concerned: a run that is a repeat makes them again.
 	callsOfRun = 2
@@ -32,8 +39,8 @@
 }
 
 type window struct {
-	requests [budgetBuckets]float64
-	repeats  [budgetBuckets]float64
+	requests [keptBuckets]float64
+	repeats  [keptBuckets]float64
 	bucket   int64
 }
 
@@ -62,14 +69,10 @@
 	}
 	size := max(int64(b.bounds.RetryWindow)/budgetBuckets, 1)
 	bucket := int64(b.clock.Now()) / size
-	for n := 0; w.bucket < bucket && n < budgetBuckets; n++ {
-		w.bucket++
-		i := w.bucket % budgetBuckets
-		w.requests[i], w.repeats[i] = 0, 0
-		if n == budgetBuckets-1 {
-			w.bucket = bucket
-		}
+	for from := max(w.bucket+1, bucket-keptBuckets+1); from <= bucket; from++ {
+		w.requests[from%keptBuckets], w.repeats[from%keptBuckets] = 0, 0
 	}
+	w.bucket = max(w.bucket, bucket)
 	return w
 }
 
@@ -77,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
-	w.requests[w.bucket%budgetBuckets]++
+	w.requests[w.bucket%keptBuckets]++
 }
 
 // spend says whether a call may reach a backend server of a service once more. After
@@ -86,30 +89,39 @@
 func (b *budget) spend(service string, ran bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	charges := map[*window]float64{b.window(service): 1}
+	own := b.window(service)
+	if !b.allows(own, 1, budgetShare) {
+		return false
+	}
+	var called []*window
 	if ran {
 		for other := range b.services {
 			if other != service {
-				charges[b.window(other)] = callsOfRun
+				called = append(called, b.window(other))
 			}
 		}
 	}
-	for w, n := range charges {
-		if !b.allows(w, n) {
+	for _, w := range called {
+		if !b.allows(w, callsOfRun, callsShare) {
 			return false
 		}
 	}
-	for w, n := range charges {
-		w.repeats[w.bucket%budgetBuckets] += n
+	own.spend(1)
+	for _, w := range called {
+		w.spend(callsOfRun)
 	}
 	return true
 }
 
-func (b *budget) allows(w *window, n float64) bool {
-	requests, repeats := 0.0, 0.0
+func (w *window) spend(n float64) { w.repeats[w.bucket%keptBuckets] += n }
+
+// allows says whether n more repeats stay within a share of what is allowed.
+func (b *budget) allows(w *window, n, share float64) bool {
+	oldest := (w.bucket + 1) % keptBuckets // its requests may be older than the window
+	requests, repeats := -w.requests[oldest], 0.0
 	for i := range w.requests {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	return repeats+n <= budgetShare*(b.bounds.RetryRatio*requests+b.bounds.RetrySlack/float64(b.nodes))
+	return repeats+n <= share*(b.bounds.RetryRatio*requests+b.bounds.RetrySlack/float64(b.nodes))
 }
--- a/papayapass/internal/conductor/budget_test.go
+++ b/papayapass/internal/conductor/budget_test.go
@@ -48,6 +48,72 @@
 	}
 }
 
+// Calls are shed for 8 s of each 25 s (grey servers that reject falsely), and the traffic
+// falls to a tenth and comes back meanwhile. In any window the repeats stay within the
+// ratio of the requests of that window, the one before or the one half before; and most
+// of what is allowed is there for the calls.
+func TestBudgetHoldsInSlidingWindows(t *testing.T) {
+	const (
+		nodes, step, steps = 16, 50 * time.Millisecond, 1200
+		window, half       = 200, 100 // in steps
+	)
+	bounds := Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60}
+	clock := &timer.ManualClock{}
+	var budgets []*budget
+	for range nodes {
+		budgets = append(budgets, newBudget(bounds, clock))
+	}
+	requests, repeats := make([]float64, steps+1), make([]float64, steps+1)
+	for s := range steps {
+		requests[s+1], repeats[s+1] = requests[s], repeats[s]
+		for n, b := range budgets {
+			if s%500 > 250 && s%10 != n%10 {
+				continue // a tenth of the traffic
+			}
+			b.count("front")
+			b.count("back")
+			requests[s+1]++
+			if s%500 < 160 || s%500 > 240 {
+				if b.spend("back", false) {
+					repeats[s+1]++
+				}
+				if b.spend("front", true) {
+					repeats[s+1] += callsOfRun
+				}
+			}
+		}
+		clock.Advance(step)
+	}
+	between := func(sums []float64, from, to int) float64 { return sums[max(to, 0)] - sums[max(from, 0)] }
+	most := 0.0
+	for end := window; end <= steps; end++ {
+		asked := max(between(requests, end-window, end), between(requests, end-2*window, end-window), between(requests, end-window-half, end-half))
+		sent := between(repeats, end-window, end)
+		require.LessOrEqual(t, sent, bounds.RetryRatio*asked+bounds.RetrySlack)
+		most = max(most, sent/(bounds.RetryRatio*asked+bounds.RetrySlack))
+	}
+	require.Greater(t, most, 0.7, "the budget is there to be used")
+}
+
+// Repeats of runs leave a part of the budget of the services that they call to calls.
+func TestRepeatsOfRunsLeaveBudgetForCalls(t *testing.T) {
+	b := newBudget(Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second}, &timer.ManualClock{})
+	for range 1000 {
+		b.count("front")
+		b.count("back")
+	}
+	runs, calls := 0, 0
+	for b.spend("front", true) {
+		runs++
+	}
+	for b.spend("back", false) {
+		calls++
+	}
+	require.Positive(t, runs)
+	require.Equal(t, 90, callsOfRun*runs)
+	require.Equal(t, 90, calls)
+}
+
 func TestBudgetOfALoneNodeIsAShareOfTheFixedPart(t *testing.T) {
 	bounds := Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 64}
 	clock := &timer.ManualClock{}
