Trace each hop of a request through a deployment's nodes

Change: spans of the request, of serving for another node, of the queue and of the backend server, passed on as W3C traceparent; exported only where settings name an endpoint, so that nothing changes for deployments without one. Figures: TestASpanForEachHop on three nodes over sockets; no cost is measured, as without an endpoint a hop only compares a pointer.

--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -16,6 +16,7 @@
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -70,6 +71,7 @@
 	admitter  *admitter.Admitter
 	exchanger *exchanger.Exchanger
 	around    Surroundings
+	tracer    *tracer.Tracer
 	logger    zerolog.Logger
 	started   timer.Instant
 
@@ -88,7 +90,7 @@
 
 // NewAttendant returns an attendant that has not heard its backend server.
 func NewAttendant(address, service string, heartbeat time.Duration, dialect dispatcher.Dialect, clock timer.Clock,
-	g *granter.Granter, around Surroundings, logger zerolog.Logger,
+	g *granter.Granter, around Surroundings, t *tracer.Tracer, logger zerolog.Logger,
 ) *Attendant {
 	belongs := func(answer, request http.Header) bool {
 		return dialect.AnswersTo(answer, dialect.RequestID(request))
@@ -97,7 +99,7 @@
 		address: address, service: service, heartbeat: heartbeat, dialect: dialect, clock: clock, granter: g,
 		admitter:  admitter.NewAdmitter(),
 		exchanger: exchanger.NewExchanger(address, serverConnect, serverIdle, maxAnswer, belongs),
-		around:    around, logger: logger, started: clock.Now(), work: make(map[uint16]float32),
+		around:    around, tracer: t, logger: logger, started: clock.Now(), work: make(map[uint16]float32),
 	}
 }
 
--- a/papayapass/internal/attendant/attendant_test.go
+++ b/papayapass/internal/attendant/attendant_test.go
@@ -18,6 +18,7 @@
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -60,7 +61,7 @@
 	t.Cleanup(s.Close)
 	b := &bench{node: &fakeNode{cfg: &descriptor.Configuration{Services: map[string]descriptor.Service{"permits": {Divided: true, WarmUpRate: 18}, "records": {}}}}}
 	b.granter = granter.NewGranter("node-1", 10*time.Second, b.clock.Now().Add(-time.Minute))
-	b.Attendant = NewAttendant(strings.TrimPrefix(s.URL, "http://"), "records", time.Second, fakeDialect{}, b.clock, b.granter, b.node, zerolog.Nop())
+	b.Attendant = NewAttendant(strings.TrimPrefix(s.URL, "http://"), "records", time.Second, fakeDialect{}, b.clock, b.granter, b.node, &tracer.Tracer{}, zerolog.Nop())
 	require.True(t, b.Heartbeat(b.heartbeat()))
 	return b
 }
--- a/papayapass/internal/attendant/serve.go
+++ b/papayapass/internal/attendant/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"papayapass.dev/papayapass/internal/admitter"
 	"papayapass.dev/papayapass/internal/dispatcher"
@@ -30,7 +31,10 @@
 		a.countRefused(c)
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonFull, Retry: retry}
 	case admitter.Wait:
-		if r, ok := a.await(ctx, c, ticket); !ok {
+		_, span, _ := a.tracer.Start(ctx, "queue", c.Trace, trace.SpanKindInternal)
+		r, ok := a.await(ctx, c, ticket)
+		span.End()
+		if !ok {
 			return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: r}
 		}
 	}
@@ -119,7 +123,12 @@
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), left+time.Second)
 		defer cancel()
 	}
+	ctx, span, parent := a.tracer.Start(ctx, "backend server", c.Trace, trace.SpanKindClient)
+	defer span.End()
 	h := c.Header.Clone()
+	if a.tracer.Active() {
+		h.Set("Traceparent", parent)
+	}
 	a.dialect.Prepare(h, a.Server().ID, c.Caller, left)
 	fresh := freshOnce
 	if c.Idempotent {
--- a/papayapass/internal/conductor/conductor_test.go
+++ b/papayapass/internal/conductor/conductor_test.go
@@ -16,6 +16,7 @@
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -72,7 +73,7 @@
 	self := partitioner.Member{ID: "node-1", Address: "127.0.0.1:1", Zone: "zone-1"}
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, clock, nil) }
 	c := NewConductor(self, 1, s, Objects{Decode: decodeVersion}, Bounds{RetryWindow: time.Second, ZoneOut: 5 * time.Second, Apply: 2 * time.Second}, timers, g, newPeer, zerolog.Nop())
-	c.Attach(attendant.NewAttendant("127.0.0.1:2", "permits", time.Second, nil, clock, g, c, zerolog.Nop()), nil)
+	c.Attach(attendant.NewAttendant("127.0.0.1:2", "permits", time.Second, nil, clock, g, c, &tracer.Tracer{}, zerolog.Nop()), nil)
 	return c, clock
 }
 
--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -29,6 +29,8 @@
 	// Caller is the service of the instance where the request began.
 	Caller   string
 	Deadline timer.Instant
+	// Trace is the W3C traceparent of the hop before, or empty.
+	Trace string
 	// Impatient says that the call goes elsewhere rather than into a queue.
 	Impatient bool
 }
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -11,9 +11,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
 
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -67,12 +69,13 @@
 	clock   timer.Clock
 	caller  string
 	counter Counter
+	tracer  *tracer.Tracer
 	logger  zerolog.Logger
 }
 
 // NewDispatcher returns a dispatcher; caller is the service of this instance.
-func NewDispatcher(view View, dialect Dialect, clock timer.Clock, caller string, counter Counter, logger zerolog.Logger) *Dispatcher {
-	return &Dispatcher{view: view, dialect: dialect, clock: clock, caller: caller, counter: counter, logger: logger}
+func NewDispatcher(view View, dialect Dialect, clock timer.Clock, caller string, counter Counter, t *tracer.Tracer, logger zerolog.Logger) *Dispatcher {
+	return &Dispatcher{view: view, dialect: dialect, clock: clock, caller: caller, counter: counter, tracer: t, logger: logger}
 }
 
 // ServeHTTP serves one request of a customer.
@@ -105,6 +108,9 @@
 	d.view.Count(c.Service)
 	ctx, cancel := context.WithTimeout(r.Context(), c.Deadline.Sub(arrived)+answerSlack)
 	defer cancel()
+	ctx, span, parent := d.tracer.Start(ctx, "request", r.Header.Get("Traceparent"), trace.SpanKindServer)
+	defer span.End()
+	c.Trace = parent
 	res, way := d.run(ctx, c, route)
 	if r.Context().Err() != nil {
 		res.Reason = ReasonCanceled
--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -15,6 +15,7 @@
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -114,7 +115,7 @@
 }
 
 func serveRequest(v View, method, path, body string, header http.Header) *httptest.ResponseRecorder {
-	d := NewDispatcher(v, fakeDialect{}, timer.BootClock{}, "own-service", fakeCounter{}, zerolog.Nop())
+	d := NewDispatcher(v, fakeDialect{}, timer.BootClock{}, "own-service", fakeCounter{}, &tracer.Tracer{}, zerolog.Nop())
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Host, r.RequestURI = "h", path
 	for name, values := range header {
@@ -248,7 +249,7 @@
 	for name, want := range results {
 		t.Run(name, func(t *testing.T) {
 			s := &fakeServer{results: []Result{want}}
-			l := httptest.NewServer(NewPeerHandler(s, timer.BootClock{}, testEnveloper))
+			l := httptest.NewServer(NewPeerHandler(s, timer.BootClock{}, testEnveloper, &tracer.Tracer{}))
 			defer l.Close()
 			p := NewPeer(strings.TrimPrefix(l.URL, "http://"), timer.BootClock{}, testEnveloper)
 			c := &Call{
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
 )
 
 // CallPath is where a node takes the calls of others.
@@ -47,6 +49,7 @@
 	Caller     string      `json:"caller"`
 	Left       int64       `json:"leftMillis"` // until the deadline
 	Impatient  bool        `json:"impatient,omitempty"`
+	Trace      string      `json:"trace,omitempty"`
 }
 
 // resultHead is what a node answers to a call; the answer's body follows it.
@@ -113,7 +116,7 @@
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: c.Header, Route: c.Route, Service: c.Service,
 		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority,
 		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
-		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), Impatient: c.Impatient,
+		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), Impatient: c.Impatient, Trace: c.Trace,
 	}, c.Body)
 	if err != nil {
 		return Result{Outcome: NotRun, Reason: ReasonBroken}
@@ -157,11 +160,12 @@
 	server    Server
 	clock     timer.Clock
 	enveloper *enveloper.Enveloper
+	tracer    *tracer.Tracer
 }
 
 // NewPeerHandler returns a handler of peers' calls.
-func NewPeerHandler(s Server, clock timer.Clock, e *enveloper.Enveloper) *PeerHandler {
-	return &PeerHandler{server: s, clock: clock, enveloper: e}
+func NewPeerHandler(s Server, clock timer.Clock, e *enveloper.Enveloper, t *tracer.Tracer) *PeerHandler {
+	return &PeerHandler{server: s, clock: clock, enveloper: e, tracer: t}
 }
 
 // ServeHTTP serves one call of another node.
@@ -176,11 +180,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	res := p.server.Serve(r.Context(), &Call{
+	ctx, span, trace := p.tracer.Start(r.Context(), "serve for a node", head.Trace, trace.SpanKindServer)
+	defer span.End()
+	res := p.server.Serve(ctx, &Call{
 		ID: head.ID, Method: head.Method, URI: head.URI, Host: head.Host, Header: head.Header, Body: body,
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
 		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), Impatient: head.Impatient,
+		Trace: trace,
 	})
 	answer := resultHead{
 		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Offered: res.Offered,
--- a/papayapass/internal/launcher/deployment_test.go
+++ b/papayapass/internal/launcher/deployment_test.go
@@ -17,8 +17,10 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -174,7 +176,7 @@
 }
 
 // startInstance starts a backend server and its node, which ends with the test.
-func startInstance(t *testing.T, s *memoryStore, id, service string) *instance {
+func startInstance(t *testing.T, s *memoryStore, tr *tracer.Tracer, id, service string) *instance {
 	t.Helper()
 	i := &instance{t: t, customers: freeAddress(t), ready: freeAddress(t), beats: freeAddress(t), ran: make(map[string]bool), ended: make(chan error, 1)}
 	i.server = httptest.NewServer(i)
@@ -208,7 +210,7 @@
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	i.stop = stop
-	n := newNode(settings, plainAdapter(s), zerolog.Nop())
+	n := newNode(settings, plainAdapter(s), tr, zerolog.Nop())
 	go func() { i.ended <- n.run(ctx, newReloader(path, settings, n, nil)) }()
 	beats, end := context.WithCancel(context.Background())
 	go i.beat(beats, "server-"+id, service)
@@ -283,7 +285,7 @@
 
 // startDeployment starts three nodes of two services and waits until all keys are
 // served through each of them.
-func startDeployment(t *testing.T) []*instance {
+func startDeployment(t *testing.T, tr *tracer.Tracer) []*instance {
 	t.Helper()
 	s := &memoryStore{objects: make(map[string]descriptor.Object)}
 	cfg := descriptor.Configuration{
@@ -302,7 +304,7 @@
 	require.NoError(t, err)
 	_, err = s.Create(context.Background(), "configurations", descriptor.Object{Name: "main", Spec: spec})
 	require.NoError(t, err)
-	list := []*instance{startInstance(t, s, "node-1", "permits"), startInstance(t, s, "node-2", "permits"), startInstance(t, s, "node-3", "records")}
+	list := []*instance{startInstance(t, s, tr, "node-1", "permits"), startInstance(t, s, tr, "node-2", "permits"), startInstance(t, s, tr, "node-3", "records")}
 	for _, i := range list {
 		require.Eventually(t, func() bool { return i.servesAll() }, patience, 50*time.Millisecond)
 	}
@@ -341,7 +343,7 @@
 // While customers renew on kept connections without a pause, a node stops. Whatever a
 // backend server ran is answered, and the node ends within its grace.
 func TestAStopLosesNothingThatRan(t *testing.T) {
-	list := startDeployment(t)
+	list := startDeployment(t, &tracer.Tracer{})
 	for _, i := range list {
 		i.setRun(func(*http.Request) { time.Sleep(5 * time.Millisecond) })
 	}
@@ -382,7 +384,7 @@
 
 // A customer leaves while its request runs beside another node: the work ends there.
 func TestACustomersLeaveEndsItsWorkAtTheOtherNode(t *testing.T) {
-	list := startDeployment(t)
+	list := startDeployment(t, &tracer.Tracer{})
 	running, ended := make(chan struct{}), make(chan struct{})
 	list[2].setRun(func(r *http.Request) {
 		close(running)
@@ -407,3 +409,30 @@
 		require.Fail(t, "the backend server works on")
 	}
 }
+
+// A request is served beside another node: a span for each hop, each the child of the
+// one before, in the trace that the customer began.
+func TestASpanForEachHop(t *testing.T) {
+	spans := tracetest.NewInMemoryExporter()
+	list := startDeployment(t, tracer.NewTestTracer(spans))
+	const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+	req := list[0].request(context.Background(), http.MethodGet, "/record/", "traced", 0)
+	req.Header.Set("Traceparent", "00-"+trace+"-00f067aa0ba902b7-01")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	byName := make(map[string]tracetest.SpanStub)
+	require.Eventually(t, func() bool {
+		for _, s := range spans.GetSpans() {
+			if s.SpanContext.TraceID().String() == trace {
+				byName[s.Name] = s
+			}
+		}
+		return len(byName) == 3
+	}, patience, time.Millisecond)
+	for child, parent := range map[string]string{"serve for a node": "request", "backend server": "serve for a node"} {
+		require.Equal(t, byName[parent].SpanContext.SpanID(), byName[child].Parent.SpanID(), child)
+	}
+	require.Equal(t, "00f067aa0ba902b7", byName["request"].Parent.SpanID().String())
+}
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -29,6 +29,7 @@
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/summarizer"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -88,7 +89,18 @@
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
 	defer signal.Stop(hangUps)
-	n := newNode(s, a, logger)
+	t, err := tracer.NewTracer(ctx, s.Trace.Endpoint, s.Trace.Share, s.Node.ID)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopReserve)
+		defer cancel()
+		if err := t.Stop(ctx); err != nil {
+			logger.Warn().Err(err).Msg("the last spans were not exported")
+		}
+	}()
+	n := newNode(s, a, t, logger)
 	return n.run(ctx, newReloader(path, s, n, hangUps))
 }
 
@@ -103,10 +115,11 @@
 	meter     *meter.Meter
 	enveloper *enveloper.Enveloper
 	drainers  []*drainer.Drainer
+	tracer    *tracer.Tracer
 }
 
-func newNode(s *Settings, a Adapter, logger zerolog.Logger) *node {
-	n := &node{settings: s, adapter: a, logger: logger, timers: timer.NewService(timer.BootClock{}), meter: meter.NewMeter()}
+func newNode(s *Settings, a Adapter, t *tracer.Tracer, logger zerolog.Logger) *node {
+	n := &node{tracer: t, settings: s, adapter: a, logger: logger, timers: timer.NewService(timer.BootClock{}), meter: meter.NewMeter()}
 	self := partitioner.Member{ID: partitioner.NodeID(s.Node.ID), Address: s.peers(), Zone: s.Node.Zone}
 	g := granter.NewGranter(self.ID, time.Duration(s.Bounds.HoldMax), n.timers.Now())
 	dialer := exchanger.NewDialer(controlConnect)
@@ -117,7 +130,7 @@
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, n.timers, n.enveloper) }
 	incarnation := uint64(time.Now().UnixNano())
 	n.conductor = conductor.NewConductor(self, incarnation, store, a.Objects, s.bounds(), n.timers, g, newPeer, logger)
-	n.attendant = attendant.NewAttendant(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.Dialect, n.timers, g, n.conductor, logger)
+	n.attendant = attendant.NewAttendant(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.Dialect, n.timers, g, n.conductor, t, logger)
 	n.conductor.Attach(n.attendant, newCalls(a.Orders, s.Node.Server, n.enveloper))
 	n.addGauges()
 	return n
@@ -152,8 +165,8 @@
 	defer end()
 	g, life := errgroup.WithContext(life)
 	ends := summarizer.NewSummarizer(meter.NewTraffic(n.meter), n.logger)
-	customers := dispatcher.NewDispatcher(n.conductor, n.adapter.Dialect, n.timers, n.settings.Node.Service, ends, n.logger)
-	peers := dispatcher.NewPeerHandler(n.attendant, n.timers, n.enveloper)
+	customers := dispatcher.NewDispatcher(n.conductor, n.adapter.Dialect, n.timers, n.settings.Node.Service, ends, n.tracer, n.logger)
+	peers := dispatcher.NewPeerHandler(n.attendant, n.timers, n.enveloper, n.tracer)
 	for address, h := range map[string]http.Handler{
 		n.settings.Listen.Customers:  customers,
 		n.settings.Listen.Ready:      http.HandlerFunc(n.ready),
--- a/papayapass/internal/launcher/launcher_test.go
+++ b/papayapass/internal/launcher/launcher_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -102,7 +103,7 @@
 	require.NoError(t, err)
 	var log bytes.Buffer
 	hangUps := make(chan os.Signal, 1)
-	r := newReloader(path, s, newNode(s, testAdapter(), zerolog.New(&log)), hangUps)
+	r := newReloader(path, s, newNode(s, testAdapter(), &tracer.Tracer{}, zerolog.New(&log)), hangUps)
 	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(testSettings, "retrySlack = 58", "retrySlack = 60", 1)), 0o600))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -32,6 +32,11 @@
 	Store struct {
 		Address string `toml:"address"`
 	} `toml:"store"`
+	// Trace exports a span for each hop to an OTLP over HTTP endpoint; none without one.
+	Trace struct {
+		Endpoint string  `toml:"endpoint"`
+		Share    float64 `toml:"share"`
+	} `toml:"trace"`
 	Bounds struct {
 		Heartbeat   duration `toml:"heartbeat"`
 		Grace       duration `toml:"grace"`
