Test that silent connections are noticed and not used again

Change: the kernel's options of each dialled connection are read back; a kept connection that takes a request and never answers is not used again, and its request is not said to be unsent.

--- a/papayapass/internal/exchanger/exchanger_test.go
+++ b/papayapass/internal/exchanger/exchanger_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 const idHeader = "Request-Id"
@@ -204,3 +205,53 @@
 		_ = client.Close()
 	})
 }
+
+// A connection goes silent for good without a reset: only the system's own time-outs of
+// unacknowledged bytes and of idle connections show it. A link that drops packets cannot
+// be had here; that the kernel is told to look is checked.
+func TestConnectionsAreWatchedForSilence(t *testing.T) {
+	address, _ := serve(t, func(int, string) string { return "" })
+	d := NewDialer(time.Second)
+	c, err := d.DialContext(context.Background(), "tcp", address)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, c.Close()) }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	got := make(map[int]int)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		for _, option := range []int{unix.TCP_USER_TIMEOUT, unix.TCP_KEEPIDLE, unix.TCP_KEEPINTVL, unix.TCP_KEEPCNT} {
+			v, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			require.NoError(t, err)
+			got[option] = v
+		}
+	}))
+	require.Equal(t, map[int]int{
+		unix.TCP_USER_TIMEOUT: int(silentAfter.Milliseconds()), unix.TCP_KEEPCNT: 2,
+		unix.TCP_KEEPIDLE: int(keepAlive.Seconds()), unix.TCP_KEEPINTVL: int(keepAlive.Seconds()),
+	}, got)
+}
+
+// The other end of a kept connection takes the next request and never answers. The end of
+// its time frees the caller, and the request after it goes over a fresh connection.
+func TestASilentConnectionIsNotUsedAgain(t *testing.T) {
+	address, connections := serve(t, func(n int, id string) string {
+		if n == 2 {
+			select {} // this connection stays silent for good
+		}
+		return whole(id, "ok")
+	})
+	e := NewExchanger(address, time.Second, time.Minute, 1<<20, belongs)
+	defer e.Close()
+	do := func(ctx context.Context, id string) error {
+		_, err := e.Do(ctx, Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{idHeader: {id}}, FreshWithin: time.Minute})
+		return err
+	}
+	require.NoError(t, do(context.Background(), "1"))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	err := do(ctx, "2")
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ErrNotSent, "it may have run")
+	require.NoError(t, do(context.Background(), "3"))
+	require.Equal(t, int32(2), connections.Load())
+}
