--- a/papayapass/internal/conductor/view.go
+++ b/papayapass/internal/conductor/view.go
@@ -2,11 +2,24 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
-	"papayapass.dev/papayapass/internal/placer"
+)
+
+const (
+	// farShare is what a request in another zone costs on top of its expected time,
+	// in parts of its latency objective: bytes between zones are paid for.
+	farShare = 0.25
+	// herding is the random part of a cost, so that nodes with the same view do not
+	// all choose the same server.
+	herding = 0.2
+	// usualMean is assumed of backend servers of which no request has ended yet.
+	usualMean = 100 * time.Millisecond
+	// crowding is how much longer work takes at a backend server with all slots busy.
+	crowding = 0.5
 )
 
 // Count counts a request for a service.
@@ -17,16 +30,23 @@
 func (c *Conductor) Spend(service string, ran bool) bool { return c.budget.spend(service, ran) }
 
 // Choose returns the server that a call should go to, leaving some nodes out.
-func (c *Conductor) Choose(call *dispatcher.Call, tried map[partitioner.NodeID]bool) dispatcher.Choice {
+func (c *Conductor) Choose(call *dispatcher.Call, tried map[partitioner.NodeID]bool) (dispatcher.Server, partitioner.NodeID, dispatcher.Reason) {
 	t := c.table.Load()
 	if t == nil {
-		return dispatcher.Choice{Reason: dispatcher.ReasonNoServer}
+		return nil, "", dispatcher.ReasonNoServer
 	}
 	if call.Divided {
-		return c.owner(t, call, tried)
+		r, ok := t.Range(call.Service, call.Key)
+		if !ok || r.Owner == "" {
+			return nil, "", dispatcher.ReasonNotOwner
+		}
+		m, ok := t.Member(r.Owner)
+		if !ok || tried[m.ID] {
+			return nil, "", dispatcher.ReasonUnreachable
+		}
+		return c.server(m), m.ID, dispatcher.ReasonNone
 	}
-	var members []partitioner.Member
-	var candidates []placer.Candidate
+	best, found, bestCost := partitioner.Member{}, false, time.Duration(0)
 	for _, m := range t.Members {
 		if m.Server.Service != call.Service || !m.Server.Up() || tried[m.ID] || (*c.zonesOut.Load())[m.Zone] {
 			continue
@@ -34,31 +54,15 @@
 		if m.ID != c.self.ID && !c.peer(m.Address).Reachable() {
 			continue
 		}
-		members = append(members, m)
-		candidates = append(candidates, c.candidate(m))
-	}
-	i := placer.Cheapest(candidates, call.Objective, rand.Float64)
-	if i < 0 {
-		return dispatcher.Choice{Reason: dispatcher.ReasonNoServer}
-	}
-	choice := dispatcher.Choice{Server: c.server(members[i]), Node: members[i].ID}
-	if candidates[i].Far {
-		choice.Detour = placer.Detour(call.Objective)
-	}
-	return choice
-}
-
-// owner returns the server that owns the key of a call.
-func (c *Conductor) owner(t *partitioner.Table, call *dispatcher.Call, tried map[partitioner.NodeID]bool) dispatcher.Choice {
-	r, ok := t.Range(call.Service, call.Key)
-	if !ok || r.Owner == "" {
-		return dispatcher.Choice{Reason: dispatcher.ReasonNotOwner}
+		cost := c.cost(m, call.Objective)
+		if !found || cost < bestCost {
+			best, found, bestCost = m, true, cost
+		}
 	}
-	m, ok := t.Member(r.Owner)
-	if !ok || tried[m.ID] {
-		return dispatcher.Choice{Reason: dispatcher.ReasonUnreachable}
+	if !found {
+		return nil, "", dispatcher.ReasonNoServer
 	}
-	return dispatcher.Choice{Server: c.server(m), Node: m.ID}
+	return c.server(best), best.ID, dispatcher.ReasonNone
 }
 
 // Server returns the server beside a node.
@@ -77,16 +81,31 @@
 	return c.peer(m.Address)
 }
 
-// candidate returns what is known of the backend server beside a member.
-func (c *Conductor) candidate(m partitioner.Member) placer.Candidate {
+// cost estimates how long a request takes at a backend server of a shared pool.
+func (c *Conductor) cost(m partitioner.Member, objective time.Duration) time.Duration {
+	load := (*c.loads.Load())[m.ID]
 	if m.ID == c.self.ID {
 		var b overseer.Beat
 		c.attendant.Counts(&b)
-		return placer.Candidate{Slots: m.Server.Slots, Known: true, Running: b.Running, Waiting: b.Waiting, Mean: b.Mean, Cold: b.Cold}
+		load = overseer.ServerLoad{Running: b.Running, Waiting: b.Waiting, Mean: b.Mean, Cold: b.Cold}
+	}
+	mean := load.Mean
+	if mean == 0 {
+		mean = usualMean
+	}
+	n := float64(load.Running + load.Waiting)
+	if m.ID != c.self.ID {
+		n = max(n, float64(c.peer(m.Address).InFlight()))
+	}
+	slots := float64(max(m.Server.Slots, 1))
+	use := min(n/slots, 1)
+	expected := float64(mean) * (1 + crowding*use*use + max(0, n+1-slots)/slots)
+	if load.Cold {
+		expected *= 3 // a cold backend server bears a trickle
 	}
-	load, known := (*c.loads.Load())[m.ID]
-	return placer.Candidate{
-		Slots: m.Server.Slots, Far: m.Zone != c.self.Zone, Known: known, Running: load.Running, Waiting: load.Waiting,
-		Mean: load.Mean, Cold: load.Cold, InFlight: c.peer(m.Address).InFlight(),
+	expected *= 1 + herding*rand.Float64()
+	if m.Zone != c.self.Zone {
+		expected += farShare * float64(objective)
 	}
+	return time.Duration(expected)
 }
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -47,7 +47,7 @@
 	// Configuration returns the configuration in force, or nil before the first.
 	Configuration() *descriptor.Configuration
 	// Choose returns the server that a call should go to, leaving some nodes out.
-	Choose(c *Call, tried map[partitioner.NodeID]bool) Choice
+	Choose(c *Call, tried map[partitioner.NodeID]bool) (Server, partitioner.NodeID, Reason)
 	// Server returns the server beside a node.
 	Server(id partitioner.NodeID) Server
 	// Spend says whether a call may reach a backend server once more; ran says that
@@ -57,17 +57,6 @@
 	Count(service string)
 }
 
-// Choice is the server that a call should go to.
-type Choice struct {
-	// Server is nil when there is none; Reason says why.
-	Server Server
-	Node   partitioner.NodeID
-	Reason Reason
-	// Detour is what it costs to go there in another zone: as long
-	// a wait in the own one is no worse. It is zero within the zone.
-	Detour time.Duration
-}
-
 // Counter counts the ends of requests.
 type Counter interface {
 	End(route, outcome, reason string, status int, elapsed time.Duration)
@@ -202,17 +191,17 @@
 	way := &trail{began: d.clock.Now()}
 	last := Result{Outcome: NotRun, Reason: ReasonNoServer}
 	for {
-		choice := d.view.Choose(c, tried)
+		server, id, reason := d.view.Choose(c, tried)
 		c.Impatient = !c.Divided
-		if queue, ok := queues.take(choice); ok {
-			choice.Server, choice.Node, c.Impatient = d.view.Server(queue), queue, false
+		if queue, ok := queues.take(server == nil); ok {
+			server, id, c.Impatient = d.view.Server(queue), queue, false
 		}
-		if choice.Server == nil {
+		if server == nil {
 			if last.Outcome != NotRun {
 				return last, way // an earlier try may have run
 			}
-			if choice.Reason != ReasonNone && last.Reason == ReasonNoServer {
-				last.Reason = choice.Reason
+			if reason != ReasonNone && last.Reason == ReasonNoServer {
+				last.Reason = reason
 			}
 			if !d.await(ctx, c, way, last) {
 				return last, way
@@ -220,7 +209,7 @@
 			clear(tried)
 			continue
 		}
-		res := way.serve(ctx, choice.Server, choice.Node, c)
+		res := way.serve(ctx, server, id, c)
 		if ctx.Err() != nil || (res.Outcome == Answered && !d.failed(res)) {
 			return res, way
 		}
@@ -228,13 +217,13 @@
 			last = res
 		}
 		if res.Reason == ReasonBusy {
-			queues.add(choice.Node, res.Retry)
+			queues.add(id, res.Retry)
 		}
 		if !d.again(c, route, res, way.reached) {
 			return last, way
 		}
 		if !c.Divided {
-			tried[choice.Node] = true
+			tried[id] = true
 			continue
 		}
 		if res.Outcome == NotRun && !d.await(ctx, c, way, res) {
@@ -257,10 +246,10 @@
 	s.waits[id] = wait
 }
 
-// take returns the shortest queue once enough were looked at, when there is nothing
-// else left, or when the next choice is a detour that is longer than the wait.
-func (s *shortest) take(next Choice) (partitioner.NodeID, bool) {
-	if len(s.waits) == 0 {
+// take returns the shortest queue once enough were looked at, or when there is
+// nothing else left.
+func (s *shortest) take(last bool) (partitioner.NodeID, bool) {
+	if len(s.waits) == 0 || (s.looks < lookRound && !last) {
 		return "", false
 	}
 	var best partitioner.NodeID
@@ -269,9 +258,6 @@
 			best = id
 		}
 	}
-	if s.looks < lookRound && next.Server != nil && s.waits[best] > next.Detour {
-		return "", false
-	}
 	delete(s.waits, best)
 	return best, true
 }
