Run the conductor's duties from one loop

Change: every calls a duty at its interval; what coordinating remembers between rounds is named in the conductor. Conclusion: one loop.

--- a/papayapass/internal/conductor/conductor.go
+++ b/papayapass/internal/conductor/conductor.go
@@ -97,6 +97,11 @@
 	peers     sync.Map // address to *dispatcher.Peer
 	budget    *budget
 
+	// renewed is the last write of the table's object that was sent, and renewals counts
+	// those that changed nothing else. Only the thread that coordinates uses them.
+	renewed  timer.Instant
+	renewals int
+
 	// tableMu keeps older tables from replacing newer ones.
 	tableMu sync.Mutex
 
@@ -171,9 +176,9 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.poll(ctx) })
 	g.Go(func() error { return c.follow(ctx) })
-	g.Go(func() error { return c.coordinate(ctx) })
-	g.Go(func() error { return c.announce(ctx) })
-	g.Go(func() error { return c.grant(ctx) })
+	g.Go(func() error { return c.every(ctx, planInterval, c.coordinate) })
+	g.Go(func() error { return c.every(ctx, announceInterval, c.announce) })
+	g.Go(func() error { return c.every(ctx, grantInterval, c.grant) })
 	return g.Wait()
 }
 
--- a/papayapass/internal/conductor/coordinate.go
+++ b/papayapass/internal/conductor/coordinate.go
@@ -83,69 +83,63 @@
 	c.Kick()
 }
 
-// announce tells members that are not heard who coordinates.
-func (c *Conductor) announce(ctx context.Context) error {
-	tick := c.timers.Subscribe(announceInterval)
+// every calls do at an interval until the context ends.
+func (c *Conductor) every(ctx context.Context, interval time.Duration, do func(context.Context)) error {
+	tick := c.timers.Subscribe(interval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C():
+			do(ctx)
 		}
-		c.mu.Lock()
-		var missing []partitioner.Member
-		var t *partitioner.Table
-		if c.overseer != nil {
-			missing, t = c.overseer.Missing(c.timers.Now()), c.overseer.Table()
-		}
-		c.mu.Unlock()
-		var g errgroup.Group
-		g.SetLimit(announceAtOnce)
-		for _, m := range missing {
-			g.Go(func() error {
-				actx, cancel := context.WithTimeout(ctx, probeTimeout)
-				defer cancel()
-				if err := c.calls.Announce(actx, m.Address, t); err == nil {
-					c.logger.Info().Str("member", string(m.ID)).Uint64("epoch", t.Epoch).Msg("missing member told who coordinates")
-				}
-				return nil // a member that does not answer is told again
-			})
-		}
-		_ = g.Wait() // no error is returned
 	}
 }
 
+// announce tells members that are not heard who coordinates.
+func (c *Conductor) announce(ctx context.Context) {
+	c.mu.Lock()
+	var missing []partitioner.Member
+	var t *partitioner.Table
+	if c.overseer != nil {
+		missing, t = c.overseer.Missing(c.timers.Now()), c.overseer.Table()
+	}
+	c.mu.Unlock()
+	var g errgroup.Group
+	g.SetLimit(announceAtOnce)
+	for _, m := range missing {
+		g.Go(func() error {
+			actx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			if err := c.calls.Announce(actx, m.Address, t); err == nil {
+				c.logger.Info().Str("member", string(m.ID)).Uint64("epoch", t.Epoch).Msg("missing member told who coordinates")
+			}
+			return nil // a member that does not answer is told again
+		})
+	}
+	_ = g.Wait() // no error is returned
+}
+
 // coordinate plans and writes the table while this node has the role.
-func (c *Conductor) coordinate(ctx context.Context) error {
-	tick := c.timers.Subscribe(planInterval)
-	defer tick.Stop()
-	renewed := timer.Instant(0)
-	counter := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C():
-		}
-		next, revision, ok := c.plan()
-		if !ok {
-			continue
-		}
-		sent := c.timers.Now()
-		var err error
-		switch {
-		case next != nil:
-			revision, err = c.writeTable(ctx, next, revision)
-		case sent.Sub(renewed) >= overseer.Renewal:
-			counter++
-			revision, err = c.writeStatus(ctx, counter, revision)
-		default:
-			continue
-		}
-		renewed = sent
-		c.wrote(ctx, next, revision, sent, err)
+func (c *Conductor) coordinate(ctx context.Context) {
+	next, revision, ok := c.plan()
+	if !ok {
+		return
+	}
+	sent := c.timers.Now()
+	var err error
+	switch {
+	case next != nil:
+		revision, err = c.writeTable(ctx, next, revision)
+	case sent.Sub(c.renewed) >= overseer.Renewal:
+		c.renewals++
+		revision, err = c.writeStatus(ctx, c.renewals, revision)
+	default:
+		return
 	}
+	c.renewed = sent
+	c.wrote(ctx, next, revision, sent, err)
 }
 
 func (c *Conductor) plan() (*partitioner.Table, uint64, bool) {
@@ -260,19 +254,10 @@
 }
 
 // grant keeps the backend server's grants as the table and the lease say.
-func (c *Conductor) grant(ctx context.Context) error {
-	tick := c.timers.Subscribe(grantInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C():
-		}
-		c.attendant.Check()
-		for _, call := range c.granter.Calls(c.timers.Now()) {
-			go c.order(ctx, call)
-		}
+func (c *Conductor) grant(ctx context.Context) {
+	c.attendant.Check()
+	for _, call := range c.granter.Calls(c.timers.Now()) {
+		go c.order(ctx, call)
 	}
 }
 
