Measure work that ran out of time

Only successes counted for the mean by which waits and ends are predicted, so a server that had become slow looked as fast as its few successes, and what could not end was queued on. Ruled out: the recovery itself; the role was taken 0.2 s after the nodes ran. Change: an exchange that took at least 0.95 of its time counts for the mean.

--- a/papayapass/internal/attendant/attendant.go
+++ b/papayapass/internal/attendant/attendant.go
@@ -37,6 +37,9 @@
 	missedBeats = 4
 	// refusedForDown is how many connections in a row fail before that.
 	refusedForDown = 2
+	// outOfTimeShare is the part of its time after which a request counts as having run
+	// out of it: the backend server answers so a little before its deadline.
+	outOfTimeShare = 0.95
 	// holdWait is how long a request waits at its owner for keys that are about to
 	// be granted.
 	holdWait = 300 * time.Millisecond
--- a/papayapass/internal/attendant/attendant_test.go
+++ b/papayapass/internal/attendant/attendant_test.go
@@ -325,3 +325,18 @@
 		})
 	}
 }
+
+// All power was lost, or the backend server has become slow: for seconds, work takes
+// longer than its routes allow and ends with 504. The admitter must know, or it goes on
+// to queue what cannot end in time.
+func TestWorkThatRunsOutOfTimeIsMeasured(t *testing.T) {
+	const allowed = 60 * time.Millisecond
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(allowed)
+		answer(http.StatusGatewayTimeout, map[string]string{"Seal": "s"})(w, r)
+	})
+	c := b.call(true)
+	c.Route, c.Deadline = "status", b.clock.Now().Add(allowed)
+	require.Equal(t, dispatcher.Answered, b.Serve(context.Background(), c).Outcome)
+	require.GreaterOrEqual(t, b.admitter.Expected("status"), allowed*9/10)
+}
--- a/papayapass/internal/attendant/serve.go
+++ b/papayapass/internal/attendant/serve.go
@@ -137,16 +137,21 @@
 	answer, err := a.exchanger.Do(ctx, exchanger.Request{
 		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, FreshWithin: fresh,
 	})
-	a.count(c, a.clock.Now().Sub(sent))
+	took := a.clock.Now().Sub(sent)
+	a.count(c, took)
+	// Work that ran out of time takes at least as long; without it, a server that has
+	// become slow would look as fast as its few successes.
+	outOfTime := float64(took) >= outOfTimeShare*float64(left)
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
 		a.refused()
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonUnreachable}, false
 	case err != nil:
 		a.logger.Info().Str("request", c.ID).Err(err).Dur("elapsed", a.clock.Now().Sub(sent)).Msg("backend server gave no whole answer")
-		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Offered: true}, false
+		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Offered: true}, outOfTime
 	default:
-		return a.judge(c, answer)
+		res, ran := a.judge(c, answer)
+		return res, ran || outOfTime
 	}
 }
 
