--- /dev/null
+++ b/papayapass/internal/launcher/fakes_test.go
@@ -0,0 +1,133 @@
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"papayapass.dev/papayapass/internal/conductor"
+	"papayapass.dev/shared/descriptor"
+)
+
+// memoryStore is a store of objects in memory.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]descriptor.Object
+}
+
+func (s *memoryStore) Get(_ context.Context, kind, name string) (descriptor.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return o, descriptor.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *memoryStore) List(_ context.Context, kind string) ([]descriptor.Object, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []descriptor.Object
+	for path, o := range s.objects {
+		if strings.HasPrefix(path, kind+"/") {
+			out = append(out, o)
+		}
+	}
+	return out, s.revision, nil
+}
+
+func (s *memoryStore) Create(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+	return s.write(kind, o, func(_ descriptor.Object, ok bool) bool { return !ok }, func(_, o descriptor.Object) descriptor.Object { return o })
+}
+
+func (s *memoryStore) Replace(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+	return s.write(kind, o, sameRevision(o), func(old, o descriptor.Object) descriptor.Object { o.Status = old.Status; return o })
+}
+
+func (s *memoryStore) ReplaceStatus(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+	return s.write(kind, o, sameRevision(o), func(old, o descriptor.Object) descriptor.Object { o.Spec = old.Spec; return o })
+}
+
+func sameRevision(o descriptor.Object) func(descriptor.Object, bool) bool {
+	return func(old descriptor.Object, ok bool) bool { return ok && old.Revision == o.Revision }
+}
+
+func (s *memoryStore) write(kind string, o descriptor.Object, may func(descriptor.Object, bool) bool, join func(old, o descriptor.Object) descriptor.Object) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.objects[kind+"/"+o.Name]
+	if !may(old, ok) {
+		return 0, descriptor.ErrConflict
+	}
+	s.revision++
+	o = join(old, o)
+	o.Revision = s.revision
+	s.objects[kind+"/"+o.Name] = o
+	return s.revision, nil
+}
+
+// plainDialect reads and writes headers of short names.
+type plainDialect struct{}
+
+func (plainDialect) RequestID(h http.Header) string { return h.Get("Id") }
+func (plainDialect) Deadline(h http.Header) (time.Duration, bool) {
+	d, err := time.ParseDuration(h.Get("Wait"))
+	return d, err == nil
+}
+
+func (plainDialect) Key(h http.Header) (uint16, bool) {
+	n, err := strconv.ParseUint(h.Get("Key"), 10, 16)
+	return uint16(n), err == nil
+}
+
+func (plainDialect) Prepare(h http.Header, server, _ string, _ time.Duration) {
+	h.Set("Server", server)
+}
+func (plainDialect) AnswersTo(h http.Header, id string) bool { return h.Get("Id") == id }
+func (plainDialect) Sealed(h http.Header) bool               { return h.Get("Seal") != "" }
+func (plainDialect) NotRun(_ int, h http.Header) bool        { return h.Get("Not-Run") != "" }
+
+// grantMessage is an order about keys.
+type grantMessage struct {
+	First, Last uint16
+	Token       uint64
+}
+
+func plainAdapter(s *memoryStore) Adapter {
+	encode := func(first, last uint16, token uint64) []byte {
+		b, _ := json.Marshal(grantMessage{first, last, token}) // has no unsupported type
+		return b
+	}
+	return Adapter{
+		Store: func(string, http.RoundTripper) conductor.Store { return s },
+		Objects: conductor.Objects{
+			ConfigurationKind: "configurations", ConfigurationName: "main", ZonesOutKind: "zonesOut",
+			Decode: func(spec []byte) (*descriptor.Configuration, error) {
+				cfg := &descriptor.Configuration{}
+				err := json.Unmarshal(spec, cfg)
+				cfg.Source = spec
+				cfg.Index()
+				return cfg, err
+			},
+		},
+		Orders: Orders{
+			GrantPath: "/grant", ReleasePath: "/release", HandoverHeader: "Handover",
+			EncodeGrant: func(first, last uint16, token uint64, _ time.Duration, _ string) []byte {
+				return encode(first, last, token)
+			},
+			EncodeRelease: encode,
+		},
+		Dialect: plainDialect{}, ReadyPath: "/ready", HeartbeatPath: "/beats/", SampleHeader: "{}",
+		DecodeHeartbeat: func(_ string, body []byte) (h descriptor.Heartbeat, err error) {
+			err = json.Unmarshal(body, &h)
+			return h, err
+		},
+		DecodeLeave: func(path string) string { return strings.TrimPrefix(path, "/beats/") },
+	}
+}
