--- a/papayapass/internal/commander/deployment.go
+++ b/papayapass/internal/commander/deployment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -33,10 +34,49 @@
 			return showDeployment(ctx, cmd.OutOrStdout(), a.Store(address, http.DefaultTransport), a.Objects)
 		},
 	}
-	cmd.Flags().StringVar(&address, "store", "127.0.0.1:8142", "address of the deployment's store")
+	cmd.PersistentFlags().StringVar(&address, "store", "127.0.0.1:8142", "address of the deployment's store")
+	cmd.AddCommand(newDeploymentOwnerCommand(&address))
 	return cmd
 }
 
+func newDeploymentOwnerCommand(address *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "owner SERVICE KEY",
+		Short: "Show which backend server of a deployment owns a key, from 0 to 65535",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			key, err := strconv.ParseUint(args[1], 10, 16)
+			if err != nil {
+				return errors.Mark(errors.Newf("key %q is no number from 0 to 65535", args[1]), errUsage)
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), deploymentTimeout)
+			defer cancel()
+			return showOwner(ctx, cmd.OutOrStdout(), adapter().Store(*address, http.DefaultTransport), args[0], uint16(key))
+		},
+	}
+}
+
+func showOwner(ctx context.Context, w io.Writer, s conductor.Store, service string, key uint16) error {
+	t, err := conductor.ReadTable(ctx, s)
+	if err != nil {
+		return errors.Wrap(err, "read the table of owners")
+	}
+	r, ok := t.Range(service, key)
+	if !ok {
+		return errors.Mark(errors.Newf("service %q has no keys", service), errUsage)
+	}
+	owner := "nobody"
+	if r.Owner != "" {
+		owner = fmt.Sprintf("%s  server %s", r.Owner, r.Server)
+	}
+	next := ""
+	if r.Next != "" {
+		next = fmt.Sprintf("  moving to %s", r.Next)
+	}
+	_, err = fmt.Fprintf(w, "owner %s  token %d  keys %d to %d%s\n", owner, r.Token, r.First, r.Last, next)
+	return err
+}
+
 func showDeployment(ctx context.Context, w io.Writer, s conductor.Store, objects conductor.Objects) error {
 	t, err := conductor.ReadTable(ctx, s)
 	if err != nil {
--- a/papayapass/internal/commander/deployment_test.go
+++ b/papayapass/internal/commander/deployment_test.go
@@ -49,3 +49,27 @@
 	}
 	require.ErrorIs(t, showDeployment(context.Background(), &out, fakeStore{}, objects), descriptor.ErrNotFound)
 }
+
+func TestOwnerOfADeployment(t *testing.T) {
+	table := &partitioner.Table{Epoch: 4, Version: 9, Coordinator: "node-1"}
+	table.Divisions = []partitioner.Division{{Service: "permits", Ranges: []partitioner.Range{
+		{First: 0, Last: 999, Owner: "node-1", Server: "s-1", Token: 7, Next: "node-2"}, {First: 1000, Last: 65535, Token: 8},
+	}}}
+	cases := map[string]struct {
+		service string
+		key     uint16
+		want    string
+	}{
+		"owned and moving":   {"permits", 999, "owner node-1  server s-1  token 7  keys 0 to 999  moving to node-2\n"},
+		"without an owner":   {"permits", 1000, "owner nobody  token 8  keys 1000 to 65535\n"},
+		"no divided service": {"records", 1, ""},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			err := showOwner(context.Background(), &out, fakeStore{table: table}, tt.service, tt.key)
+			require.Equal(t, tt.want == "", err != nil)
+			require.Equal(t, tt.want, out.String())
+		})
+	}
+}
