--- a/papayapass/internal/launcher/deployment_test.go
+++ b/papayapass/internal/launcher/deployment_test.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,9 +44,19 @@
 	run func(r *http.Request)
 }
 
-func freeAddress(t *testing.T) string {
+// instances counts the addresses that nodes were given.
+var instances atomic.Uint32
+
+// loopback returns a loopback address that no other node or test process has, and whose
+// ports are not taken by outgoing connections, as those of 127.0.0.1 are.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, 1+instances.Add(1)%250)
+}
+
+func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
 	return l.Addr().String()
@@ -58,14 +70,15 @@
 // startInstance starts a backend server and its node, which ends with the test.
 func startInstance(t *testing.T, s *memoryStore, tr *tracer.Tracer, id, service string) *instance {
 	t.Helper()
-	i := &instance{t: t, customers: freeAddress(t), ready: freeAddress(t), beats: freeAddress(t), ran: make(map[string]bool), ended: make(chan error, 1)}
+	ip := loopback()
+	i := &instance{t: t, customers: freeAddress(t, ip), ready: freeAddress(t, ip), beats: freeAddress(t, ip), ran: make(map[string]bool), ended: make(chan error, 1)}
 	i.server = httptest.NewServer(i)
 	t.Cleanup(i.server.Close)
 	text := fmt.Sprintf(`
 [node]
 id = %q
 zone = "zone-1"
-address = "127.0.0.1"
+address = %q
 service = %q
 server = %q
 [listen]
@@ -84,7 +97,7 @@
 retryRatio = 0.2
 retryWindow = "10s"
 retrySlack = 58
-`, id, service, strings.TrimPrefix(i.server.URL, "http://"), i.customers, i.ready, i.beats, port(freeAddress(t)), port(freeAddress(t)))
+`, id, ip, service, strings.TrimPrefix(i.server.URL, "http://"), i.customers, i.ready, i.beats, port(freeAddress(t, ip)), port(freeAddress(t, ip)))
 	path := writeSettings(t, text)
 	settings, err := ReadSettings(path)
 	require.NoError(t, err)
