Grant keys in heartbeat responses

Change: the granter has two ways of granting, read from the configuration (and from the settings until there is one). With heartbeats, the response lists all keys of the table that are not moving, counted from when the heartbeat was sent; what is left out is released. A moving range counts as released when a heartbeat lists none of its keys and no earlier response can still grant them: the heartbeat reports them as released, or the last response that granted them is older than a backend server accepts. After a restart of the node the second heartbeat proves what is not held. Requests for keys that the next heartbeat brings wait for it at the owner.

--- a/papayapass/internal/commander/node.go
+++ b/papayapass/internal/commander/node.go
@@ -43,6 +43,7 @@
 		},
 		ReadyPath: platform.ReadyPath, HeartbeatPath: platform.HeartbeatPath,
 		DecodeHeartbeat: platform.DecodeHeartbeat, DecodeLeave: platform.DecodeLeave,
+		EncodeHeartbeatReply: platform.EncodeHeartbeatReply, MaxHeartbeatReplyBytes: platform.MaxHeartbeatReplyBytes, GrantBytes: platform.GrantBytes,
 		SampleHeaders: platform.SampleHeaders(),
 	}
 }
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -41,9 +41,6 @@
 	// timedOutShare is the fraction of its time after which a request counts as timed out:
 	// the backend server responds with a time-out a little before the deadline.
 	timedOutShare = 0.95
-	// grantWait is how long a request waits at the owner for keys that are about to be
-	// granted.
-	grantWait = 300 * time.Millisecond
 	// grantCheckInterval is the time between checks for the grant.
 	grantCheckInterval = 10 * time.Millisecond
 	// sharedStopDelay and dividedStopDelay are how long a stopping node accepts requests
@@ -107,22 +104,25 @@
 	}
 }
 
-// Heartbeat handles a heartbeat of the backend server and reports whether it is
-// acknowledged: one from an earlier start, another service or another address is not.
-func (f *Forwarder) Heartbeat(h descriptor.Heartbeat) bool {
+// Heartbeat handles a heartbeat of the backend server. The second result reports whether
+// it is acknowledged: one from an earlier start, another service or another address is not.
+func (f *Forwarder) Heartbeat(h descriptor.Heartbeat) (descriptor.HeartbeatReply, bool) {
 	if h.Service != f.service || h.Address != f.address {
-		return false
+		return descriptor.HeartbeatReply{}, false
 	}
 	now := f.clock.Now()
 	f.mu.Lock()
 	newStart := h.ID != f.lastHeartbeat.ID || h.StartedAtMillis != f.lastHeartbeat.StartedAtMillis
 	if newStart && h.StartedAtMillis < f.lastHeartbeat.StartedAtMillis {
 		f.mu.Unlock()
-		return false
+		return descriptor.HeartbeatReply{}, false
 	}
 	if !newStart && h.Sequence < f.lastHeartbeat.Sequence {
 		f.mu.Unlock()
-		return true
+		return descriptor.HeartbeatReply{}, true // late: what it lists may have changed
+	}
+	if !newStart && h.Sequence == f.lastHeartbeat.Sequence {
+		h.Keys = nil // a copy
 	}
 	if newStart {
 		f.leaving = false
@@ -139,7 +139,20 @@
 		f.granter.SetServer(f.Server())
 		f.node.TriggerHeartbeat()
 	}
-	return true
+	return f.grantKeys(h, now), true
+}
+
+// grantKeys returns the response to a heartbeat that lists keys.
+func (f *Forwarder) grantKeys(h descriptor.Heartbeat, now timer.Instant) descriptor.HeartbeatReply {
+	r := f.granter.HandleHeartbeat(h.Keys, now)
+	if r.Released {
+		f.node.TriggerHeartbeat()
+	}
+	if r.Omitted > 0 {
+		f.logger.Warn().Str("server", h.ID).Int("omitted", r.Omitted).Int("granted", len(r.Reply.Grants.Ranges)).
+			Msg("too many ranges for one heartbeat response, the rest is not granted")
+	}
+	return r.Reply
 }
 
 // setWarmUp sets how long the backend server is still warming up. Without a configuration
@@ -162,12 +175,16 @@
 	f.setWarmUp(f.clock.Now(), maxMissedHeartbeats*f.heartbeatInterval)
 }
 
-// ApplyConfiguration applies the warm-up rate that a new configuration sets for the
-// service.
+// ApplyConfiguration applies the warm-up rate and the way of granting that a new
+// configuration sets for the service.
 func (f *Forwarder) ApplyConfiguration() {
 	rate := 0.0
 	if cfg := f.node.Configuration(); cfg != nil {
-		rate = cfg.Services[f.service].WarmUpRate
+		s := cfg.Services[f.service]
+		rate = s.WarmUpRate
+		if s.Grants != "" {
+			f.granter.SetMethod(s.Grants)
+		}
 	}
 	f.mu.Lock()
 	until := f.warmUpUntil
--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -62,7 +62,8 @@
 	f := &testForwarder{node: &fakeNode{cfg: &descriptor.Configuration{Services: map[string]descriptor.Service{"permits": {Divided: true, WarmUpRate: 18}, "records": {}}}}}
 	f.granter = granter.NewGranter("node-1", 10*time.Second, f.clock.Now().Add(-time.Minute))
 	f.Forwarder = NewForwarder(strings.TrimPrefix(s.URL, "http://"), "records", time.Second, fakeCodec{}, f.clock, f.granter, f.node, &tracer.Tracer{}, zerolog.Nop())
-	require.True(t, f.Heartbeat(f.heartbeat()))
+	_, ok := f.Heartbeat(f.heartbeat())
+	require.True(t, ok)
 	return f
 }
 
@@ -182,7 +183,8 @@
 			f := newTestForwarder(t, respond(200, nil))
 			h := f.heartbeat()
 			tt.change(&h)
-			require.Equal(t, tt.acknowledged, f.Heartbeat(h))
+			_, ok := f.Heartbeat(h)
+			require.Equal(t, tt.acknowledged, ok)
 			require.Equal(t, tt.server, f.Server().ID)
 			require.Equal(t, tt.up, f.Server().Up())
 		})
@@ -234,7 +236,8 @@
 	f.node.cfg = nil
 	h := f.heartbeat()
 	h.Sequence, h.WarmUpRemaining = 6, 3*time.Second
-	require.True(t, f.Heartbeat(h))
+	_, ok := f.Heartbeat(h)
+	require.True(t, ok)
 	f.node.cfg = cfg
 	f.ApplyConfiguration()
 	var heartbeat overseer.Heartbeat
@@ -264,7 +267,8 @@
 	f.service = "permits"
 	h := f.heartbeat()
 	h.Sequence, h.Service = 6, "permits"
-	require.True(t, f.Heartbeat(h))
+	_, ok := f.Heartbeat(h)
+	require.True(t, ok)
 	c := f.call(true)
 	c.Divided, c.Key = true, 500
 	require.Equal(t, dispatcher.ReasonNotOwner, f.Serve(context.Background(), c).Reason)
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -64,7 +64,7 @@
 // awaitGrant waits until the backend server holds a key that this node owns, and reports
 // whether it does.
 func (f *Forwarder) awaitGrant(ctx context.Context, c *dispatcher.Call) bool {
-	until := f.clock.Now().Add(grantWait)
+	until := f.granter.NextGrantBy(f.heartbeatInterval, f.clock.Now())
 	for {
 		now := f.clock.Now()
 		if _, _, ok := f.granter.Holds(c.Service, c.Key, now); ok {
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -4,8 +4,9 @@
 package granter
 
 import (
+	"cmp"
 	"slices"
-	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	ReleaseTimeout = 3 * time.Second
 	// GrantTimeout is the time-out of a grant.
 	GrantTimeout = 300 * time.Millisecond
+	// grantWait is how long after it is due a grant is usually in force.
+	grantWait = 300 * time.Millisecond
 )
 
 // Call is a key request, a grant or a release, to the backend server.
@@ -66,7 +69,9 @@
 type holding struct {
 	partitioner.Range
 	service string
-	// heldUntil is the instant until which the backend server certainly holds the keys.
+	// heldFrom and heldUntil are the instants between which the backend server certainly
+	// holds the keys.
+	heldFrom  timer.Instant
 	heldUntil timer.Instant
 	// mayHoldUntil is the latest instant until which it may hold the keys.
 	mayHoldUntil timer.Instant
@@ -75,6 +80,10 @@
 	// released is set when the range has been released or can no longer be held.
 	released bool
 	handover string
+	// offeredAt is when the newest response to a heartbeat that grants the keys was made,
+	// or zero; rejected is set if the backend server did not list them afterwards.
+	offeredAt timer.Instant
+	rejected  bool
 }
 
 // pendingGrant is a grant that may still take effect until an instant.
@@ -101,14 +110,27 @@
 	// latest.
 	priorGrantsUntil timer.Instant
 	// maxHold is the longest hold to request.
-	maxHold time.Duration
+	maxHold    time.Duration
+	method     method
+	replyLimit ReplyLimit
 }
 
 // NewGranter returns a granter without keys; holdMax is the longest hold that the
 // backend server accepts.
 func NewGranter(self partitioner.NodeID, holdMax time.Duration, started timer.Instant) *Granter {
 	hold := min(maxUsefulHold, holdMax)
-	return &Granter{self: self, maxHold: hold, priorGrantsUntil: started.Add(hold + time.Duration(float64(hold)*clockDrift))}
+	return &Granter{self: self, maxHold: hold, priorGrantsUntil: started.Add(withDrift(hold)), method: byCall{}}
+}
+
+// withDrift returns how long a hold lasts by a backend server's slow clock.
+func withDrift(hold time.Duration) time.Duration {
+	return hold + time.Duration(float64(hold)*clockDrift)
+}
+
+// holdFor returns the longest hold that the lease allows for a grant sent now.
+func (g *Granter) holdFor(now timer.Instant) time.Duration {
+	left := g.leaseUntil.Sub(now)
+	return min(g.maxHold, left-time.Duration(float64(left)*clockDrift))
 }
 
 // SetServer sets the backend server. After a restart it holds no keys.
@@ -117,10 +139,13 @@
 	defer g.mu.Unlock()
 	if s.ID != "" && g.server.ID != "" && !s.SameStart(g.server.ID, g.server.StartedAtMillis) {
 		for _, h := range g.holdings {
-			h.heldUntil, h.mayHoldUntil = 0, 0
+			h.heldUntil, h.mayHoldUntil, h.offeredAt, h.rejected = 0, 0, 0, false
 		}
 		g.priorGrantsUntil = 0
 		g.pendingGrants = nil
+		if m, ok := g.method.(*byHeartbeat); ok {
+			m.heartbeats, m.released = 0, nil
+		}
 	}
 	g.server = s
 }
@@ -145,10 +170,14 @@
 			}
 		}
 	}
-	sort.Slice(next, func(i, j int) bool { return next[i].First < next[j].First })
+	slices.SortFunc(next, compareHoldings)
 	g.holdings = next
 }
 
+func compareHoldings(a, b *holding) int {
+	return cmp.Or(strings.Compare(a.service, b.service), cmp.Compare(a.First, b.First))
+}
+
 func (g *Granter) newHolding(service string, r partitioner.Range) *holding {
 	h := &holding{Range: r, service: service, mayHoldUntil: g.priorGrantsUntil}
 	covered := 0
@@ -156,13 +185,14 @@
 		if old.service != service || old.Last < r.First || r.Last < old.First {
 			continue
 		}
-		h.mayHoldUntil = max(h.mayHoldUntil, old.mayHoldUntil)
+		h.mayHoldUntil, h.offeredAt = max(h.mayHoldUntil, old.mayHoldUntil), max(h.offeredAt, old.offeredAt)
 		if old.Token != r.Token {
 			continue
 		}
 		if covered == 0 || old.heldUntil < h.heldUntil {
 			h.heldUntil = old.heldUntil
 		}
+		h.heldFrom, h.rejected = max(h.heldFrom, old.heldFrom), h.rejected || old.rejected
 		covered += int(min(old.Last, r.Last)) - int(max(old.First, r.First)) + 1
 		same := old.First == r.First && old.Last == r.Last
 		if same && old.released {
@@ -184,7 +214,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h := g.find(service, key)
-	if h == nil || h.NextOwner != "" || h.released || h.heldUntil <= now {
+	if h == nil || h.NextOwner != "" || h.released || now < h.heldFrom || h.heldUntil <= now {
 		return 0, 0, false
 	}
 	return h.Token, h.heldUntil, true
@@ -200,7 +230,9 @@
 }
 
 func (g *Granter) find(service string, key uint16) *holding {
-	i := sort.Search(len(g.holdings), func(i int) bool { return g.holdings[i].Last >= key })
+	i, _ := slices.BinarySearchFunc(g.holdings, key, func(h *holding, key uint16) int {
+		return cmp.Or(strings.Compare(h.service, service), cmp.Compare(h.Last, key))
+	})
 	if i == len(g.holdings) || !g.holdings[i].Contains(key) || g.holdings[i].service != service {
 		return nil
 	}
@@ -212,6 +244,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pendingGrants = slices.DeleteFunc(g.pendingGrants, func(p pendingGrant) bool { return !p.inFlight && p.until <= now })
+	if m, ok := g.method.(*byHeartbeat); ok {
+		for _, h := range g.holdings {
+			g.releaseEnded(m, h, now)
+		}
+		return nil
+	}
 	var out []Call
 	for _, h := range g.holdings {
 		if c, ok := g.nextCall(h, now); ok {
@@ -244,13 +282,12 @@
 	if !g.server.SameStart(h.Server, h.ServerStartedAtMillis) || g.server.Down || g.server.Leaving {
 		return Call{}, false
 	}
-	left := g.leaseUntil.Sub(now)
-	c.Hold = min(g.maxHold, left-time.Duration(float64(left)*clockDrift))
+	c.Hold = g.holdFor(now)
 	c.Handover = h.Handover
 	if c.Hold < minHold {
 		return Call{}, false
 	}
-	h.mayHoldUntil = max(h.mayHoldUntil, now.Add(c.Hold+time.Duration(float64(c.Hold)*clockDrift)))
+	h.mayHoldUntil = max(h.mayHoldUntil, now.Add(withDrift(c.Hold)))
 	return c, true
 }
 
--- /dev/null
+++ b/papayapass/internal/granter/heartbeat.go
@@ -0,0 +1,210 @@
+package granter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+const (
+	// replyWindow is how long after a heartbeat its response can still take effect: a
+	// backend server ignores later ones. It includes the drift of the server's clock.
+	replyWindow = 1020 * time.Millisecond
+	// travelAllowance is subtracted from a hold for the time between the sending of a
+	// heartbeat, from which the hold counts, and its arrival.
+	travelAllowance = 100 * time.Millisecond
+	// settleTime is how long after a response the backend server has applied it.
+	settleTime = 5 * time.Millisecond
+	// provingHeartbeats is the number of heartbeats after a start from which on keys that
+	// are not listed are not held. The first one may have been sent long before.
+	provingHeartbeats = 2
+)
+
+// ReplyLimit limits the size of a response to a heartbeat.
+type ReplyLimit struct {
+	// Bytes is the largest size of all ranges together.
+	Bytes int
+	// RangeBytes returns the size of one range.
+	RangeBytes func(descriptor.GrantedRange) int
+}
+
+// SetReplyLimit sets the limit of responses to heartbeats; there is none by default.
+func (g *Granter) SetReplyLimit(l ReplyLimit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replyLimit = l
+}
+
+// HeartbeatResult is what a heartbeat of the backend server leads to.
+type HeartbeatResult struct {
+	Reply descriptor.HeartbeatReply
+	// Released is set if ranges that are moving have been released.
+	Released bool
+	// Omitted counts the ranges that did not fit into the response.
+	Omitted int
+}
+
+// HandleHeartbeat applies a heartbeat's list of keys and returns the response to it. The
+// heartbeat must be newer than all earlier ones of the same start.
+//
+// The response is the whole set of keys that the backend server is to hold, counted from
+// when it sent the heartbeat, so a late response never extends a hold.
+func (g *Granter) HandleHeartbeat(keys *descriptor.KeyListing, now timer.Instant) HeartbeatResult {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.method.(*byHeartbeat)
+	if !ok || keys == nil {
+		return HeartbeatResult{}
+	}
+	m.heartbeats = min(m.heartbeats+1, provingHeartbeats)
+	m.lastAt = now
+	if len(keys.Released) > 0 {
+		m.released = append(m.released, keys.Released...)
+	}
+	var r HeartbeatResult
+	for _, h := range g.holdings {
+		wasReleased := h.released
+		g.applyListing(m, h, keys, now)
+		r.Released = r.Released || (h.released && !wasReleased)
+	}
+	r.Reply.Grants, r.Omitted = g.grants(keys, now)
+	return r
+}
+
+// applyListing updates a holding from the keys that a heartbeat lists.
+func (g *Granter) applyListing(m *byHeartbeat, h *holding, keys *descriptor.KeyListing, now timer.Instant) {
+	switch {
+	case overlaps(keys.Held, h):
+		h.rejected = h.rejected && !covers(keys.Held, h)
+	case h.offeredAt == 0:
+		if m.heartbeats >= provingHeartbeats {
+			h.heldUntil, h.mayHoldUntil = 0, 0
+		}
+	default:
+		// The last response got lost, is still on its way, or was not accepted.
+		h.heldUntil, h.rejected = 0, true
+		if h.offeredAt.Add(replyWindow) < now || releasedCovers(keys.Released, h) {
+			h.mayHoldUntil = 0
+		}
+	}
+	g.releaseEnded(m, h, now)
+}
+
+// releaseEnded marks a moving range as released once the backend server certainly does not
+// hold it.
+func (g *Granter) releaseEnded(m *byHeartbeat, h *holding, now timer.Instant) {
+	if h.NextOwner == "" || h.released || now < h.mayHoldUntil {
+		return
+	}
+	h.released = true
+	most := 0
+	for _, r := range m.released {
+		if n := int(min(r.Last, h.Last)) - int(max(r.First, h.First)) + 1; n > most {
+			most, h.handover = n, r.Handover
+		}
+	}
+}
+
+// grants returns the ranges that the backend server is to hold, and the number of ranges
+// that did not fit. They are nil without a lease: the keys held then run out by themselves.
+func (g *Granter) grants(keys *descriptor.KeyListing, now timer.Instant) (*descriptor.KeyGrants, int) {
+	hold := g.holdFor(now).Truncate(time.Millisecond)
+	if hold < minHold {
+		return nil, 0
+	}
+	out := &descriptor.KeyGrants{Hold: hold}
+	list := g.grantable(keys)
+	size, omitted := 0, 0
+	for _, h := range list {
+		row := descriptor.GrantedRange{First: h.First, Last: h.Last, Token: h.Token}
+		isHeld := covers(keys.Held, h)
+		if !isHeld {
+			row.Handover = h.Handover
+		}
+		if g.replyLimit.RangeBytes != nil {
+			if n := g.replyLimit.RangeBytes(row); size+n > g.replyLimit.Bytes {
+				h.heldUntil = 0
+				omitted++
+				continue
+			} else {
+				size += n
+			}
+		}
+		out.Ranges = append(out.Ranges, row)
+		g.recordOffer(h, isHeld, hold, now)
+	}
+	slices.SortFunc(out.Ranges, func(a, b descriptor.GrantedRange) int { return cmp.Compare(a.First, b.First) })
+	return out, omitted
+}
+
+// grantable returns the holdings to grant, most urgent first: held ones, since requests run
+// on them, then the largest.
+func (g *Granter) grantable(keys *descriptor.KeyListing) []*holding {
+	if g.server.Down || g.server.Leaving {
+		return nil
+	}
+	var list []*holding
+	for _, h := range g.holdings {
+		if h.NextOwner == "" && !h.released && g.server.SameStart(h.Server, h.ServerStartedAtMillis) {
+			list = append(list, h)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *holding) int {
+		if x, y := covers(keys.Held, a), covers(keys.Held, b); x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(int(b.Last)-int(b.First), int(a.Last)-int(a.First))
+	})
+	return list
+}
+
+func (g *Granter) recordOffer(h *holding, isHeld bool, hold time.Duration, now timer.Instant) {
+	h.offeredAt = now
+	h.mayHoldUntil = max(h.mayHoldUntil, now.Add(withDrift(hold)))
+	if h.rejected {
+		return // not held before a heartbeat lists it
+	}
+	if !isHeld && h.heldUntil <= now {
+		h.heldFrom = now.Add(settleTime)
+	}
+	h.heldUntil = max(h.heldUntil, now.Add(hold-travelAllowance))
+	if m, ok := g.method.(*byHeartbeat); ok {
+		m.released = slices.DeleteFunc(m.released, func(r descriptor.ReleasedRange) bool {
+			return r.First <= h.Last && h.First <= r.Last
+		})
+	}
+}
+
+func overlaps(held []descriptor.HeldRange, h *holding) bool {
+	i, _ := slices.BinarySearchFunc(held, h.First, func(r descriptor.HeldRange, key uint16) int { return cmp.Compare(r.Last, key) })
+	return i < len(held) && held[i].First <= h.Last
+}
+
+// covers reports whether all keys of a holding are listed as held with its token.
+func covers(held []descriptor.HeldRange, h *holding) bool {
+	next := int(h.First)
+	i, _ := slices.BinarySearchFunc(held, h.First, func(r descriptor.HeldRange, key uint16) int { return cmp.Compare(r.Last, key) })
+	for ; i < len(held) && int(held[i].First) <= next && held[i].Token == h.Token; i++ {
+		if next = int(held[i].Last) + 1; next > int(h.Last) {
+			return true
+		}
+	}
+	return false
+}
+
+// releasedCovers reports whether all keys of a holding are listed as released.
+func releasedCovers(released []descriptor.ReleasedRange, h *holding) bool {
+	next := int(h.First)
+	for _, r := range released {
+		if int(r.First) <= next && next <= int(r.Last) {
+			next = int(r.Last) + 1
+		}
+	}
+	return next > int(h.Last)
+}
--- a/papayapass/internal/launcher/fakes_test.go
+++ b/papayapass/internal/launcher/fakes_test.go
@@ -128,6 +128,10 @@
 			err = json.Unmarshal(body, &h)
 			return h, err
 		},
+		EncodeHeartbeatReply: func(r descriptor.HeartbeatReply) []byte {
+			b, _ := json.Marshal(r) // has no unsupported type
+			return b
+		},
 		DecodeLeave: func(path string) string { return strings.TrimPrefix(path, "/heartbeats/") },
 	}
 }
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -43,6 +43,11 @@
 	HeartbeatPath   string
 	DecodeHeartbeat func(path string, body []byte) (descriptor.Heartbeat, error)
 	DecodeLeave     func(path string) string
+	// EncodeHeartbeatReply encodes the response to a heartbeat, of at most
+	// MaxHeartbeatReplyBytes; GrantBytes is the size of one range in it.
+	EncodeHeartbeatReply   func(descriptor.HeartbeatReply) []byte
+	MaxHeartbeatReplyBytes int
+	GrantBytes             func(descriptor.GrantedRange) int
 	// SampleHeaders are headers of requests and responses as JSON, for the compression
 	// dictionary of messages between nodes.
 	SampleHeaders string
@@ -63,6 +68,8 @@
 	maxHeaderBytes = 64 << 10
 	// maxHeartbeatBytes is the largest body of a heartbeat.
 	maxHeartbeatBytes = 64 << 10
+	// heartbeatReplyReserve is the part of a heartbeat's response that is not ranges.
+	heartbeatReplyReserve = 96
 	// lameDuckDuration is how long a stopping node still accepts requests: the platform
 	// checks readiness once a second and acts after two results.
 	lameDuckDuration = 2500 * time.Millisecond
@@ -123,6 +130,8 @@
 	n := &node{tracer: t, settings: s, adapter: a, logger: logger, timers: timer.NewService(timer.BootClock{}), meter: meter.NewMeter()}
 	self := partitioner.Member{ID: partitioner.NodeID(s.Node.ID), Address: s.peersAddress(), Zone: s.Node.Zone}
 	g := granter.NewGranter(self.ID, time.Duration(s.Bounds.HoldMax), n.timers.Now())
+	g.SetMethod(s.Node.Grants)
+	g.SetReplyLimit(granter.ReplyLimit{Bytes: a.MaxHeartbeatReplyBytes - heartbeatReplyReserve, RangeBytes: a.GrantBytes})
 	dialer := exchanger.NewDialer(controlConnectTimeout)
 	store := a.Store(s.Store.Address, &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: controlMaxIdle, DisableCompression: true,
@@ -230,6 +239,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	var reply descriptor.HeartbeatReply
 	switch r.Method {
 	case http.MethodDelete:
 		n.forwarder.Leave(n.adapter.DecodeLeave(r.URL.Path))
@@ -244,7 +254,8 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if !n.forwarder.Heartbeat(h) {
+		acknowledged := false
+		if reply, acknowledged = n.forwarder.Heartbeat(h); !acknowledged {
 			n.logger.Warn().Str("server", h.ID).Str("service", h.Service).Str("address", h.Address).Msg("heartbeat rejected: wrong service, address or start")
 			w.WriteHeader(http.StatusConflict)
 			return
@@ -254,7 +265,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = io.WriteString(w, "{}") // the backend server sends another heartbeat
+	_, _ = w.Write(n.adapter.EncodeHeartbeatReply(reply)) // the backend server sends another heartbeat
 }
 
 // stop lets customers move to other nodes and waits for the requests in flight.
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -11,6 +11,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"papayapass.dev/papayapass/internal/participant"
+	"papayapass.dev/shared/descriptor"
 )
 
 // Settings are the settings of a node and its local backend server.
@@ -21,6 +22,8 @@
 		Address string `toml:"address"` // IP address of the instance
 		Service string `toml:"service"`
 		Server  string `toml:"server"` // IP address and port of the backend server
+		// Grants is how the backend server gets keys until there is a configuration.
+		Grants descriptor.GrantMethod `toml:"grants"`
 	} `toml:"node"`
 	Listen struct {
 		Customers  string `toml:"customers"`
@@ -53,6 +56,7 @@
 // defaults returns the settings with default bounds, which suit a small site.
 func defaults() *Settings {
 	s := &Settings{}
+	s.Node.Grants = descriptor.GrantByCall
 	b := &s.Bounds
 	b.Heartbeat, b.Grace, b.ZoneOut = duration(time.Second), duration(6*time.Second), duration(5*time.Second)
 	b.Apply, b.HoldMax, b.RetryWindow = duration(2*time.Second), duration(10*time.Second), duration(10*time.Second)
@@ -97,6 +101,8 @@
 	switch {
 	case s.Node.ID == "" || s.Node.Zone == "" || s.Node.Service == "":
 		return errors.New("settings node.id, node.zone and node.service are required")
+	case s.Node.Grants != descriptor.GrantByCall && s.Node.Grants != descriptor.GrantByHeartbeat:
+		return errors.Newf("setting node.grants is %q, not %q or %q", s.Node.Grants, descriptor.GrantByCall, descriptor.GrantByHeartbeat)
 	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
 		return errors.New("settings listen.peers and listen.metrics are required")
 	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.HoldMax <= 0 || s.Bounds.Apply <= 0:
--- a/shared/descriptor/configuration.go
+++ b/shared/descriptor/configuration.go
@@ -52,6 +52,9 @@
 	WarmUpRate float64
 	// Divided reports whether the service is sharded by key, with one owner for each key.
 	Divided bool
+	// Grants is how the backend servers of a divided service get their keys; empty if the
+	// configuration does not say.
+	Grants GrantMethod
 }
 
 // Limits are the limits on customers' requests and connections.
--- a/shared/descriptor/heartbeat.go
+++ b/shared/descriptor/heartbeat.go
@@ -21,6 +21,8 @@
 	Sequence int64
 	// StartedAtMillis is the start time in Unix milliseconds; it differs after a restart.
 	StartedAtMillis int64
+	// Keys is nil if the backend server does not list its keys in heartbeats.
+	Keys *KeyListing
 }
 
 // Object is an object in the platform's store.
