Wake up when something is due, and wait for keys where they will be held

Cause: each node woke up about 120 times a second without work: a poll of the log's ring buffer each 20 ms, a check of grants each 25 ms, planning and announcements also at nodes that do not coordinate. And a request for a key on the move asked the former owner again every 25 ms for 0.8 s, up to 28 times.

Change: planning and announcements run in the terms of this node only; grants are renewed when they are due, and at once after a new table or result; the store is read when the coordinator's reading goes stale. A request for a key on the move goes to the next owner and waits there for the key, or is rejected at once with the time until the key is expected where that leaves too little time; the next owner of a table that names none is asked for with growing pauses.

--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -27,11 +27,12 @@
 	// responseSlack is how long after the deadline the node still waits for the backend
 	// server's own response.
 	responseSlack = 150 * time.Millisecond
-	// ownerRetryInterval is the time between tries at an owner that does not hold the key
-	// yet.
-	ownerRetryInterval = 25 * time.Millisecond
-	// maxMoveWait is how long a request waits while its key moves to another owner.
-	maxMoveWait = 800 * time.Millisecond
+	// ownerRetryInterval is the time until the second try of a key whose owner is not known
+	// yet; it doubles with each try up to maxOwnerRetryInterval.
+	ownerRetryInterval    = 25 * time.Millisecond
+	maxOwnerRetryInterval = 200 * time.Millisecond
+	// maxOwnerWait is how long a request waits for the table to name its owner.
+	maxOwnerWait = 800 * time.Millisecond
 	// minRetryAfter is the shortest Retry-After of a rejected request.
 	minRetryAfter = 50 * time.Millisecond
 	// freeSlotTries is the number of servers of a shared pool tried for a free slot before
@@ -174,6 +175,14 @@
 	// tries counts all tries; lastNode is the node of the last one.
 	tries    int
 	lastNode partitioner.NodeID
+	// ownerWaits counts the waits for the table to name the owner.
+	ownerWaits int
+}
+
+// ownerWait returns the time until the next try of a key without a known owner.
+func (l *attemptLog) ownerWait() time.Duration {
+	l.ownerWaits++
+	return min(ownerRetryInterval<<min(l.ownerWaits-1, 8), maxOwnerRetryInterval)
 }
 
 // serve calls a node's server and records the try.
@@ -206,7 +215,7 @@
 			if reason != ReasonNone && last.Reason == ReasonNoServer {
 				last.Reason = reason
 			}
-			if !d.awaitKeys(ctx, c, attempts, last) {
+			if !d.awaitOwner(ctx, c, attempts, last) {
 				return last, attempts
 			}
 			clear(tried)
@@ -229,7 +238,7 @@
 			tried[id] = true
 			continue
 		}
-		if res.Outcome == NotRun && !d.awaitKeys(ctx, c, attempts, res) {
+		if res.Outcome == NotRun && !d.awaitOwner(ctx, c, attempts, res) {
 			return last, attempts
 		}
 	}
@@ -288,22 +297,18 @@
 	return d.cluster.AllowRetry(c.Service, res.Outcome != NotRun)
 }
 
-// awaitKeys waits before the next try of a key that is about to be served again, and
-// reports whether that try is worthwhile.
-func (d *Dispatcher) awaitKeys(ctx context.Context, c *Call, attempts *attemptLog, res Result) bool {
-	if !c.Divided {
-		return false
-	}
-	switch res.Reason {
-	case ReasonNotHeld, ReasonNotOwner:
-	default:
+// awaitOwner waits before the next try of a key whose owner the table does not name yet,
+// and reports whether that try is worthwhile. A key on the move needs no second try: the
+// call waits at the next owner.
+func (d *Dispatcher) awaitOwner(ctx context.Context, c *Call, attempts *attemptLog, res Result) bool {
+	if !c.Divided || res.Reason != ReasonNotOwner {
 		return false
 	}
 	now := d.clock.Now()
-	if now.Sub(attempts.start) > maxMoveWait || c.Deadline.Sub(now) < c.Objective/4 {
+	if now.Sub(attempts.start) > maxOwnerWait || c.Deadline.Sub(now) < c.Objective/4 {
 		return false
 	}
-	t := time.NewTimer(ownerRetryInterval)
+	t := time.NewTimer(attempts.ownerWait())
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -41,8 +41,13 @@
 	// timedOutShare is the fraction of its time after which a request counts as timed out:
 	// the backend server responds with a time-out a little before the deadline.
 	timedOutShare = 0.95
-	// grantCheckInterval is the time between checks for the grant.
-	grantCheckInterval = 10 * time.Millisecond
+	// grantWait is how much longer than expected a request waits for its key at the owner,
+	// and arrivalWait at a node to which the key is moving.
+	grantWait   = 300 * time.Millisecond
+	arrivalWait = 1500 * time.Millisecond
+	// grantCheckInterval is the longest time between checks for the grant; it covers the
+	// time that a backend server takes to apply one.
+	grantCheckInterval = 25 * time.Millisecond
 	// sharedStopDelay and dividedStopDelay are how long a stopping node accepts requests
 	// for its backend server: in a shared pool until all nodes know of the stop, for keys
 	// as long as an accepted request can still finish.
--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -278,7 +278,7 @@
 	}}}}
 	now := f.clock.Now()
 	f.granter.SetLease(now.Add(time.Minute))
-	f.granter.SetTable(table)
+	f.granter.SetTable(table, now)
 	require.Equal(t, dispatcher.ReasonNotHeld, f.Serve(context.Background(), c).Reason, "owned but not granted")
 	for _, g := range f.granter.DueCalls(now) {
 		f.granter.HandleResult(g, granter.Done, "", now)
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -11,6 +11,8 @@
 	"papayapass.dev/papayapass/internal/admitter"
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/exchanger"
+	"papayapass.dev/papayapass/internal/granter"
+	"papayapass.dev/papayapass/internal/timer"
 )
 
 // Serve runs a call at the backend server.
@@ -18,8 +20,10 @@
 	if r, ok := f.mayServe(c); !ok {
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: r}
 	}
-	if c.Divided && !f.awaitGrant(ctx, c) {
-		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonNotHeld}
+	if c.Divided {
+		if res, ok := f.awaitKey(ctx, c); !ok {
+			return res
+		}
 	}
 	r := admitter.Request{Kind: c.Route, Priority: c.Priority, Objective: c.Objective, Deadline: c.Deadline}
 	ticket, decision, retry := f.admitter.Offer(r, f.clock.Now(), !c.NoQueue)
@@ -54,30 +58,62 @@
 		return dispatcher.ReasonStopping, false
 	case f.node.ZoneOut(c.Divided):
 		return dispatcher.ReasonZoneOut, false
-	case c.Divided && !f.granter.Owns(c.Service, c.Key):
-		return dispatcher.ReasonNotOwner, false
 	default:
 		return dispatcher.ReasonNone, true
 	}
 }
 
-// awaitGrant waits until the backend server holds a key that this node owns, and reports
-// whether it does.
-func (f *Forwarder) awaitGrant(ctx context.Context, c *dispatcher.Call) bool {
-	until := f.granter.NextGrantBy(f.heartbeatInterval, f.clock.Now())
+// mayStart reports whether a call that waited may still run, or the reason why not.
+func (f *Forwarder) mayStart(c *dispatcher.Call) (dispatcher.Reason, bool) {
+	if r, ok := f.mayServe(c); !ok || !c.Divided {
+		return r, ok
+	}
+	if !f.granter.Owns(c.Service, c.Key) {
+		return dispatcher.ReasonNotOwner, false
+	}
+	if _, _, held := f.granter.Holds(c.Service, c.Key, f.clock.Now()); !held {
+		return dispatcher.ReasonNotHeld, false
+	}
+	return dispatcher.ReasonNone, true
+}
+
+// awaitKey waits until the backend server holds a key that this node owns, or that is
+// moving here. A call that the expected wait leaves too little time is rejected at once,
+// with the time until the key is expected.
+func (f *Forwarder) awaitKey(ctx context.Context, c *dispatcher.Call) (dispatcher.Result, bool) {
+	rejected := dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonNotHeld}
+	latest := c.Deadline.Add(-f.admitter.Expected(c.Route))
+	custody, expected := granter.Foreign, timer.Instant(0)
 	for {
-		now := f.clock.Now()
+		changed, now := f.granter.Changed(), f.clock.Now()
 		if _, _, ok := f.granter.Holds(c.Service, c.Key, now); ok {
-			return true
+			return dispatcher.Result{}, true
+		}
+		// A key that arrived is expected sooner than its move could tell.
+		if is, at := f.granter.HeldBy(c.Service, c.Key, f.heartbeatInterval, now); is != custody {
+			custody, expected = is, at
+		}
+		wait := grantWait
+		switch custody {
+		case granter.Foreign:
+			rejected.Reason = dispatcher.ReasonNotOwner
+			return rejected, false
+		case granter.Arriving:
+			wait = arrivalWait
+		case granter.Owned:
 		}
-		if until < now || !f.granter.Owns(c.Service, c.Key) {
-			return false
+		if latest < max(expected, now) || expected.Add(wait) < now {
+			rejected.Retry = max(expected.Sub(now), 0)
+			return rejected, false
 		}
 		t := time.NewTimer(grantCheckInterval)
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			return false
+			rejected.Reason = dispatcher.ReasonCanceled
+			return rejected, false
+		case <-changed:
+			t.Stop()
 		case <-t.C:
 		}
 	}
@@ -98,12 +134,7 @@
 	if !admitted {
 		return dispatcher.ReasonDeadline, false
 	}
-	r, ok := f.mayServe(c)
-	if ok && c.Divided {
-		if _, _, held := f.granter.Holds(c.Service, c.Key, f.clock.Now()); !held {
-			r, ok = dispatcher.ReasonNotHeld, false
-		}
-	}
+	r, ok := f.mayStart(c)
 	if !ok {
 		f.admitter.Done(t, false, f.clock.Now())
 	}
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -33,8 +33,9 @@
 	ReleaseTimeout = 3 * time.Second
 	// GrantTimeout is the time-out of a grant.
 	GrantTimeout = 300 * time.Millisecond
-	// grantWait is how long after it is due a grant is usually in force.
-	grantWait = 300 * time.Millisecond
+	// moveDuration is how long a move of keys usually takes: the former owner ends the work
+	// on them.
+	moveDuration = 500 * time.Millisecond
 )
 
 // Call is a key request, a grant or a release, to the backend server.
@@ -87,6 +88,14 @@
 	rejected  bool
 }
 
+// arrivingRange is a range that the table moves to this node.
+type arrivingRange struct {
+	partitioner.Range
+	service string
+	// since is when the move became known.
+	since timer.Instant
+}
+
 // pendingGrant is a grant that may still take effect until an instant.
 type pendingGrant struct {
 	call  Call
@@ -104,6 +113,7 @@
 	mu            sync.Mutex
 	self          partitioner.NodeID
 	holdings      []*holding
+	arriving      []arrivingRange
 	pendingGrants []pendingGrant
 	leaseUntil    timer.Instant
 	server        partitioner.Server
@@ -114,6 +124,8 @@
 	maxHold    time.Duration
 	method     method
 	replyLimit ReplyLimit
+	// changed is closed, and replaced, when keys may have become held.
+	changed chan struct{}
 }
 
 // NewGranter returns a granter without keys; holdMax is the longest hold that the
@@ -123,7 +135,7 @@
 	if mutator.Active(mutator.ForgetPriorGrants) {
 		started = started.Add(-hold - time.Second)
 	}
-	return &Granter{self: self, maxHold: hold, priorGrantsUntil: started.Add(withDrift(hold)), method: byCall{}}
+	return &Granter{self: self, maxHold: hold, priorGrantsUntil: started.Add(withDrift(hold)), method: byCall{}, changed: make(chan struct{})}
 }
 
 // withDrift returns how long a hold lasts by a backend server's slow clock.
@@ -137,6 +149,19 @@
 	return min(g.maxHold, left-time.Duration(float64(left)*clockDrift))
 }
 
+// Changed returns a channel that is closed at the next change of the keys held or owned.
+func (g *Granter) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+// notify closes the channel of Changed. The caller holds g.mu.
+func (g *Granter) notify() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
 // SetServer sets the backend server. After a restart it holds no keys.
 func (g *Granter) SetServer(s partitioner.Server) {
 	g.mu.Lock()
@@ -163,19 +188,35 @@
 
 // SetTable replaces the ranges that the node owns. Keys under an unchanged token stay
 // held; their next call is due at once unless one for the same range is in flight.
-func (g *Granter) SetTable(t *partitioner.Table) {
+func (g *Granter) SetTable(t *partitioner.Table, now timer.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var next []*holding
+	var arriving []arrivingRange
 	for _, d := range t.Divisions {
 		for _, r := range d.Ranges {
-			if r.Owner == g.self {
+			switch g.self {
+			case r.Owner:
 				next = append(next, g.newHolding(d.Service, r))
+			case r.NextOwner:
+				arriving = append(arriving, arrivingRange{Range: r, service: d.Service, since: g.arrivingSince(d.Service, r, now)})
 			}
 		}
 	}
+	g.arriving = arriving
 	slices.SortFunc(next, compareHoldings)
 	g.holdings = next
+	g.notify()
+}
+
+// arrivingSince returns when the move of a range to this node became known.
+func (g *Granter) arrivingSince(service string, r partitioner.Range, now timer.Instant) timer.Instant {
+	for _, a := range g.arriving {
+		if a.service == service && a.Token == r.Token && a.First <= r.First && r.Last <= a.Last {
+			return a.since
+		}
+	}
+	return now
 }
 
 func compareHoldings(a, b *holding) int {
@@ -267,6 +308,24 @@
 	return out
 }
 
+// NextCallIn returns the time until a call may be due, at most limit. Tables, leases and
+// results of calls may bring it forward.
+func (g *Granter) NextCallIn(limit time.Duration, now timer.Instant) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range g.holdings {
+		due := h.nextCallAt
+		switch {
+		case h.released || h.callInFlight:
+			continue
+		case h.NextOwner != "" && h.mayHoldUntil > now:
+			due = min(max(due, now), h.mayHoldUntil)
+		}
+		limit = min(limit, due.Sub(now))
+	}
+	return max(limit, 0)
+}
+
 func (g *Granter) nextCall(h *holding, now timer.Instant) (Call, bool) {
 	if h.callInFlight || h.released || now < h.nextCallAt {
 		return Call{}, false
@@ -299,6 +358,7 @@
 func (g *Granter) HandleResult(c Call, result Result, handover string, now timer.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	defer g.notify()
 	g.resolveGrant(c, result)
 	i := slices.IndexFunc(g.holdings, func(h *holding) bool {
 		return h.service == c.Service && h.First == c.First && h.Last == c.Last && h.Token == c.Token
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -33,13 +33,13 @@
 func TestReleaseWaitsForUnansweredGrants(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newTestGranter(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	calls := g.DueCalls(now)
 	require.Len(t, calls, 1)
 	lost := calls[0]
 	g.HandleResult(lost, Unknown, "", now.Add(GrantTimeout))
 
-	g.SetTable(testTable(testRange(0, 49, 4, "node-2"), testRange(50, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 49, 4, "node-2"), testRange(50, 99, 4, "")), now)
 	now = now.Add(GrantTimeout)
 	var release Call
 	for _, c := range g.DueCalls(now) {
@@ -59,9 +59,9 @@
 func TestReleaseWaitsForGrantsInFlight(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newTestGranter(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	calls := g.DueCalls(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "node-2")))
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	require.Empty(t, g.DueCalls(now), "the grant is in flight")
 	g.HandleResult(calls[0], Done, "", now)
 	calls = g.DueCalls(now)
@@ -75,7 +75,7 @@
 	now := timer.Instant(time.Hour)
 	g := newTestGranter(now)
 	g.SetLease(now.Add(time.Second))
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	calls := g.DueCalls(now)
 	require.Len(t, calls, 1)
 	require.LessOrEqual(t, calls[0].Hold+calls[0].Hold/50, time.Second, "the hold includes the tolerance for a slow server clock")
@@ -89,7 +89,7 @@
 func TestRestartedServerHoldsNothing(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newTestGranter(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	g.HandleResult(g.DueCalls(now)[0], Done, "", now)
 	restarted := testServer
 	restarted.StartedAtMillis = 8
@@ -102,7 +102,7 @@
 func TestRefusedTokenIsNotRetriedBeforeBackoff(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newTestGranter(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	g.HandleResult(g.DueCalls(now)[0], Refused, "", now)
 	require.Empty(t, g.DueCalls(now.Add(time.Second)))
 	require.Len(t, g.DueCalls(now.Add(refusalBackoff)), 1)
@@ -111,9 +111,9 @@
 func TestPartsOfARangeKeepTheirHold(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newTestGranter(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	g.HandleResult(g.DueCalls(now)[0], Done, "", now)
-	g.SetTable(testTable(testRange(0, 9, 4, ""), testRange(10, 19, 4, "node-2"), testRange(20, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 9, 4, ""), testRange(10, 19, 4, "node-2"), testRange(20, 99, 4, "")), now)
 	for key, want := range map[uint16]bool{5: true, 15: false, 50: true} {
 		_, _, ok := g.Holds("permits", key, now)
 		require.Equal(t, want, ok, "key %d", key)
@@ -125,7 +125,7 @@
 	g := NewGranter("node-1", time.Second, now.Add(-time.Minute))
 	g.SetServer(testServer)
 	g.SetLease(now.Add(time.Hour))
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	c := g.DueCalls(now)[0]
 	require.LessOrEqual(t, c.Hold, time.Second)
 	g.HandleResult(c, Done, "", now)
--- a/papayapass/internal/granter/heartbeat.go
+++ b/papayapass/internal/granter/heartbeat.go
@@ -76,6 +76,7 @@
 		r.Released = r.Released || (h.released && !wasReleased)
 	}
 	r.Reply.Grants, r.Omitted = g.grants(keys, now)
+	g.notify()
 	return r
 }
 
--- a/papayapass/internal/granter/heartbeat_test.go
+++ b/papayapass/internal/granter/heartbeat_test.go
@@ -47,7 +47,7 @@
 	g := newHeartbeats(now)
 	r := testRange(0, 99, 4, "")
 	r.Handover = "h"
-	g.SetTable(testTable(r))
+	g.SetTable(testTable(r), now)
 	grants := g.send(now, descriptor.KeyListing{})
 	require.Equal(t, []descriptor.GrantedRange{{First: 0, Last: 99, Token: 4, Handover: "h"}}, grants.Ranges)
 	require.Empty(t, g.DueCalls(now))
@@ -68,7 +68,7 @@
 	g.SetMethod(descriptor.GrantByHeartbeat)
 	g.SetServer(testServer)
 	require.Nil(t, g.send(now, descriptor.KeyListing{Held: []descriptor.HeldRange{held(0, 99, 4)}}), "without a table nothing is released")
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	g.SetLease(now.Add(2 * time.Second))
 	now = now.Add(100 * time.Millisecond)
 	g.send(now, descriptor.KeyListing{Held: []descriptor.HeldRange{held(0, 99, 4)}})
@@ -80,7 +80,7 @@
 func TestRestartUnderTheSameID(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newHeartbeats(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	g.send(now, descriptor.KeyListing{})
 	restarted := testServer
 	restarted.StartedAtMillis = 8
@@ -89,7 +89,7 @@
 	require.Empty(t, g.send(now.Add(time.Second), descriptor.KeyListing{}).Ranges, "the table names the former start")
 	next := testRange(0, 99, 5, "")
 	next.ServerStartedAtMillis = 8
-	g.SetTable(testTable(next))
+	g.SetTable(testTable(next), now)
 	require.Len(t, g.send(now.Add(2*time.Second), descriptor.KeyListing{}).Ranges, 1)
 }
 
@@ -98,9 +98,9 @@
 func TestMovingRangeIsReleasedByOmission(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newHeartbeats(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	g.send(now, descriptor.KeyListing{})
-	g.SetTable(testTable(testRange(0, 49, 4, "node-2"), testRange(50, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 49, 4, "node-2"), testRange(50, 99, 4, "")), now)
 	require.False(t, g.holds(5, now.Add(settleTime)))
 	now = now.Add(beat)
 	grants := g.send(now, descriptor.KeyListing{Held: []descriptor.HeldRange{held(0, 99, 4)}})
@@ -121,9 +121,9 @@
 func TestSlowResponseKeepsItsKeys(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newHeartbeats(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	g.send(now, descriptor.KeyListing{})
-	g.SetTable(testTable(testRange(0, 99, 4, "node-2")))
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	g.send(now.Add(100*time.Millisecond), descriptor.KeyListing{})
 	g.DueCalls(now.Add(200 * time.Millisecond))
 	released := len(g.Released(now.Add(200 * time.Millisecond)))
@@ -138,13 +138,13 @@
 func TestRepeatedReleaseIsNoProof(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newHeartbeats(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "node-2")))
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	freed := []descriptor.ReleasedRange{{First: 0, Last: 99, Handover: "h"}}
 	g.send(now, descriptor.KeyListing{Released: freed})
-	g.SetTable(testTable(testRange(0, 99, 9, "")))
+	g.SetTable(testTable(testRange(0, 99, 9, "")), now)
 	now = now.Add(100 * time.Millisecond)
 	require.Len(t, g.send(now, descriptor.KeyListing{Released: freed}).Ranges, 1)
-	g.SetTable(testTable(testRange(0, 99, 9, "node-2")))
+	g.SetTable(testTable(testRange(0, 99, 9, "node-2")), now)
 	now = now.Add(100 * time.Millisecond)
 	g.send(now, descriptor.KeyListing{Released: freed})
 	require.Empty(t, g.Released(now))
@@ -155,7 +155,7 @@
 func TestLateHeartbeatChangesNothing(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newHeartbeats(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	g.send(now, descriptor.KeyListing{})
 	now = now.Add(beat)
 	g.send(now, descriptor.KeyListing{Held: []descriptor.HeldRange{held(0, 99, 4)}})
@@ -169,10 +169,10 @@
 func TestLostHeartbeatsEndTheHold(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newHeartbeats(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	hold := g.send(now, descriptor.KeyListing{}).Hold
 	require.False(t, g.holds(5, now.Add(hold)))
-	g.SetTable(testTable(testRange(0, 99, 4, "node-2")))
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	g.DueCalls(now.Add(hold))
 	require.Empty(t, g.Released(now.Add(hold)), "the server's clock may run slow")
 	now = now.Add(3 * time.Second)
@@ -184,7 +184,7 @@
 func TestUnknownRowsAreReleased(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newHeartbeats(now)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	grants := g.send(now, descriptor.KeyListing{
 		Held: []descriptor.HeldRange{held(0, 99, 1<<60), held(500, 600, 2)}, Released: []descriptor.ReleasedRange{{First: 700, Last: 800, Handover: "x"}},
 	})
@@ -202,7 +202,7 @@
 	for i := range 1000 {
 		ranges = append(ranges, testRange(uint16(60*i), uint16(60*i+50-i%50), uint64(i+1), ""))
 	}
-	g.SetTable(testTable(ranges...))
+	g.SetTable(testTable(ranges...), now)
 	listing := descriptor.KeyListing{Held: []descriptor.HeldRange{held(ranges[999].First, ranges[999].Last, 1000)}}
 	g.sequence++
 	r := g.HandleHeartbeat(g.sequence, &listing, now)
@@ -219,11 +219,11 @@
 	now := timer.Instant(time.Hour)
 	g := newHeartbeats(now)
 	g.SetMethod(descriptor.GrantByCall)
-	g.SetTable(testTable(testRange(0, 99, 4, "")))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
 	lost := g.DueCalls(now)[0]
 	g.HandleResult(lost, Unknown, "", now.Add(GrantTimeout))
 	g.SetMethod(descriptor.GrantByHeartbeat)
-	g.SetTable(testTable(testRange(0, 99, 4, "node-2")))
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	g.send(now.Add(400*time.Millisecond), descriptor.KeyListing{})
 	require.Empty(t, g.Released(now.Add(400*time.Millisecond)))
 	now = lost.Sent.Add(withDrift(lost.Hold) + time.Millisecond)
--- a/papayapass/internal/granter/method.go
+++ b/papayapass/internal/granter/method.go
@@ -45,15 +45,49 @@
 	}
 }
 
-// NextGrantBy returns the instant by which keys that the node owns but does not hold yet
-// are usually held; interval is the time between two heartbeats of the backend server.
-func (g *Granter) NextGrantBy(interval time.Duration, now timer.Instant) timer.Instant {
+// Custody is what the newest table says about a node and a key.
+type Custody int
+
+// Custodies.
+const (
+	// Foreign keys are another node's.
+	Foreign Custody = iota
+	// Arriving keys are moving to this node.
+	Arriving
+	// Owned keys are this node's.
+	Owned
+)
+
+// HeldBy returns when the backend server is expected to hold a key that is owned or
+// arriving, seen from now; interval is the time between two heartbeats of the
+// backend server.
+func (g *Granter) HeldBy(service string, key uint16, interval time.Duration, now timer.Instant) (Custody, timer.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch m := g.method.(type) {
-	case *byHeartbeat:
-		return max(m.lastAt.Add(interval), now).Add(grantWait)
-	default:
-		return now.Add(grantWait)
+	if h := g.find(service, key); h != nil {
+		if h.NextOwner != "" {
+			return Foreign, 0
+		}
+		return Owned, g.nextGrant(interval, now)
+	}
+	for _, a := range g.arriving {
+		if a.service == service && a.First <= key && key <= a.Last {
+			return Arriving, g.nextGrant(interval, a.since.Add(moveDuration))
+		}
+	}
+	return Foreign, 0
+}
+
+// nextGrant returns when keys that the node owns from an instant on are granted.
+func (g *Granter) nextGrant(interval time.Duration, from timer.Instant) timer.Instant {
+	m, ok := g.method.(*byHeartbeat)
+	if !ok || interval <= 0 {
+		return from
+	}
+	next := m.lastAt.Add(interval)
+	if next < from {
+		missed := (from.Sub(next) + interval - 1) / interval
+		next = next.Add(missed * interval)
 	}
+	return next
 }
--- a/papayapass/internal/granter/mutation_test.go
+++ b/papayapass/internal/granter/mutation_test.go
@@ -23,24 +23,24 @@
 		replay func(g *heartbeats) timer.Instant
 	}{
 		"release keys though a response may still grant them": {mutator.UnlistedIsReleased, func(g *heartbeats) timer.Instant {
-			g.SetTable(testTable(testRange(0, 99, 4, "")))
+			g.SetTable(testTable(testRange(0, 99, 4, "")), start)
 			g.send(start, descriptor.KeyListing{})
-			g.SetTable(testTable(testRange(0, 99, 4, "node-2")))
+			g.SetTable(testTable(testRange(0, 99, 4, "node-2")), start)
 			g.send(start.Add(100*time.Millisecond), descriptor.KeyListing{})
 			return start.Add(100 * time.Millisecond)
 		}},
 		"take a repeated release for a new one": {mutator.RepeatedReleaseCounts, func(g *heartbeats) timer.Instant {
-			g.SetTable(testTable(testRange(0, 99, 9, "")))
+			g.SetTable(testTable(testRange(0, 99, 9, "")), start)
 			g.send(start, descriptor.KeyListing{Released: freed})
-			g.SetTable(testTable(testRange(0, 99, 9, "node-2")))
+			g.SetTable(testTable(testRange(0, 99, 9, "node-2")), start)
 			g.send(start.Add(100*time.Millisecond), descriptor.KeyListing{Released: freed})
 			return start.Add(100 * time.Millisecond)
 		}},
 		"trust a late heartbeat": {mutator.AcceptLateHeartbeat, func(g *heartbeats) timer.Instant {
-			g.SetTable(testTable(testRange(0, 99, 4, "")))
+			g.SetTable(testTable(testRange(0, 99, 4, "")), start)
 			g.sequence = 1
 			g.send(start, descriptor.KeyListing{})
-			g.SetTable(testTable(testRange(0, 99, 4, "node-2")))
+			g.SetTable(testTable(testRange(0, 99, 4, "node-2")), start)
 			g.HandleHeartbeat(1, &descriptor.KeyListing{Released: freed}, start.Add(100*time.Millisecond))
 			return start.Add(100 * time.Millisecond)
 		}},
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -58,7 +58,7 @@
 	// buffer drops lines and counts them.
 	logRingLines = 4096
 	// logPollInterval is the time between reads of the ring buffer.
-	logPollInterval = 20 * time.Millisecond
+	logPollInterval = 200 * time.Millisecond
 	// headerTimeout limits how long a customer may take to send a header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout exceeds the longest time that operators let customers' connections stay
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -300,7 +300,7 @@
 func (w *world) applyTable(m *member, t *partitioner.Table) {
 	if t.Newer(m.table) {
 		m.table = t
-		m.granter.SetTable(t)
+		m.granter.SetTable(t, w.clock(m))
 	}
 }
 
@@ -466,6 +466,7 @@
 	for _, method := range methods {
 		for seed := range uint64(seeds) {
 			t.Run(fmt.Sprintf("%s, seed %d", method, seed), func(t *testing.T) {
+				t.Parallel()
 				w := newWorld(t, seed, 3+int(seed%5), method)
 				w.hasHotKeys = seed >= firstHot
 				w.runFaults()
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -26,8 +26,12 @@
 	// failedWriteDelay is the pause after a write that the store rejected, or whose result
 	// could not be read.
 	failedWriteDelay = 250 * time.Millisecond
-	// grantInterval is the time between checks of grants and queued requests.
-	grantInterval = 25 * time.Millisecond
+	// busyGrantInterval is the time between checks of queued requests, grantInterval the
+	// longest between checks of grants.
+	busyGrantInterval = 25 * time.Millisecond
+	grantInterval     = 100 * time.Millisecond
+	// minGrantInterval is the shortest time between checks of grants.
+	minGrantInterval = 2 * time.Millisecond
 )
 
 // HandleHeartbeat handles a node's heartbeat. The reply waits up to h.Wait for a change if
@@ -88,17 +92,41 @@
 	p.TriggerHeartbeat()
 }
 
-// runEvery calls do at an interval until ctx is done.
-func (p *Participant) runEvery(ctx context.Context, interval time.Duration, do func(context.Context)) error {
+// runInTerms calls do at an interval while this node is the coordinator, until ctx is done.
+func (p *Participant) runInTerms(ctx context.Context, interval time.Duration, do func(context.Context)) error {
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		isCoordinator, started := p.overseer != nil, p.termStarted
+		p.mu.Unlock()
+		if !isCoordinator {
+			select {
+			case <-ctx.Done():
+			case <-started:
+			}
+			continue
+		}
+		p.runTerm(ctx, interval, do)
+	}
+	return nil
+}
+
+// runTerm calls do at an interval until this node is not the coordinator any more.
+func (p *Participant) runTerm(ctx context.Context, interval time.Duration, do func(context.Context)) {
 	tick := p.timers.Subscribe(interval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-tick.C():
-			do(ctx)
 		}
+		p.mu.Lock()
+		isCoordinator := p.overseer != nil
+		p.mu.Unlock()
+		if !isCoordinator {
+			return
+		}
+		do(ctx)
 	}
 }
 
@@ -260,17 +288,32 @@
 }
 
 // updateGrants ticks the forwarder and sends the key requests that the table and the lease
-// require.
-func (p *Participant) updateGrants(ctx context.Context) {
-	p.forwarder.Tick()
-	for _, call := range p.granter.DueCalls(p.timers.Now()) {
-		go p.sendKeyRequest(ctx, call)
+// require, until ctx is done.
+func (p *Participant) updateGrants(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.forwarder.Tick()
+		for _, call := range p.granter.DueCalls(p.timers.Now()) {
+			go p.sendKeyRequest(ctx, call)
+		}
+		limit := grantInterval
+		if _, waiting := p.forwarder.Load(); waiting > 0 {
+			limit = busyGrantInterval
+		}
+		t := time.NewTimer(max(p.granter.NextCallIn(limit, p.timers.Now()), minGrantInterval))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-p.grantsDue:
+		}
+		t.Stop()
 	}
+	return nil
 }
 
 func (p *Participant) sendKeyRequest(ctx context.Context, call granter.Call) {
 	result, handover := p.client.UpdateGrant(ctx, call)
 	p.granter.HandleResult(call, result, handover, p.timers.Now())
+	wake(p.grantsDue)
 	if call.Release || result != granter.Done {
 		p.logger.Info().Bool("release", call.Release).Uint16("first", call.First).Uint16("last", call.Last).
 			Uint64("token", call.Token).Int("result", int(result)).Dur("hold", call.Hold).
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -150,6 +150,9 @@
 	if t := p.table.Load(); t.Epoch == r.Epoch {
 		p.granter.SetLease(sent.Add(r.Lease))
 	}
+	if !r.StoreFresh {
+		wake(p.staleReply)
+	}
 	loads := make(map[partitioner.NodeID]overseer.ServerLoad, len(r.Loads))
 	for _, l := range r.Loads {
 		loads[l.Node] = l
@@ -315,4 +318,7 @@
 	}
 	p.overseer, p.revision = overseer.NewOverseer(p.self.ID, t, p.bounds.Load().HeartbeatInterval, sent, now), revision
 	p.highestEpoch, p.lastContact = t.Epoch, now
+	close(p.termStarted)
+	p.termStarted = make(chan struct{})
+	wake(p.staleReply)
 }
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -87,7 +87,10 @@
 	newPeer      func(address string) *dispatcher.Peer
 	logger       zerolog.Logger
 	heartbeatNow chan struct{}
-	stopping     atomic.Bool
+	// grantsDue wakes the goroutine that renews grants; staleReply the one that reads the
+	// store.
+	grantsDue, staleReply chan struct{}
+	stopping              atomic.Bool
 
 	configuration atomic.Pointer[descriptor.Configuration]
 	// configurationRevision is the store's revision of the last configuration read.
@@ -112,7 +115,8 @@
 
 	mu             sync.Mutex
 	overseer       *overseer.Overseer
-	revision       uint64 // of the table's object, as last known to this coordinator
+	termStarted    chan struct{} // closed, and replaced, when this node becomes the coordinator
+	revision       uint64        // of the table's object, as last known to this coordinator
 	changed        chan struct{}
 	lastContact    timer.Instant // time of the last reply from a coordinator
 	lastStamp      timer.Instant
@@ -131,6 +135,7 @@
 	p := &Participant{
 		self: self, incarnation: incarnation, store: store, layout: layout, timers: timers,
 		granter: g, newPeer: newPeer, logger: logger, heartbeatNow: make(chan struct{}, 1), changed: make(chan struct{}),
+		grantsDue: make(chan struct{}, 1), staleReply: make(chan struct{}, 1), termStarted: make(chan struct{}),
 		lastContact: timers.Now(), retryBudget: newRetryBudget(bounds, timers),
 	}
 	p.bounds.Store(&bounds)
@@ -166,9 +171,12 @@
 }
 
 // TriggerHeartbeat sends a heartbeat to the coordinator without delay.
-func (p *Participant) TriggerHeartbeat() {
+func (p *Participant) TriggerHeartbeat() { wake(p.heartbeatNow) }
+
+// wake wakes the goroutine that receives from c, if it waits or the next time that it does.
+func wake(c chan<- struct{}) {
 	select {
-	case p.heartbeatNow <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -184,9 +192,9 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return p.pollStore(ctx) })
 	g.Go(func() error { return p.follow(ctx) })
-	g.Go(func() error { return p.runEvery(ctx, planInterval, p.coordinate) })
-	g.Go(func() error { return p.runEvery(ctx, announceInterval, p.announce) })
-	g.Go(func() error { return p.runEvery(ctx, grantInterval, p.updateGrants) })
+	g.Go(func() error { return p.runInTerms(ctx, planInterval, p.coordinate) })
+	g.Go(func() error { return p.runInTerms(ctx, announceInterval, p.announce) })
+	g.Go(func() error { return p.updateGrants(ctx) })
 	return g.Wait()
 }
 
@@ -218,7 +226,8 @@
 		return
 	}
 	p.table.Store(t)
-	p.granter.SetTable(t)
+	p.granter.SetTable(t, p.timers.Now())
+	wake(p.grantsDue)
 	p.retryBudget.setNodes(len(t.Members))
 	p.logger.Info().Uint64("epoch", t.Epoch).Uint64("version", t.Version).Str("coordinator", string(t.Coordinator)).
 		Int("members", len(t.Members)).Int("owned", len(t.Owned(p.self.ID))).Msg("table")
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -72,6 +72,9 @@
 	return &descriptor.Configuration{Version: v, Source: spec}, err
 }
 
+// mustReadStore reports whether a node reads the store itself.
+func (p *Participant) mustReadStore() bool { return p.nextReadIn() <= 0 }
+
 func newTestParticipant(t *testing.T, s *fakeStore) (*Participant, *timer.ManualClock) {
 	t.Helper()
 	clock := &timer.ManualClock{}
--- a/papayapass/internal/participant/poll.go
+++ b/papayapass/internal/participant/poll.go
@@ -20,9 +20,6 @@
 	pollShare = 0.35
 	// pollTimeoutShare is the time-out of one call as a fraction of ApplyTimeout.
 	pollTimeoutShare = 0.45
-	// pollCheckInterval is the time between checks whether the node must read the store
-	// itself.
-	pollCheckInterval = 100 * time.Millisecond
 	// keysServedShare is the fraction of ZoneOutTimeout in which the keys of the zone are
 	// still served. Polling and slow nodes take up to a third of it.
 	keysServedShare = 0.5
@@ -53,22 +50,35 @@
 // pollStore reads the store while this node is the coordinator, or while no coordinator
 // sends fresh readings.
 func (p *Participant) pollStore(ctx context.Context) error {
-	next := p.timers.Now()
 	for ctx.Err() == nil {
-		if now := p.timers.Now(); next <= now && p.mustReadStore() {
-			next = now.Add(p.bounds.Load().pollInterval())
+		due := p.nextReadIn()
+		if due <= 0 {
+			start := p.timers.Now()
 			p.readStore(ctx)
+			due = p.bounds.Load().pollInterval() - p.timers.Now().Sub(start)
+			pause(ctx, due)
+			continue
 		}
-		pause(ctx, pollCheckInterval)
+		t := time.NewTimer(due)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-p.staleReply:
+		}
+		t.Stop()
 	}
 	return nil
 }
 
-// mustReadStore reports whether this node reads the store itself.
-func (p *Participant) mustReadStore() bool {
+// nextReadIn returns the time until this node must read the store itself, unless a reply
+// with a fresh reading arrives before.
+func (p *Participant) nextReadIn() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.overseer != nil || p.timers.Now().Sub(p.freshReplyAt) > p.bounds.Load().freshness()
+	if p.overseer != nil {
+		return 0
+	}
+	return p.bounds.Load().freshness() - p.timers.Now().Sub(p.freshReplyAt)
 }
 
 func (p *Participant) readStore(ctx context.Context) {
--- a/papayapass/internal/participant/view.go
+++ b/papayapass/internal/participant/view.go
@@ -45,6 +45,9 @@
 			return nil, "", dispatcher.ReasonNotOwner
 		}
 		m, ok := t.Member(r.Owner)
+		if next, moves := t.Member(r.NextOwner); moves {
+			m, ok = next, true // the call waits there; the owner starts no more work on the key
+		}
 		if !ok || tried[m.ID] {
 			return nil, "", dispatcher.ReasonUnreachable
 		}
