Bound what is read of answers, and the memory of all bodies together

Cause: a backend server in trouble may send bytes that are no answer without end, in a head or a body. Heads and interim responses had no limit, and each body could take 64 MiB, on machines of 184 MB with many requests at a time: a few such answers ended the process.

Change: a head has at most 64 KiB and 8 interim responses, a chunked body at most twice the largest body on the wire; an announced length over the limit fails at once. The bodies of all requests and responses of a node share a fifth of its memory (setting node.memoryMB); what does not fit fails alone, and its connection is closed. A customer's body that does not fit is answered 503. The garbage collector works harder from three quarters of the memory on.

Leases last 3.5 s now, and 2.2 s at the coordinator's own node, and are renewed each 300 ms: backend servers end a run with 500 when the hold with which it began runs out, and on the large site work takes up to 4 s.

--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/timer"
 )
@@ -31,6 +32,8 @@
 	Deadline timer.Instant
 	// Trace is the W3C traceparent of the previous hop, or empty.
 	Trace string
+	// Memory takes the memory of the bodies of this request and its responses.
+	Memory *budgeter.Lease
 	// NoQueue means that the call is rejected rather than queued if no slot is free.
 	NoQueue bool
 }
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 
+	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/tracer"
@@ -73,13 +73,16 @@
 	clock   timer.Clock
 	caller  string
 	counter Counter
+	memory  *budgeter.Budget
 	tracer  *tracer.Tracer
 	logger  zerolog.Logger
 }
 
 // NewDispatcher returns a dispatcher; caller is the service of this instance.
-func NewDispatcher(cluster Cluster, codec HeaderCodec, clock timer.Clock, caller string, counter Counter, t *tracer.Tracer, logger zerolog.Logger) *Dispatcher {
-	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, tracer: t, logger: logger}
+func NewDispatcher(cluster Cluster, codec HeaderCodec, clock timer.Clock, caller string, counter Counter,
+	memory *budgeter.Budget, t *tracer.Tracer, logger zerolog.Logger,
+) *Dispatcher {
+	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger}
 }
 
 // ServeHTTP serves one request of a customer.
@@ -96,12 +99,16 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, max(cfg.Limits.BodyBytes, 1)))
+	memory := d.memory.Lease()
+	defer memory.Close()
+	limit := max(cfg.Limits.BodyBytes, 1)
+	body, err := memory.ReadAll(http.MaxBytesReader(w, r.Body, limit), limit, r.ContentLength)
 	if err != nil {
 		d.rejectBody(w, err)
 		return
 	}
 	c := d.newCall(r, route, body, arrived)
+	c.Memory = memory
 	if s, ok := cfg.Services[c.Service]; ok && s.Divided {
 		c.Divided = true
 		if c.Key, ok = d.codec.Key(r.Header); !ok {
@@ -124,12 +131,16 @@
 
 func (d *Dispatcher) rejectBody(w http.ResponseWriter, err error) {
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	w.Header().Set("Connection", "close") // the rest of the body is not read
+	switch {
+	case errors.As(err, &large) || errors.Is(err, budgeter.ErrTooLarge):
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
+	case errors.Is(err, budgeter.ErrExhausted):
+		d.logger.Warn().Err(err).Msg("request rejected, its body does not fit into the memory for bodies")
+		writeUnavailable(w, http.StatusServiceUnavailable, absentServerRetryAfter)
+	default:
+		w.WriteHeader(http.StatusBadRequest)
 	}
-	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusBadRequest)
 }
 
 func (d *Dispatcher) newCall(r *http.Request, route *descriptor.Route, body []byte, arrived timer.Instant) *Call {
--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/partitioner"
@@ -115,7 +116,7 @@
 }
 
 func serveRequest(cluster Cluster, method, path, body string, header http.Header) *httptest.ResponseRecorder {
-	d := NewDispatcher(cluster, fakeCodec{}, timer.BootClock{}, "own-service", fakeCounter{}, &tracer.Tracer{}, zerolog.Nop())
+	d := NewDispatcher(cluster, fakeCodec{}, timer.BootClock{}, "own-service", fakeCounter{}, budgeter.NewBudget(1<<20), &tracer.Tracer{}, zerolog.Nop())
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	r.Host, r.RequestURI = "h", path
 	for name, values := range header {
@@ -249,7 +250,7 @@
 	for name, want := range results {
 		t.Run(name, func(t *testing.T) {
 			s := &fakeServer{results: []Result{want}}
-			l := httptest.NewServer(NewPeerHandler(s, timer.BootClock{}, testEnveloper, &tracer.Tracer{}))
+			l := httptest.NewServer(NewPeerHandler(s, timer.BootClock{}, testEnveloper, budgeter.NewBudget(1<<20), &tracer.Tracer{}))
 			defer l.Close()
 			p := NewPeer(strings.TrimPrefix(l.URL, "http://"), timer.BootClock{}, testEnveloper)
 			c := &Call{
@@ -269,7 +270,7 @@
 			sent := s.calls[0]
 			require.LessOrEqual(t, sent.Deadline, c.Deadline.Add(50*time.Millisecond))
 			require.Equal(t, "1", sent.Header.Get("Id"))
-			sent.Deadline, sent.Header = c.Deadline, c.Header
+			sent.Deadline, sent.Header, sent.Memory = c.Deadline, c.Header, nil
 			require.Equal(t, *c, sent)
 		})
 	}
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
 
+	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/timer"
@@ -122,7 +122,7 @@
 		return Result{Outcome: NotRun, Reason: ReasonBroken}
 	}
 	response, err := p.exchanger.Do(ctx, exchanger.Request{
-		Method: http.MethodPost, URI: CallPath, Host: p.host, Header: http.Header{}, Body: body, MaxIdle: peerMaxIdle,
+		Method: http.MethodPost, URI: CallPath, Host: p.host, Header: http.Header{}, Body: body, MaxIdle: peerMaxIdle, Memory: c.Memory,
 	})
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
@@ -160,19 +160,23 @@
 	server    Server
 	clock     timer.Clock
 	enveloper *enveloper.Enveloper
+	memory    *budgeter.Budget
 	tracer    *tracer.Tracer
 }
 
 // NewPeerHandler returns a handler of peers' calls.
-func NewPeerHandler(s Server, clock timer.Clock, e *enveloper.Enveloper, t *tracer.Tracer) *PeerHandler {
-	return &PeerHandler{server: s, clock: clock, enveloper: e, tracer: t}
+func NewPeerHandler(s Server, clock timer.Clock, e *enveloper.Enveloper, memory *budgeter.Budget, t *tracer.Tracer) *PeerHandler {
+	return &PeerHandler{server: s, clock: clock, enveloper: e, memory: memory, tracer: t}
 }
 
 // ServeHTTP serves one call of another node.
 func (p *PeerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	envelope, err := io.ReadAll(r.Body)
+	memory := p.memory.Lease()
+	defer memory.Close()
+	envelope, err := memory.ReadAll(r.Body, maxBodyBytes, r.ContentLength)
 	if err != nil {
-		return // the peer disconnected, and nothing was run
+		http.Error(w, err.Error(), http.StatusBadRequest) // nothing was run
+		return
 	}
 	var head callHead
 	body, err := p.enveloper.Open(envelope, &head)
@@ -187,7 +191,7 @@
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
 		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), NoQueue: head.NoQueue,
-		Trace: trace,
+		Trace: trace, Memory: memory,
 	})
 	result := resultHead{
 		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Sent: res.Sent,
--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"papayapass.dev/papayapass/internal/budgeter"
 )
 
 // Errors of an exchange. After ErrNotSent the request has certainly not reached the
@@ -23,6 +24,7 @@
 	ErrNotSent      = errors.New("request was not sent")
 	ErrOtherRequest = errors.New("response belongs to another request")
 	ErrMalformed    = errors.New("malformed or incomplete response")
+	ErrHeadTooLarge = errors.New("response head too large")
 )
 
 const (
@@ -30,6 +32,13 @@
 	// maxResponsesRead limits the responses read for a request; those to earlier requests
 	// are skipped.
 	maxResponsesRead = 3
+	// maxHeadBytes is the largest head of a response, interim responses included.
+	maxHeadBytes = 64 << 10
+	// maxInterim limits the interim (1xx) responses before a response.
+	maxInterim = 8
+	// maxFraming is how much more than its body a chunked body may take on the wire, as a
+	// multiple of the largest body.
+	maxFraming = 2
 	// unackedTimeout is the time after which a connection with unacknowledged data is
 	// closed.
 	unackedTimeout = 1500 * time.Millisecond
@@ -47,6 +56,8 @@
 	// MaxIdle is the longest idle time of a connection that may carry the request. A
 	// server that has already dropped the connection resets it when data arrives.
 	MaxIdle time.Duration
+	// Memory takes the memory of the response's body; nil leaves it to the largest body.
+	Memory *budgeter.Lease
 }
 
 // Response is a response with its whole body.
@@ -71,7 +82,9 @@
 
 type conn struct {
 	net.Conn
-	r         *bufio.Reader
+	r *bufio.Reader
+	// unread is how many more bytes may be read; a peer in trouble may send without end.
+	unread    int64
 	idleSince time.Time
 	expires   time.Time
 }
@@ -137,7 +150,23 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw}
+	c.r = bufio.NewReaderSize(c, bufferBytes)
+	return c
+}
+
+// Read reads up to the limit of the response that is being read.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.unread <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := c.Conn.Read(b[:min(int64(len(b)), c.unread)])
+	c.unread -= int64(n)
+	return n, err
 }
 
 func (e *Exchanger) putIdle(c *conn) {
@@ -155,7 +184,7 @@
 		return nil, false, errors.Wrap(err, "send")
 	}
 	for range maxResponsesRead {
-		response, keep, err := e.readResponse(c, req.Method)
+		response, keep, err := e.readResponse(c, req)
 		if err != nil {
 			return nil, false, err
 		}
@@ -185,25 +214,17 @@
 
 // readResponse reads one response. The second result reports whether the connection can be
 // reused.
-func (e *Exchanger) readResponse(c *conn, method string) (*Response, bool, error) {
-	var resp *http.Response
-	for {
-		var err error
-		if resp, err = http.ReadResponse(c.r, &http.Request{Method: method}); err != nil {
-			return nil, false, errors.Mark(errors.Wrap(err, "read the response"), ErrMalformed)
-		}
-		if resp.StatusCode >= http.StatusOK {
-			break
-		}
+func (e *Exchanger) readResponse(c *conn, req Request) (*Response, bool, error) {
+	resp, err := readHead(c, req.Method)
+	if err != nil {
+		return nil, false, errors.Mark(errors.Wrap(err, "read the response"), ErrMalformed)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, e.maxBody+1))
+	c.unread = maxFraming*e.maxBody + maxHeadBytes
+	body, err := req.Memory.ReadAll(resp.Body, e.maxBody, resp.ContentLength)
 	_ = resp.Body.Close() // read to its end or abandoned
 	if err != nil {
 		return nil, false, errors.Mark(errors.Wrap(err, "read the response body"), ErrMalformed)
 	}
-	if int64(len(body)) > e.maxBody {
-		return nil, false, errors.Wrap(ErrMalformed, "the response is too large")
-	}
 	if c.expires, err = expiry(resp.Header); err != nil {
 		resp.Close = true
 	}
@@ -211,6 +232,21 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
 }
 
+// readHead reads the head of a response after the interim ones.
+func readHead(c *conn, method string) (*http.Response, error) {
+	c.unread = maxHeadBytes
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("response switches protocols")
+		}
+	}
+	return nil, errors.Newf("more than %d interim responses", maxInterim)
+}
+
 // expiry returns the time at which the server closes an idle connection, less a fifth of
 // its time-out; zero if the server gives none.
 func expiry(h http.Header) (time.Time, error) {
--- a/papayapass/internal/exchanger/exchanger_test.go
+++ b/papayapass/internal/exchanger/exchanger_test.go
@@ -202,8 +202,7 @@
 			_, _ = server.Write(b)
 			_ = server.Close()
 		}()
-		c := &conn{Conn: client, r: bufio.NewReader(client)}
-		_, _, _ = newTestExchanger("127.0.0.1:1").readResponse(c, http.MethodGet)
+		_, _, _ = newTestExchanger("127.0.0.1:1").readResponse(newConn(client), Request{Method: http.MethodGet})
 		_ = client.Close()
 	})
 }
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -167,7 +167,7 @@
 		maxIdleTime = maxIdleIdempotent
 	}
 	response, err := f.exchanger.Do(ctx, exchanger.Request{
-		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, MaxIdle: maxIdleTime,
+		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, MaxIdle: maxIdleTime, Memory: c.Memory,
 	})
 	took := f.clock.Now().Sub(sent)
 	f.addWork(c, took)
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -18,9 +18,9 @@
 // Durations and tolerances of grants.
 const (
 	// maxUsefulHold is the longest useful hold: the coordinator's AuthorityDuration.
-	maxUsefulHold = 2200 * time.Millisecond
+	maxUsefulHold = 3500 * time.Millisecond
 	// renewalInterval is the longest time between two grants of the same keys.
-	renewalInterval = 500 * time.Millisecond
+	renewalInterval = 300 * time.Millisecond
 	// refusalBackoff is the time after a refusal before the token is sent again.
 	refusalBackoff = 3 * time.Second
 	// clockDrift is how much slower a backend server's clock may run, as a fraction of a
--- a/papayapass/internal/granter/heartbeat_test.go
+++ b/papayapass/internal/granter/heartbeat_test.go
@@ -164,7 +164,7 @@
 	require.True(t, g.holds(5, now.Add(20*time.Millisecond)))
 }
 
-// For 3 s no heartbeat arrives. The node stops using the keys before their hold ends, and
+// No heartbeat arrives for a whole hold. The node stops using the keys before their hold ends, and
 // they are released as expired if they have to move.
 func TestLostHeartbeatsEndTheHold(t *testing.T) {
 	now := timer.Instant(time.Hour)
@@ -175,7 +175,7 @@
 	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	g.DueCalls(now.Add(hold))
 	require.Empty(t, g.Released(now.Add(hold)), "the server's clock may run slow")
-	now = now.Add(3 * time.Second)
+	now = now.Add(withDrift(hold))
 	g.DueCalls(now)
 	require.Len(t, g.Released(now), 1)
 }
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -18,6 +19,7 @@
 	"github.com/rs/zerolog/diode"
 	"golang.org/x/sync/errgroup"
 
+	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/drainer"
 	"papayapass.dev/papayapass/internal/enveloper"
@@ -68,6 +70,9 @@
 	maxHeaderBytes = 64 << 10
 	// maxHeartbeatBytes is the largest body of a heartbeat.
 	maxHeartbeatBytes = 64 << 10
+	// memoryLimitShare is the fraction of the memory at which the garbage collector works
+	// harder.
+	memoryLimitShare = 0.75
 	// heartbeatReplyReserve is the part of a heartbeat's response that is not ranges.
 	heartbeatReplyReserve = 96
 	// lameDuckDuration is how long a stopping node still accepts requests: the platform
@@ -108,6 +113,7 @@
 			logger.Warn().Err(err).Msg("the last spans were not exported")
 		}
 	}()
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Node.MemoryMB) * (1 << 20)))
 	n := newNode(s, a, t, logger)
 	return n.run(ctx, newReloader(path, s, n, hangUps))
 }
@@ -122,6 +128,7 @@
 	forwarder   *forwarder.Forwarder
 	meter       *meter.Meter
 	enveloper   *enveloper.Enveloper
+	memory      *budgeter.Budget
 	drainers    []*drainer.Drainer
 	tracer      *tracer.Tracer
 }
@@ -137,6 +144,7 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: controlMaxIdle, DisableCompression: true,
 	})
 	n.enveloper = enveloper.NewEnveloper(dictionary(a.SampleHeaders))
+	n.memory = budgeter.NewBudget(s.bodyMemory())
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, n.timers, n.enveloper) }
 	incarnation := uint64(time.Now().UnixNano())
 	n.participant = participant.NewParticipant(self, incarnation, store, a.StoreLayout, s.bounds(), n.timers, g, newPeer, logger)
@@ -160,6 +168,7 @@
 	gauge("papayapass_keys_held", func(s participant.Status) float64 { return float64(s.KeysHeld) })
 	n.meter.Gauge("papayapass_running", func() float64 { running, _ := n.forwarder.Load(); return float64(running) })
 	n.meter.Gauge("papayapass_waiting", func() float64 { _, waiting := n.forwarder.Load(); return float64(waiting) })
+	n.meter.Gauge("papayapass_body_bytes", func() float64 { return float64(n.memory.Used()) })
 	n.meter.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 }
 
@@ -175,8 +184,8 @@
 	defer end()
 	g, runCtx := errgroup.WithContext(runCtx)
 	summaries := summarizer.NewSummarizer(meter.NewRouteMeter(n.meter), n.logger)
-	customers := dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.tracer, n.logger)
-	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.tracer)
+	customers := dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.memory, n.tracer, n.logger)
+	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
 	for address, h := range map[string]http.Handler{
 		n.settings.Listen.Customers:  customers,
 		n.settings.Listen.Ready:      http.HandlerFunc(n.ready),
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -24,6 +24,8 @@
 		Server  string `toml:"server"` // IP address and port of the backend server
 		// Grants is how the backend server gets keys until there is a configuration.
 		Grants descriptor.GrantMethod `toml:"grants"`
+		// MemoryMB is the memory of the process, in megabytes.
+		MemoryMB int `toml:"memoryMB"`
 	} `toml:"node"`
 	Listen struct {
 		Customers  string `toml:"customers"`
@@ -56,7 +58,7 @@
 // defaults returns the settings with default bounds, which suit a small site.
 func defaults() *Settings {
 	s := &Settings{}
-	s.Node.Grants = descriptor.GrantByCall
+	s.Node.Grants, s.Node.MemoryMB = descriptor.GrantByCall, 256
 	b := &s.Bounds
 	b.Heartbeat, b.Grace, b.ZoneOut = duration(time.Second), duration(6*time.Second), duration(5*time.Second)
 	b.Apply, b.HoldMax, b.RetryWindow = duration(2*time.Second), duration(10*time.Second), duration(10*time.Second)
@@ -103,6 +105,8 @@
 		return errors.New("settings node.id, node.zone and node.service are required")
 	case s.Node.Grants != descriptor.GrantByCall && s.Node.Grants != descriptor.GrantByHeartbeat:
 		return errors.Newf("setting node.grants is %q, not %q or %q", s.Node.Grants, descriptor.GrantByCall, descriptor.GrantByHeartbeat)
+	case s.Node.MemoryMB <= 0:
+		return errors.New("setting node.memoryMB must be above zero")
 	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
 		return errors.New("settings listen.peers and listen.metrics are required")
 	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.HoldMax <= 0 || s.Bounds.Apply <= 0:
@@ -120,6 +124,15 @@
 	}
 }
 
+// bodyMemoryShare is the fraction of the memory for bodies. A body is copied up to twice on
+// its way, and the rest of the process needs its part.
+const bodyMemoryShare = 0.2
+
+// bodyMemory returns the memory for the bodies of all requests and responses, in bytes.
+func (s *Settings) bodyMemory() int64 {
+	return int64(bodyMemoryShare * float64(s.Node.MemoryMB) * (1 << 20))
+}
+
 // metricsAddress returns the address of the metrics page.
 func (s *Settings) metricsAddress() string {
 	return net.JoinHostPort(s.Node.Address, strconv.Itoa(s.Listen.Metrics))
--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -29,6 +29,9 @@
 	// ForgetEarlierLease forgets a node's lease of an earlier term with its first
 	// heartbeat.
 	ForgetEarlierLease
+	// ShortLeaseAtOnce counts the coordinator's lease as its own from its term's start,
+	// though its node may have a longer one of the term before.
+	ShortLeaseAtOnce
 	// TermFromReply starts a term with the time at which the store's response arrived.
 	TermFromReply
 	// UnlistedIsReleased takes keys that a heartbeat does not list as not held, though an
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -15,7 +15,10 @@
 	// AuthorityDuration is how long one acknowledged write, one read of this term's
 	// table, or one stamp echoed by a majority, extends the coordinator's authority. A
 	// lost owner's keys are free after it.
-	AuthorityDuration = 2200 * time.Millisecond
+	AuthorityDuration = 3500 * time.Millisecond
+	// OwnLeaseDuration replaces AuthorityDuration in the lease of the coordinator's own
+	// node. Its successor counts that lease from a later time than the loss.
+	OwnLeaseDuration = 2200 * time.Millisecond
 	// RenewalInterval is the time between writes that only renew the authority.
 	RenewalInterval = 550 * time.Millisecond
 	// MaxStoreOutage is how long echoes may extend the authority without the store.
@@ -296,6 +299,9 @@
 func (o *Overseer) reply(n *node, b Heartbeat, now timer.Instant) HeartbeatReply {
 	r := HeartbeatReply{IsCoordinator: true, Epoch: o.table.Epoch, Stamp: now, StoreDown: o.StoreDown(now)}
 	left := o.AuthorityUntil().Sub(now) - leaseSlack
+	if b.Member.ID == o.self {
+		left -= AuthorityDuration - OwnLeaseDuration
+	}
 	if left > 0 && !o.mayLoseKeys(b.Member.ID) {
 		r.Lease = left - left*clockDriftPercent/100
 		if end := now.Add(left); n.leaseUntil.Before(end) {
@@ -366,20 +372,24 @@
 	if known && mutator.Active(mutator.ForgetEarlierLease) {
 		return true
 	}
-	return o.earlierLeaseEnd(n).Before(now)
+	return o.earlierLeaseEnd(id, n).Before(now)
 }
 
-// earlierLeaseEnd returns when the leases of earlier terms of a member have ended, which is
-// nil for one without a heartbeat: AuthorityDuration after it or a majority has joined this
-// term, or MaxStoreOutage and AuthorityDuration after the start of the term. A node that has
-// not joined may still follow the former coordinator.
-func (o *Overseer) earlierLeaseEnd(n *node) timer.Instant {
-	end := o.termStart.Add(MaxStoreOutage + AuthorityDuration)
+// earlierLeaseEnd returns when the leases of earlier terms of a member have ended; n is nil
+// for one without a heartbeat. This is a lease after it or a majority has joined this term,
+// or a lease and MaxStoreOutage after the start of the term. A node that has not joined may
+// still follow the former coordinator.
+func (o *Overseer) earlierLeaseEnd(id partitioner.NodeID, n *node) timer.Instant {
+	lease := AuthorityDuration + leaseDrift
+	if id == o.table.FormerCoordinator {
+		lease = OwnLeaseDuration + leaseDrift
+	}
+	end := o.termStart.Add(MaxStoreOutage + lease)
 	if n != nil && n.joinedAt > 0 {
-		end = min(end, n.joinedAt.Add(AuthorityDuration+leaseDrift))
+		end = min(end, n.joinedAt.Add(lease))
 	}
 	if o.majorityJoinedAt > 0 {
-		end = min(end, o.majorityJoinedAt.Add(AuthorityDuration+leaseDrift))
+		end = min(end, o.majorityJoinedAt.Add(lease))
 	}
 	return end
 }
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"papayapass.dev/papayapass/internal/mutator"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
 )
@@ -24,7 +25,8 @@
 	p.Merge()
 	next := p.Table()
 	membersChanged := o.removeExpired(next, now)
-	if !p.Changed() && !membersChanged && membersEqual(next, o.table) {
+	next.HasOwnLease = o.termStart.Add(AuthorityDuration+leaseDrift).Before(now) || mutator.Active(mutator.ShortLeaseAtOnce)
+	if !p.Changed() && !membersChanged && membersEqual(next, o.table) && next.HasOwnLease == o.table.HasOwnLease {
 		return nil
 	}
 	next.Version = o.table.Version + 1
--- a/papayapass/internal/overseer/succession.go
+++ b/papayapass/internal/overseer/succession.go
@@ -76,6 +76,10 @@
 func ClaimTable(t *partitioner.Table, self partitioner.Member, incarnation uint64) *partitioner.Table {
 	next := t.Clone()
 	next.Epoch, next.Version, next.Coordinator, next.Incarnation = t.Epoch+1, 1, self.ID, incarnation
+	next.FormerCoordinator, next.HasOwnLease = "", false
+	if t.HasOwnLease {
+		next.FormerCoordinator = t.Coordinator
+	}
 	if _, ok := next.Member(self.ID); !ok {
 		next.SetMember(self)
 	}
--- a/papayapass/internal/partitioner/delta.go
+++ b/papayapass/internal/partitioner/delta.go
@@ -8,6 +8,7 @@
 	From      uint64     `json:"from"`
 	Version   uint64     `json:"version"`
 	LastToken uint64     `json:"lastToken"`
+	OwnLease  bool       `json:"ownLease,omitempty"`
 	Members   []Member   `json:"members,omitempty"`
 	Removed   []NodeID   `json:"removed,omitempty"`
 	Divisions []Division `json:"divisions,omitempty"` // only the changed ranges
@@ -15,7 +16,7 @@
 
 // Diff returns the delta from an older table to a newer one of the same epoch.
 func Diff(from, to *Table) *Delta {
-	d := &Delta{Epoch: to.Epoch, From: from.Version, Version: to.Version, LastToken: to.LastToken}
+	d := &Delta{Epoch: to.Epoch, From: from.Version, Version: to.Version, LastToken: to.LastToken, OwnLease: to.HasOwnLease}
 	for _, m := range to.Members {
 		if old, ok := from.Member(m.ID); !ok || old != m {
 			d.Members = append(d.Members, m)
@@ -48,7 +49,7 @@
 		return nil
 	}
 	next := t.Clone()
-	next.Version, next.LastToken = d.Version, d.LastToken
+	next.Version, next.LastToken, next.HasOwnLease = d.Version, d.LastToken, d.OwnLease
 	for _, id := range d.Removed {
 		next.RemoveMember(id)
 	}
--- a/papayapass/internal/partitioner/table.go
+++ b/papayapass/internal/partitioner/table.go
@@ -75,13 +75,18 @@
 
 // Table is the ownership table of a deployment. A published table is never changed.
 type Table struct {
-	Epoch       uint64     `json:"epoch"`
-	Version     uint64     `json:"version"`
-	Coordinator NodeID     `json:"coordinator"`
-	Incarnation uint64     `json:"incarnation"`
-	LastToken   uint64     `json:"lastToken"`
-	Members     []Member   `json:"members"`
-	Divisions   []Division `json:"divisions"`
+	Epoch       uint64 `json:"epoch"`
+	Version     uint64 `json:"version"`
+	Coordinator NodeID `json:"coordinator"`
+	Incarnation uint64 `json:"incarnation"`
+	// HasOwnLease is set when the coordinator's node has no lease of an earlier term any
+	// more, only the shorter one of its own term. FormerCoordinator is the coordinator of
+	// the term before, if it was set then.
+	HasOwnLease       bool       `json:"ownLease,omitempty"`
+	FormerCoordinator NodeID     `json:"former,omitempty"`
+	LastToken         uint64     `json:"lastToken"`
+	Members           []Member   `json:"members"`
+	Divisions         []Division `json:"divisions"`
 }
 
 // Newer reports whether the table supersedes another.
