--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -203,6 +203,34 @@
 	require.Empty(t, e.calls)
 }
 
+// A node that was asked for a key of another node says so while tables travel: the call asks
+// again with growing pauses. A node that knows the key to come too late is asked once.
+func TestKeysAreAskedForAgainOnlyIfTheOwnerIsUnknown(t *testing.T) {
+	cases := map[string]struct {
+		results []Result
+		calls   int
+		status  int
+	}{
+		"not the owner":     {[]Result{notRun(ReasonNotOwner), notRun(ReasonNotOwner), ok200()}, 3, http.StatusOK},
+		"not held for long": {[]Result{notRun(ReasonNotHeld), ok200()}, 1, http.StatusServiceUnavailable},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := &fakeServer{results: tt.results}
+			v := &fakeCluster{cfg: testConfiguration(), order: []partitioner.NodeID{"a"}, servers: map[partitioner.NodeID]*fakeServer{"a": a}}
+			w := serveRequest(v, http.MethodGet, "/keyed/x", "", http.Header{"Key": {"7"}})
+			require.Equal(t, tt.status, w.Code)
+			require.Len(t, a.calls, tt.calls)
+		})
+	}
+	var l attemptLog
+	var total time.Duration
+	for range 8 {
+		total += l.ownerWait()
+	}
+	require.Greater(t, total, maxOwnerWait, "eight tries at most")
+}
+
 func TestDeadlineIsShorterOfCustomerAndRoute(t *testing.T) {
 	cases := map[string]struct {
 		wait string
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -177,6 +177,26 @@
 	require.Equal(t, clock.Now().Add(overseer.AuthorityDuration-delay), p.overseer.AuthorityUntil(), "an adopted table")
 }
 
+// A call for a key on the move goes to the next owner, where it waits. If that node has left,
+// it goes to the owner.
+func TestKeyOnTheMoveIsAskedForAtTheNextOwner(t *testing.T) {
+	p, _ := newTestParticipant(t, &fakeStore{})
+	choose := func(version uint64, next partitioner.NodeID) partitioner.NodeID {
+		table := &partitioner.Table{Epoch: 1, Version: version, Divisions: []partitioner.Division{{Service: "permits", Ranges: []partitioner.Range{
+			{First: 0, Last: partitioner.LastKey, Owner: "node-2", NextOwner: next, Token: 1},
+		}}}}
+		for _, id := range []partitioner.NodeID{"node-2", "node-3"} {
+			table.SetMember(partitioner.Member{ID: id, Address: "127.0.0.1:" + string(id[5:])})
+		}
+		p.applyTable(table)
+		_, id, _ := p.Choose(&dispatcher.Call{Service: "permits", Divided: true, Key: 7}, nil)
+		return id
+	}
+	require.Equal(t, partitioner.NodeID("node-2"), choose(1, ""))
+	require.Equal(t, partitioner.NodeID("node-3"), choose(2, "node-3"))
+	require.Equal(t, partitioner.NodeID("node-2"), choose(3, "node-4"))
+}
+
 func TestLaterEpochEndsTerm(t *testing.T) {
 	p, _ := newTestParticipant(t, &fakeStore{version: 1, revision: 10})
 	p.findCoordinator(context.Background(), false)
