Hand the coordinator's role to the largest machine

Cause: most machines of the large site have 0.16 cores, the coordinator's node used up to 0.363, and 15 machines have 0.8; the first node to start got the role.

Change: nodes tell their processor share (setting node.cores). A coordinator on a machine with less than half of the largest one's asks that node, 3 s into its term, to take the role by the usual conditional write. A model test: no key loses its owner, the role moves once, and after the loss of the largest machine it goes to the next largest.

--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -135,7 +135,7 @@
 
 func newNode(s *Settings, a Adapter, t *tracer.Tracer, logger zerolog.Logger) *node {
 	n := &node{tracer: t, settings: s, adapter: a, logger: logger, timers: timer.NewService(timer.BootClock{}), meter: meter.NewMeter()}
-	self := partitioner.Member{ID: partitioner.NodeID(s.Node.ID), Address: s.peersAddress(), Zone: s.Node.Zone}
+	self := partitioner.Member{ID: partitioner.NodeID(s.Node.ID), Address: s.peersAddress(), Zone: s.Node.Zone, Cores: float64(s.Node.Cores)}
 	g := granter.NewGranter(self.ID, time.Duration(s.Bounds.HoldMax), n.timers.Now())
 	g.SetMethod(s.Node.Grants)
 	g.SetReplyLimit(granter.ReplyLimit{Bytes: a.MaxHeartbeatReplyBytes - heartbeatReplyReserve, RangeBytes: a.GrantBytes})
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -26,6 +26,9 @@
 		Grants descriptor.GrantMethod `toml:"grants"`
 		// MemoryMB is the memory of the process, in megabytes.
 		MemoryMB int `toml:"memoryMB"`
+		// Cores is the processor share of the instance in cores; zero if unknown. The
+		// coordinator's role moves to a larger instance.
+		Cores number `toml:"cores"`
 	} `toml:"node"`
 	Listen struct {
 		Customers  string `toml:"customers"`
@@ -78,6 +81,19 @@
 	return nil
 }
 
+// number is a fraction that settings write as text, such as "0.16".
+type number float64
+
+// UnmarshalText parses a number.
+func (n *number) UnmarshalText(b []byte) error {
+	v, err := strconv.ParseFloat(string(b), 64)
+	if err != nil {
+		return err
+	}
+	*n = number(v)
+	return nil
+}
+
 // ReadSettings reads and validates a settings file.
 func ReadSettings(path string) (*Settings, error) {
 	b, err := os.ReadFile(path)
@@ -105,8 +121,8 @@
 		return errors.New("settings node.id, node.zone and node.service are required")
 	case s.Node.Grants != descriptor.GrantByCall && s.Node.Grants != descriptor.GrantByHeartbeat:
 		return errors.Newf("setting node.grants is %q, not %q or %q", s.Node.Grants, descriptor.GrantByCall, descriptor.GrantByHeartbeat)
-	case s.Node.MemoryMB <= 0:
-		return errors.New("setting node.memoryMB must be above zero")
+	case s.Node.MemoryMB <= 0 || s.Node.Cores < 0:
+		return errors.New("setting node.memoryMB must be above zero, node.cores not below")
 	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
 		return errors.New("settings listen.peers and listen.metrics are required")
 	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.HoldMax <= 0 || s.Bounds.Apply <= 0:
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -68,6 +68,8 @@
 	// StoreDown is set while the coordinator cannot write to the store; a node that can
 	// write may take over.
 	StoreDown bool `json:"storeDown,omitempty"`
+	// TakeOver asks the node to take the coordinator's role, since its machine is larger.
+	TakeOver bool `json:"takeOver,omitempty"`
 	// Configuration is the encoded configuration, set when it is newer than the node's.
 	Configuration []byte `json:"configuration,omitempty"`
 	// ZonesOut lists the zones that operators took out of service, as read from the
@@ -78,9 +80,10 @@
 	StoreFresh bool `json:"fresh,omitempty"`
 }
 
-// HasUpdate reports whether the reply carries a table, a delta or a configuration.
+// HasUpdate reports whether the reply carries a table, a delta, a configuration or a request
+// to take over.
 func (r HeartbeatReply) HasUpdate() bool {
-	return r.Table != nil || r.Delta != nil || len(r.Configuration) > 0
+	return r.Table != nil || r.Delta != nil || len(r.Configuration) > 0 || r.TakeOver
 }
 
 // ProbeReply is a node's reply when asked whether it is in contact with its coordinator.
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -45,6 +45,10 @@
 	// meanTimeConstant is the time constant of the smoothed mean durations, from which
 	// server speeds are derived.
 	meanTimeConstant = 5 * time.Second
+	// handOverFactor is how many times as many cores a machine must have to be handed the
+	// role, and handOverDelay how long a term lasts before that.
+	handOverFactor = 2
+	handOverDelay  = 3 * time.Second
 	// maxEarlierTables is the number of earlier tables kept as bases of deltas.
 	maxEarlierTables = 32
 )
@@ -309,10 +313,29 @@
 		}
 	}
 	o.addTable(&r, b)
+	r.TakeOver = o.shouldHandOver(b, now)
 	r.Loads = o.serverLoads(b.Member.Zone, now)
 	return r
 }
 
+// shouldHandOver reports whether the node that sent a heartbeat is to take the role. The
+// coordinator's work grows with the fleet and does not fit the smallest machines, so the
+// largest machine gets it, unless it is hardly larger.
+func (o *Overseer) shouldHandOver(b Heartbeat, now timer.Instant) bool {
+	own, _ := o.table.Member(o.self)
+	if own.Cores <= 0 || b.Member.Cores < handOverFactor*own.Cores || now.Sub(o.termStart) < handOverDelay {
+		return false
+	}
+	for id, n := range o.nodes {
+		m := n.lastHeartbeat.Member
+		isLarger := m.Cores > b.Member.Cores || (m.Cores == b.Member.Cores && id < b.Member.ID)
+		if isLarger && !n.lastHeartbeat.Stopping && now.Sub(n.lastHeartbeatAt) <= heartbeatTimeout {
+			return false
+		}
+	}
+	return !b.Stopping && !o.zonesOut[b.Member.Zone]
+}
+
 // addTable adds the newest table to a reply unless the node has it, as a delta when the
 // node has one of earlierTables.
 func (o *Overseer) addTable(r *HeartbeatReply, b Heartbeat) {
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -292,6 +292,9 @@
 	if m.table.Epoch == r.Epoch {
 		m.granter.SetLease(sent.Add(r.Lease))
 	}
+	if r.TakeOver && m.overseer == nil && w.storeUp(m) {
+		w.findCoordinator(m, true)
+	}
 	if r.StoreDown && m.overseer == nil && w.storeUp(m) && w.r.IntN(4) == 0 {
 		w.findCoordinator(m, true)
 	}
@@ -477,6 +480,40 @@
 	}
 }
 
+// The role goes to the largest machine, without a gap in the service of any key, and stays
+// there. When that machine is lost, the role comes to a smaller one and moves on to the
+// largest that is left.
+func TestRoleMovesToTheLargestMachine(t *testing.T) {
+	for _, method := range methods {
+		t.Run(string(method), func(t *testing.T) {
+			w := newWorld(t, 4, 8, method)
+			for _, m := range w.members {
+				m.self.Cores = 0.16
+			}
+			w.members[5].self.Cores, w.members[6].self.Cores, w.members[7].self.Cores = 0.8, 0.8, 0.2
+			run := func(steps int, check bool) {
+				for range steps {
+					w.servedKeys, w.checkedKeys = 0, 0
+					w.step()
+					if check {
+						require.Equal(t, w.checkedKeys, w.servedKeys, "at %s", w.now)
+					}
+				}
+				require.Empty(t, w.violation)
+			}
+			run(145, false) // 2.9 s: all keys are held
+			epoch := w.table.Epoch
+			run(300, true)
+			require.Equal(t, partitioner.NodeID("node-5"), w.table.Coordinator)
+			require.Equal(t, epoch+1, w.table.Epoch, "it moves once")
+			lost := w.members[5]
+			lost.pausedUntil, lost.partitionedUntil, lost.noStoreUntil = w.now+time.Hour, w.now+time.Hour, w.now+time.Hour
+			run(500, false)
+			require.Equal(t, partitioner.NodeID("node-6"), w.table.Coordinator)
+		})
+	}
+}
+
 // A node and its backend server are lost permanently. Their keys must be served again
 // within 4 s, also when the node is the coordinator.
 func TestLostOwnersKeysAreServedWithinFourSeconds(t *testing.T) {
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -34,6 +34,9 @@
 	// maxTakeoverDelay is the longest time between takeover attempts while the coordinator
 	// cannot write.
 	maxTakeoverDelay = 1500 * time.Millisecond
+	// takeOverInterval is the shortest time between two attempts to take a role that is
+	// handed over.
+	takeOverInterval = 2 * time.Second
 	// storeTimeout limits one call to the store.
 	storeTimeout = time.Second
 )
@@ -50,6 +53,8 @@
 	for ctx.Err() == nil {
 		reply, err := p.sendHeartbeat(ctx, replyWait)
 		switch {
+		case err == nil && reply.TakeOver:
+			p.takeOver(ctx)
 		case err == nil && !reply.StoreDown:
 		case err == nil:
 			p.replaceCoordinator(ctx)
@@ -182,6 +187,18 @@
 	pause(ctx, rand.N(p.searchBackoff.stretch(maxTakeoverDelay)))
 }
 
+// takeOver takes the role that a coordinator on a smaller machine hands over.
+func (p *Participant) takeOver(ctx context.Context) {
+	p.mu.Lock()
+	isCoordinator := p.overseer != nil
+	p.mu.Unlock()
+	if now := p.timers.Now(); !isCoordinator && (p.lastTakeOver == 0 || now.Sub(p.lastTakeOver) > takeOverInterval) {
+		p.lastTakeOver = now
+		p.findCoordinator(ctx, true)
+		p.TriggerHeartbeat()
+	}
+}
+
 // findCoordinator reads the stored table, or creates the first one, and takes the next step
 // of the election. cannotWrite means that the coordinator reported an outage of its store.
 func (p *Participant) findCoordinator(ctx context.Context, cannotWrite bool) {
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -114,6 +114,10 @@
 	// look for the coordinator.
 	readBackoff, searchBackoff storeBackoff
 
+	// lastTakeOver is when this node last tried to take a role that was handed over. Only
+	// the goroutine that runs follow uses it.
+	lastTakeOver timer.Instant
+
 	// tableMu keeps older tables from replacing newer ones.
 	tableMu sync.Mutex
 
--- a/papayapass/internal/partitioner/table.go
+++ b/papayapass/internal/partitioner/table.go
@@ -41,7 +41,9 @@
 	ID      NodeID `json:"id"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
-	Server  Server `json:"server"`
+	// Cores is the processor share of the instance, in cores; zero if unknown.
+	Cores  float64 `json:"cores,omitempty"`
+	Server Server  `json:"server"`
 }
 
 // Range is a run of consecutive keys with one owner.
