Keep a backend server that left out after its node restarts

Cause: a node that restarts forgets that its backend server had left; a heartbeat held up since before would bring it back into use (one of the faults that operators of similar systems saw).

Change: the first table that a node reads tells whether its backend server had left. A stop of the node alone is told apart (NodeStopping), since its backend server goes on.

Test: TestServerThatLeftStaysOutAfterARestart; without the change the server is up.

--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -85,8 +85,10 @@
 	lastHeartbeat   descriptor.Heartbeat
 	lastHeartbeatAt timer.Instant
 	leaving         bool
-	down            bool
-	failedConnects  int
+	// left is the backend server that had left before the node started.
+	left           partitioner.Server
+	down           bool
+	failedConnects int
 	// warmUpUntil is when the backend server's warm-up ends by its own account.
 	warmUpUntil timer.Instant
 	// stoppingSince is when the node started to stop.
@@ -127,7 +129,7 @@
 		return descriptor.HeartbeatReply{}, true // late: what it lists may have changed
 	}
 	if newStart {
-		f.leaving = false
+		f.leaving = f.left.SameStart(h.ID, h.StartedAtMillis)
 	}
 	changed := newStart || f.down || (h.Draining && !f.leaving)
 	f.lastHeartbeat, f.lastHeartbeatAt, f.down, f.failedConnects = h, now, false, 0
@@ -195,6 +197,20 @@
 	f.granter.SetServer(f.Server())
 }
 
+// RecallLeft sets the backend server that had left before the node started, as the table
+// says. A heartbeat of it that was held up must not bring it back into use.
+func (f *Forwarder) RecallLeft(s partitioner.Server) {
+	f.mu.Lock()
+	f.left = s
+	isLeft := s.SameStart(f.lastHeartbeat.ID, f.lastHeartbeat.StartedAtMillis)
+	f.leaving = f.leaving || isLeft
+	f.mu.Unlock()
+	if isLeft {
+		f.granter.SetServer(f.Server())
+		f.node.TriggerHeartbeat()
+	}
+}
+
 // Leave handles the backend server's notice that it accepts no more requests.
 func (f *Forwarder) Leave(id string) {
 	f.mu.Lock()
@@ -227,8 +243,8 @@
 // FillHeartbeat fills in the backend server's part of a heartbeat to the coordinator.
 func (f *Forwarder) FillHeartbeat(h *overseer.Heartbeat) {
 	h.Member.Server = f.Server()
-	if h.Stopping && !h.Member.Server.Divided {
-		h.Member.Server.Leaving = true
+	if s := &h.Member.Server; h.Stopping && !s.Divided && !s.Leaving {
+		s.Leaving, s.NodeStopping = true, true
 	}
 	f.FillLoad(h)
 	now := f.clock.Now()
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -234,6 +234,9 @@
 	if !t.Newer(old) {
 		return
 	}
+	if m, ok := t.Member(p.self.ID); ok && old == nil && m.Server.Leaving && !m.Server.NodeStopping {
+		p.forwarder.RecallLeft(m.Server)
+	}
 	p.table.Store(t)
 	p.granter.SetTable(t, p.timers.Now())
 	wake(p.grantsDue)
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -220,6 +220,32 @@
 	require.Equal(t, time.Second, p.searchBackoff.stretch(time.Second), "an empty store answers")
 }
 
+// A backend server leaves, then its node restarts, then a heartbeat that was held up since
+// before arrives. The server must not be used again; its next start is.
+func TestServerThatLeftStaysOutAfterARestart(t *testing.T) {
+	beat := descriptor.Heartbeat{ID: "server-1", Service: "permits", Address: "127.0.0.1:2", Slots: 4, Sequence: 9, StartedAtMillis: 5}
+	restart := func(server partitioner.Server) *Participant {
+		p, _ := newTestParticipant(t, &fakeStore{})
+		table := &partitioner.Table{Epoch: 1, Version: 1}
+		m := p.self
+		m.Server = server
+		table.SetMember(m)
+		p.applyTable(table)
+		_, ok := p.forwarder.Heartbeat(beat)
+		require.True(t, ok)
+		return p
+	}
+	server := partitioner.Server{ID: "server-1", StartedAtMillis: 5, Service: "permits", Slots: 4, Leaving: true, NodeStopping: true}
+	require.True(t, restart(server).forwarder.Server().Up(), "only the node had stopped")
+	server.NodeStopping = false
+	p := restart(server)
+	require.False(t, p.forwarder.Server().Up())
+	beat.Sequence, beat.StartedAtMillis = 1, 6
+	_, ok := p.forwarder.Heartbeat(beat)
+	require.True(t, ok)
+	require.True(t, p.forwarder.Server().Up())
+}
+
 func TestLaterEpochEndsTerm(t *testing.T) {
 	p, _ := newTestParticipant(t, &fakeStore{version: 1, revision: 10})
 	p.findCoordinator(context.Background(), false)
--- a/papayapass/internal/partitioner/table.go
+++ b/papayapass/internal/partitioner/table.go
@@ -26,6 +26,8 @@
 	Divided         bool   `json:"divided,omitempty"`
 	// Leaving is set when the backend server gets no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// NodeStopping is set with Leaving if only the node stops.
+	NodeStopping bool `json:"nodeStopping,omitempty"`
 	// Down is set when the backend server does not respond.
 	Down bool `json:"down,omitempty"`
 }
