Join ranges so that no member owns more than a heartbeat response holds

A response to a heartbeat holds about 160, and what does not fit would not be served.

Change: neighbouring ranges without an owner are joined before they are assigned; those of a member with more than 100 are joined under a new token, which interrupts them for one grant.

Tests also: settings of a node, keys of two services at one node.

--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -131,3 +131,16 @@
 	g.HandleResult(c, Done, "", now)
 	require.Len(t, g.DueCalls(now.Add(c.Hold/2)), 1, "renewed well before it ends")
 }
+
+// A node owns ranges of two services whose keys overlap, after its backend server changed
+// service. Each key is found in its own service.
+func TestKeysOfTwoServicesAreToldApart(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	table := testTable(testRange(0, 99, 4, ""), testRange(200, 299, 5, ""))
+	table.Divisions = append(table.Divisions, partitioner.Division{Service: "ledger", Ranges: []partitioner.Range{testRange(50, 249, 6, "")}})
+	g.SetTable(table, now)
+	for key, want := range map[uint16][2]bool{20: {true, false}, 70: {true, true}, 150: {false, true}, 220: {true, true}, 270: {true, false}} {
+		require.Equal(t, want, [2]bool{g.Owns("permits", key), g.Owns("ledger", key)}, "key %d", key)
+	}
+}
--- a/papayapass/internal/launcher/launcher_test.go
+++ b/papayapass/internal/launcher/launcher_test.go
@@ -57,7 +57,18 @@
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:7660", s.peersAddress())
 	require.Equal(t, participant.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 58, ZoneOutTimeout: 5 * time.Second, ApplyTimeout: 2 * time.Second, HeartbeatInterval: time.Second}, s.bounds())
+	require.Equal(t, descriptor.GrantByCall, s.Node.Grants)
+	require.Equal(t, int64(51<<20), s.bodyMemory()>>20<<20, "a fifth of 256 MB")
+	sized, err := ReadSettings(writeSettings(t, strings.Replace(testSettings, "[listen]", "grants = \"heartbeat\"\nmemoryMB = 184\ncores = \"0.16\"\n[listen]", 1)))
+	require.NoError(t, err)
+	require.Equal(t, descriptor.GrantByHeartbeat, sized.Node.Grants)
+	require.Equal(t, int64(36<<20), sized.bodyMemory()>>20<<20)
+	require.InDelta(t, 0.16, float64(sized.Node.Cores), 1e-9)
 	broken := map[string][2]string{
+		"unknown way of granting": {"[listen]", "grants = \"mail\"\n[listen]"},
+		"no memory":               {"[listen]", "memoryMB = 0\n[listen]"},
+		"cores not a number":      {"[listen]", "cores = \"many\"\n[listen]"},
+		"negative cores":          {"[listen]", "cores = \"-1\"\n[listen]"},
 		"no id":           {`id = "node-1"`, `id = ""`},
 		"no port":         {"127.0.0.1:1\"\n[listen]", "127.0.0.1\"\n[listen]"},
 		"no time unit":    {`grace = "6s"`, `grace = "6"`},
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -23,6 +23,7 @@
 	p.Evacuate()
 	p.Balance()
 	p.Merge()
+	p.Compact()
 	next := p.Table()
 	membersChanged := o.removeExpired(next, now)
 	next.HasOwnLease = o.termStart.Add(AuthorityDuration+leaseDrift).Before(now) || mutator.Active(mutator.ShortLeaseAtOnce)
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -29,6 +29,9 @@
 	// parts into which a range is split. Each part costs its owner one key request.
 	partWork = 1.0
 	partKeys = KeyCount / 64
+	// maxOwnedRanges is the number of ranges of one member above which neighbouring ones are
+	// joined under a new token. A response to a heartbeat holds about 160.
+	maxOwnedRanges = 100
 )
 
 // MemberState is the coordinator's view of a member at the time of planning.
@@ -191,6 +194,7 @@
 func (p *Plan) Assign() {
 	for di := range p.table.Divisions {
 		d := &p.table.Divisions[di]
+		p.joinFree(d)
 		u := p.plannedUsage(d)
 		for i := 0; i < len(d.Ranges); i++ {
 			if d.Ranges[i].Owner == "" {
@@ -281,6 +285,48 @@
 	}
 }
 
+// joinFree joins neighbouring ranges that have neither an owner nor handover data. After the
+// loss of many members, the few that are left would otherwise get hundreds of ranges.
+func (p *Plan) joinFree(d *Division) {
+	isFree := func(r Range) bool { return r.Owner == "" && r.NextOwner == "" && r.Handover == "" }
+	for i := 0; i+1 < len(d.Ranges); {
+		a, b := d.Ranges[i], d.Ranges[i+1]
+		if !isFree(a) || !isFree(b) {
+			i++
+			continue
+		}
+		a.Last, a.Token = b.Last, max(a.Token, b.Token)
+		d.Ranges = slices.Replace(d.Ranges, i, i+2, a)
+		p.changed = true
+	}
+}
+
+// Compact joins neighbouring ranges of members that own more than maxOwnedRanges. Their
+// backend server keeps the keys under the new token, which interrupts them for one grant.
+func (p *Plan) Compact() {
+	for di := range p.table.Divisions {
+		d := &p.table.Divisions[di]
+		owned := make(map[NodeID]int)
+		for _, r := range d.Ranges {
+			owned[r.Owner]++
+		}
+		for i := 0; i+1 < len(d.Ranges); {
+			a, b := d.Ranges[i], d.Ranges[i+1]
+			m, ok := p.table.Member(a.Owner)
+			isJoined := ok && a.Owner == b.Owner && a.NextOwner == "" && b.NextOwner == "" &&
+				m.Server.SameStart(a.Server, a.ServerStartedAtMillis) && m.Server.SameStart(b.Server, b.ServerStartedAtMillis)
+			if !isJoined || owned[a.Owner] <= maxOwnedRanges {
+				i++
+				continue
+			}
+			a.Last, a.Handover = b.Last, ""
+			p.setOwner(&a, m)
+			d.Ranges = slices.Replace(d.Ranges, i, i+2, a)
+			owned[a.Owner]--
+		}
+	}
+}
+
 // Merge joins neighbouring ranges of one owner and token that are not moving.
 func (p *Plan) Merge() {
 	for di := range p.table.Divisions {
