--- a/papayapass/internal/launcher/launcher_test.go
+++ b/papayapass/internal/launcher/launcher_test.go
@@ -69,12 +69,12 @@
 		"no memory":               {"[listen]", "memoryMB = 0\n[listen]"},
 		"cores not a number":      {"[listen]", "cores = \"many\"\n[listen]"},
 		"negative cores":          {"[listen]", "cores = \"-1\"\n[listen]"},
-		"no id":           {`id = "node-1"`, `id = ""`},
-		"no port":         {"127.0.0.1:1\"\n[listen]", "127.0.0.1\"\n[listen]"},
-		"no time unit":    {`grace = "6s"`, `grace = "6"`},
-		"no peers' port":  {"peers = 7660", "peers = 0"},
-		"not a number":    {"retrySlack = 58", `retrySlack = "many"`},
-		"negative window": {`retryWindow = "10s"`, `retryWindow = "-1s"`},
+		"no id":                   {`id = "node-1"`, `id = ""`},
+		"no port":                 {"127.0.0.1:1\"\n[listen]", "127.0.0.1\"\n[listen]"},
+		"no time unit":            {`grace = "6s"`, `grace = "6"`},
+		"no peers' port":          {"peers = 7660", "peers = 0"},
+		"not a number":            {"retrySlack = 58", `retrySlack = "many"`},
+		"negative window":         {`retryWindow = "10s"`, `retryWindow = "-1s"`},
 	}
 	for name, change := range broken {
 		t.Run(name, func(t *testing.T) {
