Wake up only for grants that can be made, and ask for a handover without haste

Cause: a node whose backend server gets its keys in heartbeats, or is down, woke up every 2 ms for a grant that it could not make; and a reply that asks a node to take the coordinator's role did not wait for a change, so that a node that cannot reach the store would have sent heartbeats without a pause.

Change: what is due but cannot be made waits for its cause; a request to take over does not hurry the reply. A call whose body does not fit into the other node's memory is answered not run instead of unknown.

--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -326,6 +326,20 @@
 	}
 }
 
+// A call whose body does not fit into the memory of the other node has not run there.
+func TestPeerWithoutMemoryMeansNotRun(t *testing.T) {
+	s := &fakeServer{results: []Result{ok200()}}
+	l := httptest.NewServer(NewPeerHandler(s, timer.BootClock{}, testEnveloper, budgeter.NewBudget(1<<10), &tracer.Tracer{}))
+	defer l.Close()
+	p := NewPeer(strings.TrimPrefix(l.URL, "http://"), timer.BootClock{}, testEnveloper)
+	c := &Call{
+		Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 1<<12),
+		Deadline: timer.BootClock{}.Now().Add(time.Minute),
+	}
+	require.Equal(t, notRun(ReasonFull), p.Serve(context.Background(), c))
+	require.Empty(t, s.calls)
+}
+
 func TestUnreachablePeerMeansNotRun(t *testing.T) {
 	p := NewPeer("127.0.0.1:1", timer.BootClock{}, testEnveloper)
 	c := &Call{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, Deadline: timer.BootClock{}.Now().Add(time.Second)}
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -174,8 +174,12 @@
 	memory := p.memory.Lease()
 	defer memory.Close()
 	envelope, err := memory.ReadAll(r.Body, maxBodyBytes, r.ContentLength)
+	if errors.Is(err, budgeter.ErrExhausted) {
+		p.reply(w, resultHead{Outcome: NotRun.String(), Reason: ReasonFull}, nil)
+		return
+	}
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest) // nothing was run
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	var head callHead
@@ -200,6 +204,11 @@
 	if res.Outcome == Answered {
 		result.Status, result.Header, body = res.Response.Status, endToEnd(res.Response.Header), res.Response.Body
 	}
+	p.reply(w, result, body)
+}
+
+// reply responds with the result of a call and the response's body.
+func (p *PeerHandler) reply(w http.ResponseWriter, result resultHead, body []byte) {
 	packed, err := p.enveloper.Pack(result, body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -308,22 +308,25 @@
 	return out
 }
 
-// NextCallIn returns the time until a call may be due, at most limit. Tables, leases and
-// results of calls may bring it forward.
+// NextCallIn returns the time until a call or a release by expiry is due, at most limit. It
+// is called after DueCalls, so what is due now waits for something else: a table, a lease, a
+// result or the backend server.
 func (g *Granter) NextCallIn(limit time.Duration, now timer.Instant) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	_, isByCall := g.method.(byCall)
 	for _, h := range g.holdings {
-		due := h.nextCallAt
-		switch {
-		case h.released || h.callInFlight:
+		if h.released {
 			continue
-		case h.NextOwner != "" && h.mayHoldUntil > now:
-			due = min(max(due, now), h.mayHoldUntil)
 		}
-		limit = min(limit, due.Sub(now))
+		if h.NextOwner != "" && now < h.mayHoldUntil {
+			limit = min(limit, h.mayHoldUntil.Sub(now))
+		}
+		if isByCall && !h.callInFlight && now < h.nextCallAt {
+			limit = min(limit, h.nextCallAt.Sub(now))
+		}
 	}
-	return max(limit, 0)
+	return limit
 }
 
 func (g *Granter) nextCall(h *holding, now timer.Instant) (Call, bool) {
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -8,6 +8,7 @@
 
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
 )
 
 var testServer = partitioner.Server{ID: "server-1", StartedAtMillis: 7, Service: "permits", Slots: 10, Divided: true}
@@ -144,3 +145,32 @@
 		require.Equal(t, want, [2]bool{g.Owns("permits", key), g.Owns("ledger", key)}, "key %d", key)
 	}
 }
+
+// A node wakes up for its grants when one is due, and not while a call is impossible: the
+// backend server is down, or gets its keys in heartbeats.
+func TestNoWakeUpsWithoutDueCalls(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	c := g.DueCalls(now)[0]
+	require.Equal(t, limit, g.NextCallIn(limit, now), "in flight")
+	g.HandleResult(c, Done, "", now)
+	require.Empty(t, g.DueCalls(now))
+	require.Equal(t, renewalInterval, g.NextCallIn(time.Minute, now))
+
+	down := testServer
+	down.Down = true
+	g.SetServer(down)
+	now = now.Add(time.Second)
+	require.Empty(t, g.DueCalls(now))
+	require.Equal(t, limit, g.NextCallIn(limit, now), "the server is down")
+
+	b := newHeartbeats(now)
+	b.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	b.send(now, descriptor.KeyListing{})
+	require.Empty(t, b.DueCalls(now))
+	require.Equal(t, limit, b.NextCallIn(limit, now))
+	b.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
+	require.Less(t, b.NextCallIn(time.Minute, now), 4*time.Second, "a hold that runs out is a release")
+}
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -80,10 +80,9 @@
 	StoreFresh bool `json:"fresh,omitempty"`
 }
 
-// HasUpdate reports whether the reply carries a table, a delta, a configuration or a request
-// to take over.
+// HasUpdate reports whether the reply carries a table, a delta or a configuration.
 func (r HeartbeatReply) HasUpdate() bool {
-	return r.Table != nil || r.Delta != nil || len(r.Configuration) > 0 || r.TakeOver
+	return r.Table != nil || r.Delta != nil || len(r.Configuration) > 0
 }
 
 // ProbeReply is a node's reply when asked whether it is in contact with its coordinator.
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -246,6 +246,34 @@
 	require.True(t, p.forwarder.Server().Up())
 }
 
+// The node on the largest machine cannot take the role, since the store rejects it. It is
+// asked again with each reply, which still waits as long as usual, and tries only sometimes.
+func TestRoleThatCannotBeTakenIsNotTriedInALoop(t *testing.T) {
+	require.False(t, overseer.HeartbeatReply{TakeOver: true}.HasUpdate(), "the reply waits")
+	calls := 0
+	s := &fakeStore{version: 1, revision: 10, err: errors.New("store unavailable")}
+	p, clock := newTestParticipant(t, s)
+	p.store = countingStore{s, &calls}
+	for range 40 {
+		p.takeOver(context.Background())
+		clock.Advance(250 * time.Millisecond)
+	}
+	require.LessOrEqual(t, calls, 5, "in 10 s")
+	require.Positive(t, calls)
+}
+
+// countingStore counts the reads of objects.
+type countingStore struct {
+	Store
+
+	calls *int
+}
+
+func (c countingStore) Get(ctx context.Context, kind, name string) (descriptor.Object, error) {
+	*c.calls++
+	return c.Store.Get(ctx, kind, name)
+}
+
 func TestLaterEpochEndsTerm(t *testing.T) {
 	p, _ := newTestParticipant(t, &fakeStore{version: 1, revision: 10})
 	p.findCoordinator(context.Background(), false)
