--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -263,12 +263,7 @@
 }
 
 func TestKeysNotOwnedAreRejected(t *testing.T) {
-	f := newTestForwarder(t, respond(200, map[string]string{"Seal": "s"}))
-	f.service = "permits"
-	h := f.heartbeat()
-	h.Sequence, h.Service = 6, "permits"
-	_, ok := f.Heartbeat(h)
-	require.True(t, ok)
+	f := newKeyedForwarder(t)
 	c := f.call(true)
 	c.Divided, c.Key = true, 500
 	require.Equal(t, dispatcher.ReasonNotOwner, f.Serve(context.Background(), c).Reason)
@@ -277,7 +272,6 @@
 		{First: 0, Last: 999, Owner: "node-1", Server: "server-1", ServerStartedAtMillis: 10, Token: 3},
 	}}}}
 	now := f.clock.Now()
-	f.granter.SetLease(now.Add(time.Minute))
 	f.granter.SetTable(table, now)
 	require.Equal(t, dispatcher.ReasonNotHeld, f.Serve(context.Background(), c).Reason, "owned but not granted")
 	for _, g := range f.granter.DueCalls(now) {
