--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -110,9 +110,9 @@
 	lastWriteSent timer.Instant
 	renewals      int
 
-	// readBackoff covers the calls that read the configuration, searchBackoff those that
-	// look for the coordinator.
-	readBackoff, searchBackoff storeBackoff
+	// searchBackoff covers the calls that look for the coordinator. Reads of the
+	// configuration do not back off: it must be in force within ApplyTimeout.
+	searchBackoff storeBackoff
 
 	// lastTakeOver is when this node last tried to take a role that was handed over. Only
 	// the goroutine that runs follow uses it.
--- a/papayapass/internal/participant/poll.go
+++ b/papayapass/internal/participant/poll.go
@@ -78,8 +78,7 @@
 		if due <= 0 {
 			start := p.timers.Now()
 			p.readStore(ctx)
-			due = p.readBackoff.stretch(p.bounds.Load().pollInterval()) - p.timers.Now().Sub(start)
-			pause(ctx, due)
+			pause(ctx, p.readPause(p.timers.Now().Sub(start)))
 			continue
 		}
 		t := time.NewTimer(due)
@@ -93,6 +92,11 @@
 	return nil
 }
 
+// readPause returns the pause after a reading that took some time, whether it failed or not.
+func (p *Participant) readPause(took time.Duration) time.Duration {
+	return p.bounds.Load().pollInterval() - took
+}
+
 // nextReadIn returns the time until this node must read the store itself, unless a reply
 // with a fresh reading arrives before.
 func (p *Participant) nextReadIn() time.Duration {
@@ -123,7 +127,6 @@
 	ctx, cancel := context.WithTimeout(ctx, p.bounds.Load().pollTimeout())
 	defer cancel()
 	o, err := p.store.Get(ctx, p.layout.ConfigurationKind, p.layout.ConfigurationName)
-	p.readBackoff.record(err)
 	if errors.Is(err, descriptor.ErrNotFound) {
 		return true
 	}
