Log and measure the rate limit that a backend server names

Change: the platform's adapter decodes Server-Limit and Server-Leaving. The node beside the server logs each change, and once a second the limit in force with the requests sent and the queue; metrics papayapass_server_rate_limit, papayapass_server_leaving and papayapass_server_requests. No logic is changed.

--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -10,6 +10,7 @@
 	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
 )
 
 // Call is a request on its way to a backend server.
@@ -103,6 +104,7 @@
 	MatchesRequest(h http.Header, id string) bool
 	Signed(h http.Header) bool
 	NotRun(status int, h http.Header) bool
+	Notice(h http.Header) (descriptor.ServerNotice, error)
 }
 
 // Server runs calls at a backend server.
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -94,6 +95,9 @@
 	// stoppingSince is when the node started to stop.
 	stoppingSince timer.Instant
 	workByKey     map[uint16]float32
+	notice        serverNotice
+	// sent counts all requests sent to the backend server.
+	sent atomic.Uint64
 }
 
 // NewForwarder returns a forwarder that has not received a heartbeat yet.
@@ -293,6 +297,7 @@
 func (f *Forwarder) Tick() {
 	now := f.clock.Now()
 	f.admitter.Tick(now)
+	f.reportLimit(now)
 	f.mu.Lock()
 	silent := now.Sub(max(f.lastHeartbeatAt, f.started)) > maxMissedHeartbeats*f.heartbeatInterval
 	changed := silent && !f.down
--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,15 @@
 func (fakeCodec) MatchesRequest(h http.Header, id string) bool { return h.Get("Id") == id }
 func (fakeCodec) Signed(h http.Header) bool                    { return h.Get("Seal") != "" }
 func (fakeCodec) NotRun(_ int, h http.Header) bool             { return h.Get("Not-Run") != "" }
+func (fakeCodec) Notice(h http.Header) (n descriptor.ServerNotice, err error) {
+	n.Leaving = h.Get("Leaving") != ""
+	if v := h.Get("Limit"); v != "" {
+		n.Limited = true
+		n.RateLimit, err = strconv.ParseFloat(v, 64)
+	}
+	return n, err
+}
+
 func (fakeCodec) SetRequestHeaders(h http.Header, server, caller string, left time.Duration) {
 	h.Set("Server", server)
 	h.Set("Caller", caller)
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -166,6 +166,7 @@
 	if c.Idempotent {
 		maxIdleTime = maxIdleIdempotent
 	}
+	f.countSent()
 	response, err := f.exchanger.Do(ctx, exchanger.Request{
 		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, MaxIdle: maxIdleTime, Memory: c.Memory,
 	})
@@ -193,6 +194,7 @@
 	f.mu.Lock()
 	f.failedConnects = 0
 	f.mu.Unlock()
+	f.readNotice(response.Header)
 	switch {
 	case f.codec.NotRun(response.Status, response.Header):
 		f.logger.Info().Str("request", c.ID).Int("status", response.Status).Uint16("key", c.Key).
--- a/papayapass/internal/launcher/fakes_test.go
+++ b/papayapass/internal/launcher/fakes_test.go
@@ -92,6 +92,9 @@
 func (fakeCodec) MatchesRequest(h http.Header, id string) bool { return h.Get("Id") == id }
 func (fakeCodec) Signed(h http.Header) bool                    { return h.Get("Seal") != "" }
 func (fakeCodec) NotRun(_ int, h http.Header) bool             { return h.Get("Not-Run") != "" }
+func (fakeCodec) Notice(http.Header) (descriptor.ServerNotice, error) {
+	return descriptor.ServerNotice{}, nil
+}
 
 // grantRequest is a key request.
 type grantRequest struct {
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -168,6 +168,9 @@
 	gauge("papayapass_keys_held", func(s participant.Status) float64 { return float64(s.KeysHeld) })
 	n.meter.Gauge("papayapass_running", func() float64 { running, _ := n.forwarder.Load(); return float64(running) })
 	n.meter.Gauge("papayapass_waiting", func() float64 { _, waiting := n.forwarder.Load(); return float64(waiting) })
+	n.meter.Gauge("papayapass_server_requests", func() float64 { _, sent := n.forwarder.Notice(); return float64(sent) })
+	n.meter.Gauge("papayapass_server_rate_limit", func() float64 { notice, _ := n.forwarder.Notice(); return notice.RateLimit })
+	n.meter.Gauge("papayapass_server_leaving", func() float64 { notice, _ := n.forwarder.Notice(); return boolToFloat(notice.Leaving) })
 	n.meter.Gauge("papayapass_body_bytes", func() float64 { return float64(n.memory.Used()) })
 	n.meter.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 }
--- a/shared/descriptor/heartbeat.go
+++ b/shared/descriptor/heartbeat.go
@@ -25,6 +25,16 @@
 	Keys *KeyListing
 }
 
+// ServerNotice is what a backend server says about itself in a response.
+type ServerNotice struct {
+	// Limited is set when the backend server accepts only RateLimit requests per second
+	// from all nodes together.
+	Limited   bool
+	RateLimit float64
+	// Leaving is set when the backend server is about to stop.
+	Leaving bool
+}
+
 // Object is an object in the platform's store.
 type Object struct {
 	Name     string
