Keep the rate limit that a backend server names

All requests to a backend server pass the node beside it, whose admission control knew slots and the warm-up rate only.

Change: a token bucket in the admitter, beside the warm-up window; requests that it would hold up for too long are rejected at once with the time until there is room. A limit is in force from the first response that names it, until a response without it, or a higher one, to a request sent after the limit was last named: responses overtake each other, and one that was on its way would otherwise let a burst through. It ends with the start of the backend server. Responses with status 421 do not count, since another server may have the address.

Why it works: the node beside the server is the only one that sends to it, so the sum over all nodes is limited at one place.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -1,7 +1,7 @@
 // Package admitter does admission control for a node's local backend server. It limits
-// the running requests to the server's slots, limits the rate during a warm-up, starts
-// more urgent requests first, and rejects requests that cannot be served in time. It is
-// pure: callers pass the time.
+// the running requests to the server's slots, limits the rate during a warm-up and to what
+// the server accepts, starts more urgent requests first, and rejects requests that cannot
+// be served in time. It is pure: callers pass the time.
 package admitter
 
 import (
@@ -87,6 +87,8 @@
 	warmUpUntil timer.Instant
 	warmUpRate  float64
 	starts      []timer.Instant
+	// limit is the rate that the backend server accepts.
+	limit rateLimit
 }
 
 // NewAdmitter returns an admitter that admits nothing until its slots are set.
@@ -108,6 +110,22 @@
 	a.warmUpUntil, a.warmUpRate = until, rate
 }
 
+// SetRateLimit limits the backend server to rate requests per second.
+func (a *Admitter) SetRateLimit(rate float64, now timer.Instant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limit.set(rate, now)
+}
+
+// ClearRateLimit removes the limit of SetRateLimit and starts the requests that waited for
+// it.
+func (a *Admitter) ClearRateLimit(now timer.Instant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limit.clear()
+	a.admit(now)
+}
+
 // WarmingUp reports whether the backend server is warming up.
 func (a *Admitter) WarmingUp(now timer.Instant) bool {
 	a.mu.Lock()
@@ -184,7 +202,7 @@
 }
 
 // expectedWait predicts how long a request waits: the slots first run the requests ahead
-// of it at the mean duration.
+// of it at the mean duration, and all of them keep to the rates.
 func (a *Admitter) expectedWait(t *Ticket, now timer.Instant) time.Duration {
 	before := 1
 	for _, q := range a.queue {
@@ -197,11 +215,11 @@
 		warmUpWait := time.Duration(float64(before) / max(a.warmUpRate, 1) * float64(time.Second))
 		wait = max(wait, min(warmUpWait, a.warmUpUntil.Sub(now)))
 	}
-	return wait
+	return max(wait, a.limit.wait(before, now))
 }
 
 func (a *Admitter) canStart(now timer.Instant) bool {
-	return a.running < a.slots && a.warmUpAllows(now)
+	return a.running < a.slots && a.warmUpAllows(now) && a.limit.allows(now)
 }
 
 func (a *Admitter) warmUpAllows(now timer.Instant) bool {
@@ -219,6 +237,7 @@
 func (a *Admitter) start(t *Ticket, now timer.Instant) {
 	a.running++
 	t.started = now
+	a.limit.take(now)
 	a.starts = append(a.starts, now)
 	const kept = 256 // more than a server that is warming up accepts in the window
 	if len(a.starts) > kept {
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -134,6 +134,8 @@
 	}
 	if newStart {
 		f.leaving = f.left.SameStart(h.ID, h.StartedAtMillis)
+		f.notice = serverNotice{}
+		f.applyRateLimit(now)
 	}
 	changed := newStart || f.down || (h.Draining && !f.leaving)
 	f.lastHeartbeat, f.lastHeartbeatAt, f.down, f.failedConnects = h, now, false, 0
--- a/papayapass/internal/forwarder/notice.go
+++ b/papayapass/internal/forwarder/notice.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"papayapass.dev/papayapass/internal/exchanger"
+	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/shared/descriptor"
 )
@@ -15,26 +17,60 @@
 type serverNotice struct {
 	descriptor.ServerNotice
 
+	// namedAt is when the last response that named the limit in force arrived.
+	namedAt timer.Instant
 	// reportedAt is when the limit was last logged, and sent the number of requests sent to
 	// the backend server since then.
 	reportedAt timer.Instant
 	sent       int
 }
 
-// readNotice records what a response says about the backend server.
-func (f *Forwarder) readNotice(h http.Header) {
-	n, err := f.codec.Notice(h)
+// update applies a response to a request that was sent at an instant. Responses overtake
+// each other: only one to a request sent after the limit was last named may raise or end
+// it.
+func (n *serverNotice) update(next descriptor.ServerNotice, sent, now timer.Instant) {
+	if n.Limited && sent.Before(n.namedAt) && (!next.Limited || next.RateLimit > n.RateLimit) {
+		next.Limited, next.RateLimit = n.Limited, n.RateLimit
+	} else if next.Limited {
+		n.namedAt = now
+	}
+	n.ServerNotice = next
+}
+
+// readNotice applies what a response says about the backend server s, to which its request
+// was sent at an instant.
+func (f *Forwarder) readNotice(response *exchanger.Response, s partitioner.Server, sent timer.Instant) {
+	if response.Status == http.StatusMisdirectedRequest {
+		return // may come from another server at the address
+	}
+	n, err := f.codec.Notice(response.Header)
 	if err != nil {
-		f.logger.Warn().Err(err).Str("server", f.Server().ID).Msg("cannot decode the rate limit of the backend server")
+		f.logger.Warn().Err(err).Str("server", s.ID).Msg("cannot decode the rate limit of the backend server")
 		return
 	}
+	now := f.clock.Now()
 	f.mu.Lock()
-	changed := n != f.notice.ServerNotice
-	f.notice.ServerNotice = n
-	f.mu.Unlock()
-	if changed {
-		f.logger.Info().Str("server", f.Server().ID).Bool("limited", n.Limited).Float64("limit", n.RateLimit).
-			Bool("leaving", n.Leaving).Msg("backend server's notice changed")
+	defer f.mu.Unlock()
+	if !s.SameStart(f.lastHeartbeat.ID, f.lastHeartbeat.StartedAtMillis) {
+		return // the backend server has restarted since
+	}
+	before := f.notice.ServerNotice
+	f.notice.update(n, sent, now)
+	if n = f.notice.ServerNotice; n == before {
+		return
+	}
+	f.applyRateLimit(now)
+	f.logger.Info().Str("server", s.ID).Bool("limited", n.Limited).Float64("limit", n.RateLimit).
+		Bool("leaving", n.Leaving).Msg("backend server's notice changed")
+}
+
+// applyRateLimit makes the admitter keep the limit that the backend server names. The caller
+// holds f.mu.
+func (f *Forwarder) applyRateLimit(now timer.Instant) {
+	if f.notice.Limited {
+		f.admitter.SetRateLimit(f.notice.RateLimit, now)
+	} else {
+		f.admitter.ClearRateLimit(now)
 	}
 }
 
--- /dev/null
+++ b/papayapass/internal/forwarder/notice_test.go
@@ -0,0 +1,115 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// noticeServer is a backend server whose responses carry the headers last set.
+type noticeServer struct {
+	headers atomic.Pointer[map[string]string]
+	runs    atomic.Int32
+}
+
+func (s *noticeServer) say(headers map[string]string) {
+	headers["Seal"] = "s"
+	s.headers.Store(&headers)
+}
+
+func (s *noticeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.runs.Add(1)
+	respond(http.StatusOK, *s.headers.Load())(w, r)
+}
+
+// serveAtOnce serves a call that may not wait in the queue.
+func (f *testForwarder) serveAtOnce() dispatcher.Result {
+	c := f.call(true)
+	c.NoQueue = true
+	return f.Serve(context.Background(), c)
+}
+
+// Incident 0013: a backend server that named a limit of 8.9 requests per second got 94 in 4 s.
+func TestRateLimitOfBackendServerIsKept(t *testing.T) {
+	server := &noticeServer{}
+	f := newTestForwarder(t, server.ServeHTTP)
+	server.say(map[string]string{"Limit": "0"})
+	require.Equal(t, dispatcher.Answered, f.serveAtOnce().Outcome)
+	for range 5 {
+		res := f.serveAtOnce()
+		require.Equal(t, dispatcher.ReasonBusy, res.Reason)
+		require.Greater(t, res.Retry, time.Second, "the customer is told when there is room")
+	}
+	require.EqualValues(t, 1, server.runs.Load())
+}
+
+// A response without the limit that overtakes others must not let a burst through.
+func TestLateResponsesDoNotRaiseRateLimit(t *testing.T) {
+	limited := func(rate float64) descriptor.ServerNotice {
+		return descriptor.ServerNotice{Limited: true, RateLimit: rate}
+	}
+	const namedAt = timer.Instant(100)
+	cases := map[string]struct {
+		next descriptor.ServerNotice
+		sent timer.Instant
+		want descriptor.ServerNotice
+	}{
+		"end, sent before": {next: descriptor.ServerNotice{}, sent: 99, want: limited(9)},
+		"end, sent after":  {next: descriptor.ServerNotice{}, sent: 101, want: descriptor.ServerNotice{}},
+		"higher, before":   {next: limited(12), sent: 99, want: limited(9)},
+		"higher, after":    {next: limited(12), sent: 101, want: limited(12)},
+		"lower, before":    {next: limited(5), sent: 99, want: limited(5)},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := serverNotice{}
+			n.update(limited(9), 1, namedAt)
+			n.update(tt.next, tt.sent, 110)
+			require.Equal(t, tt.want, n.ServerNotice)
+		})
+	}
+}
+
+func TestRateLimitEndsWithServer(t *testing.T) {
+	cases := map[string]func(*testForwarder, *noticeServer){
+		"restart of the backend server": func(f *testForwarder, _ *noticeServer) {
+			h := f.heartbeat()
+			h.ID, h.StartedAtMillis, h.Sequence = "server-2", 20, 1
+			f.Heartbeat(h)
+		},
+		"response without a limit": func(f *testForwarder, server *noticeServer) {
+			server.say(map[string]string{})
+			require.Eventually(t, func() bool { return f.serveAtOnce().Outcome == dispatcher.Answered }, time.Second, time.Millisecond)
+		},
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := &noticeServer{}
+			f := newTestForwarder(t, server.ServeHTTP)
+			server.say(map[string]string{"Limit": "40"})
+			f.Serve(context.Background(), f.call(true))
+			server.say(map[string]string{})
+			end(f, server)
+			for range 20 {
+				require.Equal(t, dispatcher.Answered, f.serveAtOnce().Outcome)
+			}
+		})
+	}
+}
+
+// The address of a backend server that is gone may belong to another one, whose rejection
+// says nothing about this one.
+func TestRejectionOfOtherServerNamesNoLimit(t *testing.T) {
+	f := newTestForwarder(t, respond(http.StatusMisdirectedRequest, map[string]string{"Limit": "1", "Not-Run": "1"}))
+	f.Serve(context.Background(), f.call(true))
+	n, _ := f.Notice()
+	require.False(t, n.Limited)
+}
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -161,7 +161,8 @@
 	if f.tracer.Enabled() {
 		h.Set("Traceparent", parent)
 	}
-	f.codec.SetRequestHeaders(h, f.Server().ID, c.Caller, left)
+	server := f.Server()
+	f.codec.SetRequestHeaders(h, server.ID, c.Caller, left)
 	maxIdleTime := maxIdleNonIdempotent
 	if c.Idempotent {
 		maxIdleTime = maxIdleIdempotent
@@ -183,6 +184,7 @@
 		f.logger.Info().Str("request", c.ID).Err(err).Dur("elapsed", f.clock.Now().Sub(sent)).Msg("backend server gave no whole answer")
 		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Sent: true}, timedOut
 	default:
+		f.readNotice(response, server, sent)
 		res, ran := f.interpret(c, response)
 		return res, ran || timedOut
 	}
@@ -194,7 +196,6 @@
 	f.mu.Lock()
 	f.failedConnects = 0
 	f.mu.Unlock()
-	f.readNotice(response.Header)
 	switch {
 	case f.codec.NotRun(response.Status, response.Header):
 		f.logger.Info().Str("request", c.ID).Int("status", response.Status).Uint16("key", c.Key).
