Stop sending to a backend server whose responses say that it leaves

What callers would see: requests sent to a backend server that is about to stop, and cut off there.

Server-Leaving was not read; a node learned of the leave from heartbeats only, and those may be held up for seconds while responses arrive.

Change: a response that says so marks the backend server as leaving, as a heartbeat or a leave notice does: new requests are rejected as not run, keys move, the coordinator is told at once. Only a new start of the backend server ends it, and a response that an earlier start sent does not count.

Test: TestBackendServerThatLeavesByResponseGetsNoMoreRequests failed before ("expected no-server, actual answered").

--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -219,16 +219,19 @@
 
 // Leave handles the backend server's notice that it accepts no more requests.
 func (f *Forwarder) Leave(id string) {
-	f.mu.Lock()
-	if id != f.lastHeartbeat.ID {
-		f.mu.Unlock()
-		return
+	if s := f.Server(); s.ID == id {
+		f.markLeaving(s)
 	}
-	changed := !f.leaving
-	f.leaving = true
+}
+
+// markLeaving takes the backend server s out of use, unless it has restarted since.
+func (f *Forwarder) markLeaving(s partitioner.Server) {
+	f.mu.Lock()
+	changed := !f.leaving && s.SameStart(f.lastHeartbeat.ID, f.lastHeartbeat.StartedAtMillis)
+	f.leaving = f.leaving || changed
 	f.mu.Unlock()
 	if changed {
-		f.logger.Info().Str("server", id).Msg("backend server leaves")
+		f.logger.Info().Str("server", s.ID).Msg("backend server leaves")
 		f.granter.SetServer(f.Server())
 		f.node.TriggerHeartbeat()
 	}
--- a/papayapass/internal/forwarder/notice.go
+++ b/papayapass/internal/forwarder/notice.go
@@ -48,6 +48,9 @@
 		f.logger.Warn().Err(err).Str("server", s.ID).Msg("cannot decode the rate limit of the backend server")
 		return
 	}
+	if n.Leaving {
+		f.markLeaving(s)
+	}
 	now := f.clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/papayapass/internal/forwarder/notice_test.go
+++ b/papayapass/internal/forwarder/notice_test.go
@@ -113,3 +113,25 @@
 	n, _ := f.Notice()
 	require.False(t, n.Limited)
 }
+
+// A backend server whose heartbeats are held up says only in its responses that it leaves.
+func TestBackendServerThatLeavesByResponseGetsNoMoreRequests(t *testing.T) {
+	server := &noticeServer{}
+	f := newTestForwarder(t, server.ServeHTTP)
+	server.say(map[string]string{"Leaving": "1"})
+	before := f.node.triggers.Load()
+	require.Equal(t, dispatcher.Answered, f.serveAtOnce().Outcome, "a response that is ready is delivered")
+	require.Greater(t, f.node.triggers.Load(), before, "the coordinator is told at once")
+	require.Equal(t, dispatcher.ReasonNoServer, f.serveAtOnce().Reason)
+
+	h := f.heartbeat()
+	h.Sequence++
+	f.Heartbeat(h) // one from before it left
+	require.Equal(t, dispatcher.ReasonNoServer, f.serveAtOnce().Reason)
+	require.EqualValues(t, 1, server.runs.Load())
+
+	server.say(map[string]string{})
+	h.ID, h.StartedAtMillis, h.Sequence = "server-2", 20, 1
+	f.Heartbeat(h)
+	require.Equal(t, dispatcher.Answered, f.serveAtOnce().Outcome, "its successor gets requests")
+}
