Count requests from before a rate limit in its first window

Cause: the token bucket starts empty and knows nothing of the 29 requests a second that the server had got until then. The first request once the limit is binding completes a window of 4 s that still contains some of them.

Change: the admitter keeps the starts of the last 4 s; under a limit, a request starts only if the window that it ends stays within the server's tolerance. The warm-up rate uses the same log, which is bounded by time and no longer by 256 entries.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -86,7 +86,7 @@
 	// warmUpUntil and warmUpRate limit the starts while the backend server warms up.
 	warmUpUntil timer.Instant
 	warmUpRate  float64
-	starts      []timer.Instant
+	starts      startLog
 	// limit is the rate that the backend server accepts.
 	limit rateLimit
 }
@@ -215,34 +215,25 @@
 		warmUpWait := time.Duration(float64(before) / max(a.warmUpRate, 1) * float64(time.Second))
 		wait = max(wait, min(warmUpWait, a.warmUpUntil.Sub(now)))
 	}
-	return max(wait, a.limit.wait(before, now))
+	return max(wait, a.limit.wait(before, &a.starts, now))
 }
 
 func (a *Admitter) canStart(now timer.Instant) bool {
-	return a.running < a.slots && a.warmUpAllows(now) && a.limit.allows(now)
+	return a.running < a.slots && a.warmUpAllows(now) && a.limit.wait(1, &a.starts, now) == 0
 }
 
 func (a *Admitter) warmUpAllows(now timer.Instant) bool {
 	if now >= a.warmUpUntil {
 		return true
 	}
-	n := 0
-	for n < len(a.starts) && now.Sub(a.starts[n]) >= warmUpWindow {
-		n++
-	}
-	a.starts = a.starts[n:]
-	return float64(len(a.starts)) < a.warmUpRate*(1-warmUpReserve)
+	return float64(a.starts.within(warmUpWindow, now)) < a.warmUpRate*(1-warmUpReserve)
 }
 
 func (a *Admitter) start(t *Ticket, now timer.Instant) {
 	a.running++
 	t.started = now
 	a.limit.take(now)
-	a.starts = append(a.starts, now)
-	const kept = 256 // more than a server that is warming up accepts in the window
-	if len(a.starts) > kept {
-		a.starts = a.starts[len(a.starts)-kept:]
-	}
+	a.starts.add(now)
 }
 
 // Done records the end of a started request; ran is false when its duration does not
--- a/papayapass/internal/admitter/ratelimit.go
+++ b/papayapass/internal/admitter/ratelimit.go
@@ -12,6 +12,11 @@
 	// minRateLimit is the lowest limit, in requests per second. Only a response tells when
 	// a limit has ended, so a limit of zero must let some requests through.
 	minRateLimit = 0.2
+	// A backend server tolerates half more than its limit, and five requests, in a
+	// limitWindow. The window also covers what it got before it named the limit.
+	limitWindow     = 4 * time.Second
+	windowTolerance = 1.4
+	windowSlack     = 4
 )
 
 // rateLimit is a token bucket; a request takes one token. The zero value limits nothing.
@@ -48,8 +53,10 @@
 	}
 }
 
-// allows reports whether a request may start now.
-func (l *rateLimit) allows(now timer.Instant) bool { return l.wait(1, now) == 0 }
+// perWindow returns the most requests in a limitWindow.
+func (l *rateLimit) perWindow() int {
+	return int(l.rate*limitWindow.Seconds()*windowTolerance) + windowSlack
+}
 
 // take takes the token of a request that starts.
 func (l *rateLimit) take(now timer.Instant) {
@@ -59,12 +66,18 @@
 	}
 }
 
-// wait returns the time until n requests may have started.
-func (l *rateLimit) wait(n int, now timer.Instant) time.Duration {
+// wait returns the time until n requests may have started after those in the log.
+func (l *rateLimit) wait(n int, starts *startLog, now timer.Instant) time.Duration {
 	if !l.active() {
 		return 0
 	}
 	l.update(now)
-	missing := float64(n) - l.tokens
-	return max(0, time.Duration(missing/l.rate*float64(time.Second)))
+	paced := max(0, float64(n)-l.tokens)
+	following := float64(n - 1)
+	return max(l.seconds(paced), starts.wait(l.perWindow(), limitWindow, now)+l.seconds(following))
+}
+
+// seconds returns the time in which the limit admits a number of requests.
+func (l *rateLimit) seconds(requests float64) time.Duration {
+	return time.Duration(requests / l.rate * float64(time.Second))
 }
--- a/papayapass/internal/admitter/ratelimit_test.go
+++ b/papayapass/internal/admitter/ratelimit_test.go
@@ -93,3 +93,41 @@
 	a.SetRateLimit(40, now)
 	require.LessOrEqual(t, a.limit.tokens, 1.0)
 }
+
+// A backend server that named 1.2 requests per second had got 29 per second before; with
+// those, it got 16 in 4 s when 12 were allowed.
+func TestRateLimitCountsRequestsFromBeforeIt(t *testing.T) {
+	for name, rates := range map[string]struct{ before, limit float64 }{
+		"a tenth": {29, 1.2}, "a half": {40, 20}, "slightly less": {40, 38}, "zero": {29, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const named, settled, window = 5 * time.Second, 3 * time.Second, 4 * time.Second
+			a := newTestAdmitter(100)
+			starts := startsUnderLimit(a, time.Duration(float64(time.Second)/rates.before), named)
+			a.SetRateLimit(rates.limit, timer.Instant(named))
+			for now := timer.Instant(named); now < timer.Instant(named+20*time.Second); now = now.Add(10 * time.Millisecond) {
+				if ticket, d, _ := a.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: far}, now, false); d == Start {
+					starts = append(starts, now)
+					a.Done(ticket, false, now)
+				}
+			}
+			after := 0
+			for i, end := range starts {
+				if end < timer.Instant(named) {
+					continue
+				}
+				after++
+				n := 0
+				for _, s := range starts[:i+1] {
+					if end.Sub(s) < window {
+						n++
+					}
+				}
+				if end >= timer.Instant(named+settled) {
+					require.LessOrEqual(t, float64(n), 1.5*rates.limit*window.Seconds()+5)
+				}
+			}
+			require.Greater(t, float64(after), 0.8*rates.limit*20-1, "the rate is used")
+		})
+	}
+}
