Give keys and requests to backend servers by what their rate limits leave

Cause: the planner and the choice in shared pools counted slots only. A server with 12 slots that accepts 9 requests per second can use about one of them; it kept the work of five, and what it rejected came back to it.

Change: heartbeats and load reports carry the rate limit. The planner divides work by capacity, the slots that the limit lets a server use at its mean duration, and moves as much as makes two members equal at their capacities; the mean utilization weighs members by capacity. The cost of a server in a shared pool uses the same number of slots.

Test: TestKeysLeaveBackendServersWithRateLimit, with the former rule (by slots) beside it: 8 busy slots refused a round by slots, under 0.5 by capacity.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -117,6 +117,13 @@
 	a.limit.set(rate, now)
 }
 
+// RateLimit returns the limit in requests per second, or zero if there is none.
+func (a *Admitter) RateLimit() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limit.rate
+}
+
 // ClearRateLimit removes the limit of SetRateLimit and starts the requests that waited for
 // it.
 func (a *Admitter) ClearRateLimit(now timer.Instant) {
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -294,7 +294,7 @@
 func (f *Forwarder) FillLoad(h *overseer.Heartbeat) {
 	h.WarmingUp = f.admitter.WarmingUp(f.clock.Now())
 	h.Running, h.Waiting = f.admitter.Counts()
-	h.MeanDuration = f.admitter.Mean()
+	h.MeanDuration, h.RateLimit = f.admitter.Mean(), f.admitter.RateLimit()
 }
 
 // Tick marks the backend server as down if its heartbeats are missing, and starts waiting
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -39,12 +39,22 @@
 	Waiting int `json:"waiting,omitempty"`
 	// MeanDuration is the mean duration of the requests that ended there.
 	MeanDuration time.Duration `json:"mean,omitempty"`
+	// RateLimit is the limit that the backend server names, in requests per second; zero
+	// means none.
+	RateLimit float64 `json:"rateLimit,omitempty"`
 	// ConfigurationVersion is the version of the configuration that the node uses.
 	ConfigurationVersion uint64 `json:"configurationVersion,omitempty"`
 	// Wait is how long the reply may be delayed until there is a change to send.
 	Wait time.Duration `json:"wait,omitempty"`
 }
 
+// ServerLoad returns the load of the sender's backend server.
+func (h Heartbeat) ServerLoad() ServerLoad {
+	return ServerLoad{
+		Node: h.Member.ID, Running: h.Running, Waiting: h.Waiting, MeanDuration: h.MeanDuration, WarmingUp: h.WarmingUp, RateLimit: h.RateLimit,
+	}
+}
+
 // ServerLoad is the load of a node's local backend server.
 type ServerLoad struct {
 	Node         partitioner.NodeID `json:"node"`
@@ -52,6 +62,16 @@
 	Waiting      int                `json:"waiting"`
 	MeanDuration time.Duration      `json:"mean"`
 	WarmingUp    bool               `json:"cold,omitempty"`
+	// RateLimit is as in Heartbeat.
+	RateLimit float64 `json:"rateLimit,omitempty"`
+}
+
+// Slots returns how many of a backend server's slots requests can use under its rate limit.
+func (l ServerLoad) Slots(all int) float64 {
+	if l.RateLimit <= 0 || l.MeanDuration <= 0 {
+		return float64(all)
+	}
+	return min(float64(all), l.RateLimit*l.MeanDuration.Seconds())
 }
 
 // HeartbeatReply is the coordinator's reply to a heartbeat.
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -357,14 +357,12 @@
 // of their own zone, and ask nodes of other zones for a free slot.
 func (o *Overseer) serverLoads(zone string, now timer.Instant) []ServerLoad {
 	var out []ServerLoad
-	for id, n := range o.nodes {
+	for _, n := range o.nodes {
 		s := n.lastHeartbeat.Member.Server
 		if s.ID == "" || s.Divided || n.lastHeartbeat.Member.Zone != zone || now.Sub(n.lastHeartbeatAt) > heartbeatTimeout {
 			continue
 		}
-		out = append(out, ServerLoad{
-			Node: id, Running: n.lastHeartbeat.Running, Waiting: n.lastHeartbeat.Waiting, MeanDuration: n.lastHeartbeat.MeanDuration, WarmingUp: n.lastHeartbeat.WarmingUp,
-		})
+		out = append(out, n.lastHeartbeat.ServerLoad())
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
 	return out
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -79,8 +79,12 @@
 	}
 	speeds := o.speeds()
 	for id, n := range o.nodes {
+		capacity := 0.0
+		if load := n.lastHeartbeat.ServerLoad(); load.RateLimit > 0 {
+			capacity = load.Slots(n.lastHeartbeat.Member.Server.Slots)
+		}
 		out[id] = partitioner.MemberState{
-			Speed:        speeds[id],
+			Speed: speeds[id], Capacity: capacity,
 			LeaseExpired: o.leaseExpired(id, now), Silent: now.Sub(n.lastHeartbeatAt) > heartbeatTimeout,
 			Excluded: o.zonesOut[n.lastHeartbeat.Member.Zone], WarmingUp: n.lastHeartbeat.WarmingUp, GrantInDoubt: n.lastHeartbeat.GrantInDoubt,
 		}
--- a/papayapass/internal/participant/view.go
+++ b/papayapass/internal/participant/view.go
@@ -94,7 +94,7 @@
 	if m.ID == p.self.ID {
 		var h overseer.Heartbeat
 		p.forwarder.FillLoad(&h)
-		load = overseer.ServerLoad{Running: h.Running, Waiting: h.Waiting, MeanDuration: h.MeanDuration, WarmingUp: h.WarmingUp}
+		load = h.ServerLoad()
 	}
 	mean := load.MeanDuration
 	if mean == 0 {
@@ -104,7 +104,7 @@
 	if m.ID != p.self.ID {
 		n = max(n, float64(p.peer(m.Address).InFlight()))
 	}
-	slots := float64(max(m.Server.Slots, 1))
+	slots := load.Slots(max(m.Server.Slots, 1))
 	use := min(n/slots, 1)
 	expected := float64(mean) * (1 + busySlowdown*use*use + max(0, n+1-slots)/slots)
 	if load.WarmingUp {
--- a/papayapass/internal/partitioner/balance.go
+++ b/papayapass/internal/partitioner/balance.go
@@ -68,7 +68,7 @@
 	}
 	// The idle member is filled only up to the mean, so that a run with the work of many
 	// members is spread over many at once instead of being halved repeatedly.
-	want := min(gap/2, u.mean(s.members)-u.utilization(idle)) * float64(min(full.Server.Slots, idle.Server.Slots))
+	want := min(u.equalizing(full, idle), (u.mean(s.members)-u.utilization(idle))*u.capacity(idle))
 	if want < minMoveWork {
 		return false
 	}
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -47,6 +47,9 @@
 	// Speed is the measured speed of the backend server relative to the mean of its
 	// service; zero means unknown.
 	Speed float64
+	// Capacity is the number of slots that the backend server can use under the rate limit
+	// that it names; zero means all of them.
+	Capacity float64
 	// GrantInDoubt is set while keys would leave the node only after a whole hold.
 	GrantInDoubt bool
 }
--- a/papayapass/internal/partitioner/replay_test.go
+++ b/papayapass/internal/partitioner/replay_test.go
@@ -33,9 +33,9 @@
 	l := r.loads[permits]
 	l.Decay(1 - roundWeight)
 	for _, m := range r.table.Members {
-		offered := utilizationOf(r.table, r.demand, m.ID)
-		ran := min(1, 1/offered)
-		r.refused += poolSlots * offered * (1 - ran)
+		offered := poolSlots * utilizationOf(r.table, r.demand, m.ID)
+		ran := min(1, r.capacity(m.ID)/offered)
+		r.refused += offered * (1 - ran)
 		if r.reportsOffered {
 			ran = 1
 		}
@@ -69,10 +69,17 @@
 	return out
 }
 
+func (r *replay) capacity(id NodeID) float64 {
+	if c := r.states[id].Capacity; c > 0 {
+		return c
+	}
+	return poolSlots
+}
+
 func (r *replay) overloaded() int {
 	n := 0
 	for _, m := range r.table.Members {
-		if utilizationOf(r.table, r.demand, m.ID) > 1 {
+		if poolSlots*utilizationOf(r.table, r.demand, m.ID) > r.capacity(m.ID) {
 			n++
 		}
 	}
@@ -107,3 +114,36 @@
 	}
 	require.Less(t, refused[true], refused[false]/2)
 }
+
+// Four of six backend servers name a rate limit and can use two of their ten slots; the
+// other two have room for the rest. By slots alone, the limited ones keep work for four.
+func TestKeysLeaveBackendServersWithRateLimit(t *testing.T) {
+	const rounds = 60
+	refused := make(map[bool]float64)
+	for name, knowsLimits := range map[string]bool{"by slots": false, "by capacity": true} {
+		t.Run(name, func(t *testing.T) {
+			table, states, loads := testPool(t, 6)
+			r := &replay{table: table, states: states, loads: loads, demand: NewLoads(), reportsOffered: true}
+			for k := range KeyCount {
+				r.demand.Add(uint16(k), 24.0/KeyCount)
+			}
+			limits := make(map[NodeID]MemberState)
+			for i, m := range table.Members {
+				if i >= 2 {
+					limits[m.ID] = MemberState{Capacity: 2}
+				}
+			}
+			if knowsLimits {
+				r.states = limits
+			}
+			for range rounds {
+				r.round()
+			}
+			r.states, r.refused = limits, 0
+			r.round()
+			refused[knowsLimits] = r.refused
+		})
+	}
+	require.InDelta(t, 8, refused[false], 0.5, "four servers refuse half of what they are offered")
+	require.Less(t, refused[true], 0.5)
+}
--- a/papayapass/internal/partitioner/usage.go
+++ b/papayapass/internal/partitioner/usage.go
@@ -3,12 +3,12 @@
 // usage is the planned work of each member, in busy slots.
 type usage struct {
 	work map[NodeID]float64
-	// slotWeight is the weight of a member's slots; one where it is not set.
-	slotWeight map[NodeID]float64
+	// capacities are in slots; a member that is not listed can use all of its slots.
+	capacities map[NodeID]float64
 }
 
 func (p *Plan) plannedUsage(d *Division) *usage {
-	u := &usage{work: make(map[NodeID]float64), slotWeight: make(map[NodeID]float64)}
+	u := &usage{work: make(map[NodeID]float64), capacities: make(map[NodeID]float64)}
 	l := p.loadsOf(d.Service)
 	for _, r := range d.Ranges {
 		owner := r.Owner
@@ -17,42 +17,61 @@
 		}
 		u.add(owner, l.Sum(r.First, r.Last))
 	}
-	p.setWeights(u, p.candidates(d.Service))
+	p.setCapacities(u, p.candidates(d.Service))
 	return u
 }
 
-// setWeights gives fast backend servers more weight at low utilization, where a request
+// setCapacities gives fast backend servers more capacity at low utilization, where a request
 // may be late at a slow server but in time at a fast one. In an overload all slots weigh
-// the same.
-func (p *Plan) setWeights(u *usage, list []Member) {
-	if len(list) == 0 {
-		return
+// the same. A rate limit caps the capacity at any utilization.
+func (p *Plan) setCapacities(u *usage, list []Member) {
+	for _, m := range list {
+		if limited := p.states[m.ID].Capacity; limited > 0 {
+			u.capacities[m.ID] = min(limited, u.capacity(m))
+		}
 	}
 	influence := min(max((highUtilization-u.mean(list))/(highUtilization-lowUtilization), 0), 1)
 	for _, m := range list {
-		if s := p.states[m.ID].Speed; s > 0 {
-			u.slotWeight[m.ID] = 1 + influence*(min(max(s, minSpeed), maxSpeed)-1)
+		s := p.states[m.ID]
+		if s.Speed <= 0 {
+			continue
+		}
+		u.capacities[m.ID] = float64(max(m.Server.Slots, 1)) * (1 + influence*(min(max(s.Speed, minSpeed), maxSpeed)-1))
+		if s.Capacity > 0 {
+			u.capacities[m.ID] = min(u.capacities[m.ID], s.Capacity)
 		}
 	}
 }
 
 func (u *usage) add(id NodeID, work float64) { u.work[id] += work }
 
-func (u *usage) utilization(m Member) float64 {
-	slots := float64(max(m.Server.Slots, 1))
-	if w := u.slotWeight[m.ID]; w > 0 {
-		slots *= w
+func (u *usage) capacity(m Member) float64 {
+	if c, ok := u.capacities[m.ID]; ok {
+		return c
 	}
-	return u.work[m.ID] / slots
+	return float64(max(m.Server.Slots, 1))
 }
 
-// mean returns the mean utilization of the given members.
+func (u *usage) utilization(m Member) float64 { return u.work[m.ID] / u.capacity(m) }
+
+// mean returns the utilization of the given members together.
 func (u *usage) mean(list []Member) float64 {
-	sum := 0.0
+	work, capacity := 0.0, 0.0
 	for _, m := range list {
-		sum += u.utilization(m)
+		work += u.work[m.ID]
+		capacity += u.capacity(m)
 	}
-	return sum / float64(len(list))
+	if capacity == 0 {
+		return 0
+	}
+	return work / capacity
+}
+
+// equalizing returns the work that makes two members equally utilized when it moves from
+// one to the other.
+func (u *usage) equalizing(from, to Member) float64 {
+	a, b := u.capacity(from), u.capacity(to)
+	return (u.utilization(from) - u.utilization(to)) * a * b / (a + b)
 }
 
 func (u *usage) leastUtilized(list []Member) Member {
