Tell a restarted node the rate limit of its backend server

Cause: a node knows the limit from responses only, and a new process has had none. The requests of other nodes, which had the limit in their responses, go on.

Change: results between nodes carry the backend server's notice with its id and start time, and calls carry what the caller knows of it. A node that has no response of its own takes a limit from the call, if it is of the start that it knows; also a leave. No store or coordinator is needed, so it holds in their outages too, and a first request of another node finds the limit in force.

Test: TestRateLimitOutlivesRestartOfNode failed before ("expected not-run, actual answered"); other starts and other servers at the address are not limited.

--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -37,6 +37,18 @@
 	Memory *budgeter.Lease
 	// NoQueue means that the call is rejected rather than queued if no slot is free.
 	NoQueue bool
+	// Notice is what the calling node knows of the backend server.
+	Notice Notice
+}
+
+// Notice is what one start of a backend server said about itself in a response. Calls and
+// results carry it, so that a node that restarts learns it from the others before the
+// backend server's next response.
+type Notice struct {
+	descriptor.ServerNotice
+
+	Server          string `json:"server"`
+	StartedAtMillis int64  `json:"born"`
 }
 
 // Outcome is the outcome of a call.
@@ -93,6 +105,8 @@
 	Retry time.Duration
 	// Sent means that the request was sent to the backend server.
 	Sent bool
+	// Notice is what the backend server last said about itself.
+	Notice Notice
 }
 
 // HeaderCodec reads and writes the platform's headers.
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -16,6 +16,7 @@
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/tracer"
+	"papayapass.dev/shared/descriptor"
 )
 
 // CallPath is the path of calls from other nodes.
@@ -50,6 +51,7 @@
 	Left       int64       `json:"leftMillis"` // until the deadline
 	NoQueue    bool        `json:"impatient,omitempty"`
 	Trace      string      `json:"trace,omitempty"`
+	Notice     *Notice     `json:"notice,omitempty"`
 }
 
 // resultHead is the head of the result of a call; the response's body follows it.
@@ -60,6 +62,7 @@
 	Sent    bool        `json:"offered,omitempty"`
 	Status  int         `json:"status,omitempty"`
 	Header  http.Header `json:"header,omitempty"`
+	Notice  *Notice     `json:"notice,omitempty"`
 }
 
 // Peer serves calls at the backend server of another node.
@@ -72,6 +75,8 @@
 	mu           sync.Mutex
 	backoffUntil timer.Instant
 	inFlight     int
+	// notice is what the backend server of the peer last said about itself.
+	notice Notice
 }
 
 // NewPeer returns a peer at an IP address and port.
@@ -116,7 +121,7 @@
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: c.Header, Route: c.Route, Service: c.Service,
 		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority,
 		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
-		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), NoQueue: c.NoQueue, Trace: c.Trace,
+		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), NoQueue: c.NoQueue, Trace: c.Trace, Notice: p.knownNotice(),
 	}, c.Body)
 	if err != nil {
 		return Result{Outcome: NotRun, Reason: ReasonBroken}
@@ -137,6 +142,34 @@
 	}
 }
 
+// knownNotice returns the peer's notice, or nil if there is nothing to tell.
+func (p *Peer) knownNotice() *Notice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.notice.orNil()
+}
+
+// orNil returns the notice, or nil if the backend server said nothing.
+func (n Notice) orNil() *Notice {
+	if n.ServerNotice == (descriptor.ServerNotice{}) {
+		return nil
+	}
+	return &n
+}
+
+// keepNotice keeps the notice of a result; a result that the backend server had no part in
+// may carry none.
+func (p *Peer) keepNotice(n *Notice, sent bool) Notice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n != nil {
+		p.notice = *n
+	} else if sent {
+		p.notice = Notice{}
+	}
+	return p.notice
+}
+
 func (p *Peer) decode(response *exchanger.Response) Result {
 	var head resultHead
 	body, err := p.enveloper.Open(response.Body, &head)
@@ -144,6 +177,7 @@
 		return Result{Outcome: Unknown, Reason: ReasonBroken, Sent: true}
 	}
 	r := Result{Reason: head.Reason, Retry: time.Duration(head.Retry) * time.Millisecond, Sent: head.Sent}
+	r.Notice = p.keepNotice(head.Notice, head.Sent)
 	switch head.Outcome {
 	case Answered.String():
 		r.Outcome, r.Response = Answered, &exchanger.Response{Status: head.Status, Header: head.Header, Body: body}
@@ -190,15 +224,19 @@
 	}
 	ctx, span, trace := p.tracer.Start(r.Context(), "serve for a node", head.Trace, trace.SpanKindServer)
 	defer span.End()
-	res := p.server.Serve(ctx, &Call{
+	c := &Call{
 		ID: head.ID, Method: head.Method, URI: head.URI, Host: head.Host, Header: head.Header, Body: body,
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
 		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), NoQueue: head.NoQueue,
 		Trace: trace, Memory: memory,
-	})
+	}
+	if head.Notice != nil {
+		c.Notice = *head.Notice
+	}
+	res := p.server.Serve(ctx, c)
 	result := resultHead{
-		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Sent: res.Sent,
+		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Sent: res.Sent, Notice: res.Notice.orNil(),
 	}
 	body = nil
 	if res.Outcome == Answered {
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -227,7 +227,7 @@
 // markLeaving takes the backend server s out of use, unless it has restarted since.
 func (f *Forwarder) markLeaving(s partitioner.Server) {
 	f.mu.Lock()
-	changed := !f.leaving && s.SameStart(f.lastHeartbeat.ID, f.lastHeartbeat.StartedAtMillis)
+	changed := !f.leaving && f.lastHeartbeat.SameStart(s.ID, s.StartedAtMillis)
 	f.leaving = f.leaving || changed
 	f.mu.Unlock()
 	if changed {
--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -69,14 +69,21 @@
 	t.Helper()
 	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
-	f := &testForwarder{node: &fakeNode{cfg: &descriptor.Configuration{Services: map[string]descriptor.Service{"permits": {Divided: true, WarmUpRate: 18}, "records": {}}}}}
-	f.granter = granter.NewGranter("node-1", 10*time.Second, f.clock.Now().Add(-time.Minute))
-	f.Forwarder = NewForwarder(strings.TrimPrefix(s.URL, "http://"), "records", time.Second, fakeCodec{}, f.clock, f.granter, f.node, &tracer.Tracer{}, zerolog.Nop())
+	f := newTestForwarderAt(t, strings.TrimPrefix(s.URL, "http://"))
 	_, ok := f.Heartbeat(f.heartbeat())
 	require.True(t, ok)
 	return f
 }
 
+// newTestForwarderAt returns a forwarder to a backend server that has sent no heartbeat.
+func newTestForwarderAt(t *testing.T, address string) *testForwarder {
+	t.Helper()
+	f := &testForwarder{node: &fakeNode{cfg: &descriptor.Configuration{Services: map[string]descriptor.Service{"permits": {Divided: true, WarmUpRate: 18}, "records": {}}}}}
+	f.granter = granter.NewGranter("node-1", 10*time.Second, f.clock.Now().Add(-time.Minute))
+	f.Forwarder = NewForwarder(address, "records", time.Second, fakeCodec{}, f.clock, f.granter, f.node, &tracer.Tracer{}, zerolog.Nop())
+	return f
+}
+
 func (f *testForwarder) heartbeat() descriptor.Heartbeat {
 	return descriptor.Heartbeat{ID: "server-1", Service: f.service, Address: f.address, Slots: 2, Sequence: 5, StartedAtMillis: 10}
 }
--- a/papayapass/internal/forwarder/notice.go
+++ b/papayapass/internal/forwarder/notice.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
@@ -17,6 +18,8 @@
 type serverNotice struct {
 	descriptor.ServerNotice
 
+	// heard is set once a response of the backend server has arrived.
+	heard bool
 	// namedAt is when the last response that named the limit in force arrived.
 	namedAt timer.Instant
 	// reportedAt is when the limit was last logged, and sent the number of requests sent to
@@ -37,6 +40,33 @@
 	n.ServerNotice = next
 }
 
+// recallNotice applies what another node knows of the backend server, unless this node has
+// heard from the server itself.
+func (f *Forwarder) recallNotice(known dispatcher.Notice) {
+	if known.Leaving {
+		f.markLeaving(partitioner.Server{ID: known.Server, StartedAtMillis: known.StartedAtMillis})
+	}
+	if !known.Limited {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.notice.heard || f.notice.Limited || !f.lastHeartbeat.SameStart(known.Server, known.StartedAtMillis) {
+		return
+	}
+	now := f.clock.Now()
+	f.notice.update(known.ServerNotice, now, now)
+	f.applyRateLimit(now)
+	f.logger.Info().Str("server", known.Server).Float64("limit", known.RateLimit).Msg("rate limit of the backend server learned from another node")
+}
+
+// currentNotice returns what the backend server last said about itself, for other nodes.
+func (f *Forwarder) currentNotice() dispatcher.Notice {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return dispatcher.Notice{ServerNotice: f.notice.ServerNotice, Server: f.lastHeartbeat.ID, StartedAtMillis: f.lastHeartbeat.StartedAtMillis}
+}
+
 // readNotice applies what a response says about the backend server s, to which its request
 // was sent at an instant.
 func (f *Forwarder) readNotice(response *exchanger.Response, s partitioner.Server, sent timer.Instant) {
@@ -54,11 +84,12 @@
 	now := f.clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !s.SameStart(f.lastHeartbeat.ID, f.lastHeartbeat.StartedAtMillis) {
+	if !f.lastHeartbeat.SameStart(s.ID, s.StartedAtMillis) {
 		return // the backend server has restarted since
 	}
 	before := f.notice.ServerNotice
 	f.notice.update(n, sent, now)
+	f.notice.heard = true
 	if n = f.notice.ServerNotice; n == before {
 		return
 	}
--- a/papayapass/internal/forwarder/notice_test.go
+++ b/papayapass/internal/forwarder/notice_test.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -135,3 +140,51 @@
 	f.Heartbeat(h)
 	require.Equal(t, dispatcher.Answered, f.serveAtOnce().Outcome, "its successor gets requests")
 }
+
+// A node beside a backend server with a low limit restarts; the server got a burst from all
+// other nodes before its first response.
+func TestRateLimitOutlivesRestartOfNode(t *testing.T) {
+	cases := map[string]struct {
+		restart func(*descriptor.Heartbeat)
+		want    dispatcher.Outcome
+	}{
+		"of the node":                   {func(*descriptor.Heartbeat) {}, dispatcher.NotRun},
+		"of the backend server with it": {func(h *descriptor.Heartbeat) { h.StartedAtMillis++ }, dispatcher.Answered},
+		"of another one at its address": {func(h *descriptor.Heartbeat) { h.ID, h.StartedAtMillis = "server-2", 20 }, dispatcher.Answered},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := &noticeServer{}
+			server.say(map[string]string{"Limit": "0"})
+			node := newTestForwarder(t, server.ServeHTTP)
+			e := enveloper.NewEnveloper("")
+			handler := func(f *testForwarder) http.Handler {
+				return dispatcher.NewPeerHandler(f, f.clock, e, budgeter.NewBudget(1<<20), &tracer.Tracer{})
+			}
+			var current atomic.Pointer[http.Handler]
+			serve := func(f *testForwarder) {
+				h := handler(f)
+				current.Store(&h)
+			}
+			serve(node)
+			l := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*current.Load()).ServeHTTP(w, r) }))
+			t.Cleanup(l.Close)
+			peer := dispatcher.NewPeer(strings.TrimPrefix(l.URL, "http://"), node.clock, e)
+			call := func() dispatcher.Result {
+				c := node.call(true)
+				c.NoQueue = true
+				return peer.Serve(context.Background(), c)
+			}
+			require.Equal(t, dispatcher.Answered, call().Outcome)
+			require.Equal(t, dispatcher.ReasonBusy, call().Reason)
+
+			restarted := newTestForwarderAt(t, node.address)
+			h := node.heartbeat()
+			tt.restart(&h)
+			_, ok := restarted.Heartbeat(h)
+			require.True(t, ok)
+			serve(restarted)
+			require.Equal(t, tt.want, call().Outcome)
+		})
+	}
+}
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -17,6 +17,13 @@
 
 // Serve runs a call at the backend server.
 func (f *Forwarder) Serve(ctx context.Context, c *dispatcher.Call) dispatcher.Result {
+	f.recallNotice(c.Notice)
+	res := f.serve(ctx, c)
+	res.Notice = f.currentNotice()
+	return res
+}
+
+func (f *Forwarder) serve(ctx context.Context, c *dispatcher.Call) dispatcher.Result {
 	if r, ok := f.mayServe(c); !ok {
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: r}
 	}
--- a/shared/descriptor/heartbeat.go
+++ b/shared/descriptor/heartbeat.go
@@ -25,14 +25,20 @@
 	Keys *KeyListing
 }
 
+// SameStart reports whether the heartbeat is of the backend server with the given id and
+// start time.
+func (h Heartbeat) SameStart(id string, at int64) bool {
+	return h.ID == id && h.StartedAtMillis == at
+}
+
 // ServerNotice is what a backend server says about itself in a response.
 type ServerNotice struct {
 	// Limited is set when the backend server accepts only RateLimit requests per second
 	// from all nodes together.
-	Limited   bool
-	RateLimit float64
+	Limited   bool    `json:"limited,omitempty"`
+	RateLimit float64 `json:"rateLimit,omitempty"`
 	// Leaving is set when the backend server is about to stop.
-	Leaving bool
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Object is an object in the platform's store.
