Log the store's era, and tables that are older than the one in force

Cause: nothing in the logs told a restored store from one that had only been away, nor an older table from the newest.

Change: the platform's adapter reads Store-Era from all responses; objects, listings and writes carry the era with the revision.

--- a/papayapass/internal/commander/deployment.go
+++ b/papayapass/internal/commander/deployment.go
@@ -94,12 +94,12 @@
 		}
 		version = fmt.Sprintf("%d, %d routes", cfg.Version, len(cfg.Routes))
 	}
-	zonesOut, _, err := s.List(ctx, objects.ZonesOutKind)
+	zonesOut, err := s.List(ctx, objects.ZonesOutKind)
 	if err != nil {
 		return errors.Wrap(err, "read the zones out of service")
 	}
 	var zones []string
-	for _, z := range zonesOut {
+	for _, z := range zonesOut.Objects {
 		zones = append(zones, z.Name)
 	}
 	return writeDeployment(w, t, version, zones)
--- a/papayapass/internal/commander/deployment_test.go
+++ b/papayapass/internal/commander/deployment_test.go
@@ -31,8 +31,8 @@
 	return descriptor.Object{Spec: spec}, err
 }
 
-func (fakeStore) List(context.Context, string) ([]descriptor.Object, uint64, error) {
-	return []descriptor.Object{{Name: "zone-2"}}, 1, nil
+func (fakeStore) List(context.Context, string) (descriptor.Listing, error) {
+	return descriptor.Listing{Objects: []descriptor.Object{{Name: "zone-2"}}}, nil
 }
 
 func TestDeployment(t *testing.T) {
--- a/papayapass/internal/launcher/fakes_test.go
+++ b/papayapass/internal/launcher/fakes_test.go
@@ -30,7 +30,7 @@
 	return o, nil
 }
 
-func (s *memoryStore) List(_ context.Context, kind string) ([]descriptor.Object, uint64, error) {
+func (s *memoryStore) List(_ context.Context, kind string) (descriptor.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []descriptor.Object
@@ -39,18 +39,18 @@
 			out = append(out, o)
 		}
 	}
-	return out, s.revision, nil
+	return descriptor.Listing{Objects: out, State: descriptor.StoreState{Revision: s.revision}}, nil
 }
 
-func (s *memoryStore) Create(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+func (s *memoryStore) Create(_ context.Context, kind string, o descriptor.Object) (descriptor.StoreState, error) {
 	return s.write(kind, o, func(_ descriptor.Object, ok bool) bool { return !ok }, func(_, o descriptor.Object) descriptor.Object { return o })
 }
 
-func (s *memoryStore) Replace(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+func (s *memoryStore) Replace(_ context.Context, kind string, o descriptor.Object) (descriptor.StoreState, error) {
 	return s.write(kind, o, sameRevision(o), func(old, o descriptor.Object) descriptor.Object { o.Status = old.Status; return o })
 }
 
-func (s *memoryStore) ReplaceStatus(_ context.Context, kind string, o descriptor.Object) (uint64, error) {
+func (s *memoryStore) ReplaceStatus(_ context.Context, kind string, o descriptor.Object) (descriptor.StoreState, error) {
 	return s.write(kind, o, sameRevision(o), func(old, o descriptor.Object) descriptor.Object { o.Spec = old.Spec; return o })
 }
 
@@ -58,18 +58,18 @@
 	return func(old descriptor.Object, ok bool) bool { return ok && old.Revision == o.Revision }
 }
 
-func (s *memoryStore) write(kind string, o descriptor.Object, allowed func(descriptor.Object, bool) bool, merge func(old, o descriptor.Object) descriptor.Object) (uint64, error) {
+func (s *memoryStore) write(kind string, o descriptor.Object, allowed func(descriptor.Object, bool) bool, merge func(old, o descriptor.Object) descriptor.Object) (descriptor.StoreState, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.objects[kind+"/"+o.Name]
 	if !allowed(old, ok) {
-		return 0, descriptor.ErrConflict
+		return descriptor.StoreState{}, descriptor.ErrConflict
 	}
 	s.revision++
 	o = merge(old, o)
 	o.Revision = s.revision
 	s.objects[kind+"/"+o.Name] = o
-	return s.revision, nil
+	return descriptor.StoreState{Revision: s.revision}, nil
 }
 
 // fakeCodec reads and writes short header names.
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -162,18 +162,19 @@
 		return
 	}
 	sent := p.timers.Now()
+	var state descriptor.StoreState
 	var err error
 	switch {
 	case next != nil:
-		revision, err = p.writeTable(ctx, next, revision)
+		state, err = p.writeTable(ctx, next, revision)
 	case sent.Sub(p.lastWriteSent) >= overseer.RenewalInterval:
 		p.renewals++
-		revision, err = p.writeStatus(ctx, p.renewals, revision)
+		state, err = p.writeStatus(ctx, p.renewals, revision)
 	default:
 		return
 	}
 	p.lastWriteSent = sent
-	p.handleWriteResult(ctx, next, revision, sent, err)
+	p.handleWriteResult(ctx, next, state, sent, err)
 }
 
 func (p *Participant) plan() (*partitioner.Table, uint64, bool) {
@@ -195,10 +196,10 @@
 	return next, p.revision, true
 }
 
-func (p *Participant) writeTable(ctx context.Context, t *partitioner.Table, revision uint64) (uint64, error) {
+func (p *Participant) writeTable(ctx context.Context, t *partitioner.Table, revision uint64) (descriptor.StoreState, error) {
 	spec, err := encodeTable(t)
 	if err != nil {
-		return 0, err
+		return descriptor.StoreState{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -211,10 +212,10 @@
 	Renewals    int    `json:"renewals"`
 }
 
-func (p *Participant) writeStatus(ctx context.Context, renewals int, revision uint64) (uint64, error) {
+func (p *Participant) writeStatus(ctx context.Context, renewals int, revision uint64) (descriptor.StoreState, error) {
 	status, err := json.Marshal(renewalStatus{Incarnation: p.incarnation, Renewals: renewals})
 	if err != nil {
-		return 0, err
+		return descriptor.StoreState{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -222,9 +223,10 @@
 }
 
 // handleWriteResult handles the result of a write of the table's object.
-func (p *Participant) handleWriteResult(ctx context.Context, t *partitioner.Table, revision uint64, sent timer.Instant, err error) {
+func (p *Participant) handleWriteResult(ctx context.Context, t *partitioner.Table, state descriptor.StoreState, sent timer.Instant, err error) {
 	if err == nil {
-		p.confirmWrite(t, revision, sent)
+		p.observeEra(state.Era)
+		p.confirmWrite(t, state.Revision, sent)
 		return
 	}
 	p.logger.Warn().Err(err).Bool("table", t != nil).Msg("write of the table failed")
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -223,7 +223,13 @@
 	view := overseer.ElectionView{
 		Self: p.self.ID, Incarnation: p.incarnation, Stored: t, Known: p.table.Load(), CannotWrite: cannotWrite, Silent: p.coordinatorSilence(),
 	}
-	p.applyTable(t)
+	p.observeEra(o.Era)
+	if t.Newer(view.Known) {
+		p.applyTable(t)
+	} else if view.Known.Newer(t) {
+		p.logger.Warn().Uint64("era", o.Era).Uint64("revision", o.Revision).Uint64("epoch", t.Epoch).Uint64("version", t.Version).
+			Uint64("knownEpoch", view.Known.Epoch).Uint64("knownVersion", view.Known.Version).Msg("the stored table is older than the one in force")
+	}
 	step := view.NextStep()
 	if step == overseer.StepProbe {
 		p.probeMembers(ctx, &view)
@@ -293,13 +299,13 @@
 	wctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	sent := p.timers.Now()
-	revision, err := p.store.Create(wctx, tableKind, descriptor.Object{Name: tableName, Spec: spec})
+	state, err := p.store.Create(wctx, tableKind, descriptor.Object{Name: tableName, Spec: spec})
 	if err != nil {
 		p.logger.Info().Err(err).Msg("cannot create the first table")
 		return
 	}
 	p.applyTable(t)
-	p.startTerm(t, revision, sent)
+	p.startTerm(t, state.Revision, sent)
 }
 
 // claimRole takes the coordinator role by a conditional write.
@@ -313,14 +319,14 @@
 	sent := p.timers.Now()
 	wctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	revision, err = p.store.Replace(wctx, tableKind, descriptor.Object{Name: tableName, Revision: revision, Spec: spec})
+	state, err := p.store.Replace(wctx, tableKind, descriptor.Object{Name: tableName, Revision: revision, Spec: spec})
 	if err != nil {
 		p.logger.Info().Err(err).Uint64("epoch", next.Epoch).Msg("cannot take the coordinator role")
 		return
 	}
 	p.logger.Info().Uint64("epoch", next.Epoch).Msg("coordinator's role taken")
 	p.applyTable(next)
-	p.startTerm(next, revision, sent)
+	p.startTerm(next, state.Revision, sent)
 }
 
 // startTerm starts a term with a table that the store has acknowledged.
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -25,10 +25,10 @@
 // Store is the platform's object store.
 type Store interface {
 	Get(ctx context.Context, kind, name string) (descriptor.Object, error)
-	List(ctx context.Context, kind string) ([]descriptor.Object, uint64, error)
-	Create(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
-	Replace(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
-	ReplaceStatus(ctx context.Context, kind string, o descriptor.Object) (uint64, error)
+	List(ctx context.Context, kind string) (descriptor.Listing, error)
+	Create(ctx context.Context, kind string, o descriptor.Object) (descriptor.StoreState, error)
+	Replace(ctx context.Context, kind string, o descriptor.Object) (descriptor.StoreState, error)
+	ReplaceStatus(ctx context.Context, kind string, o descriptor.Object) (descriptor.StoreState, error)
 }
 
 // Client calls other nodes and the local backend server.
@@ -96,6 +96,8 @@
 	// configurationRevision is the store's revision of the last configuration read.
 	configurationRevision atomic.Uint64
 	zonesOut              atomic.Pointer[map[string]bool]
+	// storeEra is the highest era of the store that this node has seen.
+	storeEra atomic.Uint64
 	// keysServedUntil is the instant until which requests with keys are still served after
 	// the zone was taken out of service.
 	keysServedUntil atomic.Int64
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -27,6 +27,7 @@
 	version  uint64
 	zones    []string
 	revision uint64
+	era      uint64
 	err      error
 	table    descriptor.Object
 	// delay runs during each call that reads or creates the table.
@@ -49,22 +50,22 @@
 	return descriptor.Object{Revision: s.revision, Spec: []byte(strconv.FormatUint(s.version, 10))}, nil
 }
 
-func (s *fakeStore) List(context.Context, string) ([]descriptor.Object, uint64, error) {
+func (s *fakeStore) List(context.Context, string) (descriptor.Listing, error) {
 	var out []descriptor.Object
 	for _, z := range s.zones {
 		out = append(out, descriptor.Object{Name: z})
 	}
-	return out, s.revision, s.err
+	return descriptor.Listing{Objects: out, State: descriptor.StoreState{Era: s.era, Revision: s.revision}}, s.err
 }
 
-func (s *fakeStore) Create(_ context.Context, _ string, o descriptor.Object) (uint64, error) {
+func (s *fakeStore) Create(_ context.Context, _ string, o descriptor.Object) (descriptor.StoreState, error) {
 	if s.delay != nil {
 		s.delay()
 	}
 	s.revision++
 	o.Revision = s.revision
 	s.table = o
-	return s.revision, s.err
+	return descriptor.StoreState{Era: s.era, Revision: s.revision}, s.err
 }
 
 func decodeVersion(spec []byte) (*descriptor.Configuration, error) {
--- a/papayapass/internal/participant/poll.go
+++ b/papayapass/internal/participant/poll.go
@@ -150,17 +150,18 @@
 func (p *Participant) readZones(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, p.bounds.Load().pollTimeout())
 	defer cancel()
-	list, revision, err := p.store.List(ctx, p.layout.ZonesOutKind)
+	list, err := p.store.List(ctx, p.layout.ZonesOutKind)
 	if err != nil {
 		p.logger.Warn().Err(err).Msg("cannot read the zones out of service")
 		return false
 	}
-	zones := make([]string, 0, len(list))
-	for _, o := range list {
+	p.observeEra(list.State.Era)
+	zones := make([]string, 0, len(list.Objects))
+	for _, o := range list.Objects {
 		zones = append(zones, o.Name)
 	}
 	sort.Strings(zones)
-	p.setZones(zones, revision)
+	p.setZones(zones, list.State.Revision)
 	return true
 }
 
--- a/papayapass/internal/participant/status.go
+++ b/papayapass/internal/participant/status.go
@@ -7,6 +7,7 @@
 	Epoch                uint64
 	TableVersion         uint64
 	ConfigurationVersion uint64
+	StoreEra             uint64
 	IsCoordinator        bool
 	// CoordinatorSilence is the time since the last reply from the coordinator.
 	CoordinatorSilence time.Duration
@@ -19,7 +20,7 @@
 // Status returns the current status.
 func (p *Participant) Status() Status {
 	now := p.timers.Now()
-	s := Status{CoordinatorSilence: p.coordinatorSilence(), LeaseLeft: p.granter.LeaseLeft(now), KeysHeld: p.granter.KeysHeld(now)}
+	s := Status{StoreEra: p.storeEra.Load(), CoordinatorSilence: p.coordinatorSilence(), LeaseLeft: p.granter.LeaseLeft(now), KeysHeld: p.granter.KeysHeld(now)}
 	if t := p.table.Load(); t != nil {
 		s.Epoch, s.TableVersion = t.Epoch, t.Version
 	}
--- a/shared/descriptor/heartbeat.go
+++ b/shared/descriptor/heartbeat.go
@@ -45,8 +45,31 @@
 type Object struct {
 	Name     string
 	Revision uint64
-	Spec     json.RawMessage
-	Status   json.RawMessage
+	// Era is the store's era in the response with the object.
+	Era    uint64
+	Spec   json.RawMessage
+	Status json.RawMessage
+}
+
+// Listing is all objects of a kind, as of a state of the store.
+type Listing struct {
+	Objects []Object
+	State   StoreState
+}
+
+// StoreState is a state of the store. The era rises when the store is restored from an older
+// copy, and revisions of different eras cannot be compared.
+type StoreState struct {
+	Era      uint64
+	Revision uint64
+}
+
+// Before reports whether the state is earlier than another.
+func (s StoreState) Before(other StoreState) bool {
+	if s.Era != other.Era {
+		return s.Era < other.Era
+	}
+	return s.Revision < other.Revision
 }
 
 // Errors of the store. After any other error, a write is in doubt.
