Recover the table from the members after a restore of the store

Cause: the store was the only source for the next term. A node that took the role used the table that the store returned and gave it a higher epoch, so all nodes followed it. Class: an acknowledged write is taken as lasting, and a revision as unique.

Change: the table says in which era of the store it was created. If the store is in a later one, whoever takes the role, the former coordinator too, asks all members for their tables and bases the new one on the newest. Its epoch and tokens skip more than can have been lost. Members that do not answer, or have restarted since, are listed in the table: until their leases have ended they get none and no keys change hands; then their keys get new tokens. Each era has an object of its own (main-2), created and not replaced: revisions are given out again, and a coordinator that was frozen could otherwise meet its condition by chance. A write that is acknowledged in another era counts as in doubt. The first table of a deployment starts at an epoch and a token that depend on the era, for the same reason.

Why it works: a key leaves a member only with its release or after its lease, so a member that answers knows all changes of its own keys; the others are waited for.

Two planted mutations. TestRoleIsNotTakenWithTheTableOfARestoredStore, TestTableOutlivesAStoreThatIsRestoredEmpty.

--- a/papayapass/internal/commander/deployment_test.go
+++ b/papayapass/internal/commander/deployment_test.go
@@ -20,23 +20,23 @@
 	table *partitioner.Table
 }
 
-func (s fakeStore) Get(_ context.Context, kind, _ string) (descriptor.Object, error) {
-	if kind == "configuration" {
-		return descriptor.Object{Spec: []byte("7")}, nil
+func (fakeStore) Get(context.Context, string, string) (descriptor.Object, error) {
+	return descriptor.Object{Spec: []byte("7")}, nil
+}
+
+func (s fakeStore) List(_ context.Context, kind string) (descriptor.Listing, error) {
+	if kind == "zones" {
+		return descriptor.Listing{Objects: []descriptor.Object{{Name: "zone-2"}}}, nil
 	}
 	if s.table == nil {
-		return descriptor.Object{}, descriptor.ErrNotFound
+		return descriptor.Listing{}, nil
 	}
 	spec, err := json.Marshal(s.table)
-	return descriptor.Object{Spec: spec}, err
-}
-
-func (fakeStore) List(context.Context, string) (descriptor.Listing, error) {
-	return descriptor.Listing{Objects: []descriptor.Object{{Name: "zone-2"}}}, nil
+	return descriptor.Listing{Objects: []descriptor.Object{{Spec: spec}}}, err
 }
 
 func TestDeployment(t *testing.T) {
-	objects := participant.StoreLayout{ConfigurationKind: "configuration", Decode: func([]byte) (*descriptor.Configuration, error) {
+	objects := participant.StoreLayout{ConfigurationKind: "configuration", ZonesOutKind: "zones", Decode: func([]byte) (*descriptor.Configuration, error) {
 		return &descriptor.Configuration{Version: 7, Routes: make([]descriptor.Route, 3)}, nil
 	}}
 	table := &partitioner.Table{Epoch: 4, Version: 9, Coordinator: "node-1"}
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -92,9 +92,9 @@
 }
 
 // Probe asks the node at an address whether it is in contact with its coordinator.
-func (c *client) Probe(ctx context.Context, address string) (overseer.ProbeReply, error) {
+func (c *client) Probe(ctx context.Context, address string, r overseer.ProbeRequest) (overseer.ProbeReply, error) {
 	var p overseer.ProbeReply
-	err := c.post(ctx, address, probePath, struct{}{}, &p)
+	err := c.post(ctx, address, probePath, r, &p)
 	return p, err
 }
 
@@ -161,9 +161,20 @@
 			return
 		}
 		p.HandleTable(&t)
-		writeReply(w, e, p.Probe())
+		writeReply(w, e, p.HandleProbe(overseer.ProbeRequest{}))
+	})
+	mux.HandleFunc("POST "+probePath, func(w http.ResponseWriter, r *http.Request) {
+		packed, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBytes))
+		if err != nil {
+			return // the node asks again or counts this one as missing
+		}
+		var request overseer.ProbeRequest
+		if _, err := e.Open(packed, &request); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writeReply(w, e, p.HandleProbe(request))
 	})
-	mux.HandleFunc("POST "+probePath, func(w http.ResponseWriter, _ *http.Request) { writeReply(w, e, p.Probe()) })
 	return mux
 }
 
--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -45,4 +45,10 @@
 	HoldIgnoresListing
 	// AcceptLateHeartbeat grants keys in response to a heartbeat older than another one.
 	AcceptLateHeartbeat
+	// RecoverStoredTable bases the first table after a restore of the store on the restored
+	// one.
+	RecoverStoredTable
+	// ForgetUnheard assigns keys at once after a restore of the store, though members that
+	// did not answer may hold them.
+	ForgetUnheard
 )
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -105,9 +105,19 @@
 	return r.Table != nil || r.Delta != nil || len(r.Configuration) > 0
 }
 
-// ProbeReply is a node's reply when asked whether it is in contact with its coordinator.
+// ProbeRequest asks a node whether it is in contact with its coordinator.
+type ProbeRequest struct {
+	// WantsTable asks for the node's table if it is newer than that of Epoch and Version.
+	WantsTable bool   `json:"wantsTable,omitempty"`
+	Epoch      uint64 `json:"epoch,omitempty"`
+	Version    uint64 `json:"version,omitempty"`
+}
+
+// ProbeReply is the reply to a ProbeRequest.
 type ProbeReply struct {
-	Epoch uint64 `json:"epoch"`
+	// Epoch is that of the last coordinator that the node followed since its start, or zero.
+	Epoch uint64             `json:"epoch"`
+	Table *partitioner.Table `json:"table,omitempty"`
 	// InContact is set when the coordinator of Epoch replied to the node within
 	// CoordinatorTimeout.
 	InContact bool `json:"heard"`
--- a/papayapass/internal/overseer/mutation_test.go
+++ b/papayapass/internal/overseer/mutation_test.go
@@ -22,20 +22,30 @@
 		fault     mutator.Fault
 		method    descriptor.GrantMethod
 		firstSeed uint64
+		// restores is set for faults that schedules with restores of the store detect.
+		restores bool
 	}{
-		"forget a lease of an earlier term":      {mutator.ForgetEarlierLease, descriptor.GrantByCall, 84},
-		"count a short lease at once":            {mutator.ShortLeaseAtOnce, descriptor.GrantByCall, 96},
-		"forget what an earlier process granted": {mutator.ForgetPriorGrants, descriptor.GrantByHeartbeat, 8},
-		"release keys that a heartbeat lists":    {mutator.HoldIgnoresListing, descriptor.GrantByHeartbeat, 0},
+		"forget a lease of an earlier term":      {mutator.ForgetEarlierLease, descriptor.GrantByCall, 84, false},
+		"count a short lease at once":            {mutator.ShortLeaseAtOnce, descriptor.GrantByCall, 96, false},
+		"forget what an earlier process granted": {mutator.ForgetPriorGrants, descriptor.GrantByHeartbeat, 8, false},
+		"release keys that a heartbeat lists":    {mutator.HoldIgnoresListing, descriptor.GrantByHeartbeat, 0, false},
+		"recover the restored table":             {mutator.RecoverStoredTable, descriptor.GrantByCall, 1000, true},
+		"forget members that were not heard":     {mutator.ForgetUnheard, descriptor.GrantByCall, 1220, true},
 	}
 	for name, tt := range faults {
 		t.Run(name, func(t *testing.T) {
 			mutator.Activate(tt.fault)
 			defer mutator.Activate(mutator.None)
 			for seed := tt.firstSeed; seed < tt.firstSeed+maxMutationSeeds; seed++ {
-				w := newWorld(t, seed, 3+int(seed%5), tt.method)
-				w.hasHotKeys = true
-				w.runFaults()
+				var w *world
+				if tt.restores {
+					w = newWorld(t, seed, 6, tt.method)
+					w.runRestores(true)
+				} else {
+					w = newWorld(t, seed, 3+int(seed%5), tt.method)
+					w.hasHotKeys = true
+					w.runFaults()
+				}
 				if w.violation != "" {
 					t.Logf("detected by seed %d: %s", seed, w.violation)
 					return
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -306,7 +306,7 @@
 	if b.Member.ID == o.self {
 		left -= AuthorityDuration - OwnLeaseDuration
 	}
-	if left > 0 && !o.mayLoseKeys(b.Member.ID) {
+	if left > 0 && !o.mayLoseKeys(b.Member.ID) && !slices.Contains(o.table.Unheard, b.Member.ID) {
 		r.Lease = left - left*clockDriftPercent/100
 		if end := now.Add(left); n.leaseUntil.Before(end) {
 			n.leaseUntil = end
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -11,8 +11,12 @@
 // one it is based on, then calls WriteConfirmed, WriteFailed or TableRead.
 func (o *Overseer) Plan(now timer.Instant) *partitioner.Table {
 	o.decay(now)
+	if o.isRecovering(now) {
+		return nil
+	}
 	p := partitioner.NewPlan(o.withMembers(now), o.memberStates(now), o.loads)
 	p.FreeLost()
+	p.Free(o.table.Unheard)
 	p.ApplyReleases(o.released)
 	for service, first := range o.firstSeen {
 		if now.Sub(max(first, o.termStart)) > o.serverHeartbeatInterval+startupSlack {
@@ -27,7 +31,8 @@
 	next := p.Table()
 	membersChanged := o.removeExpired(next, now)
 	next.HasOwnLease = o.termStart.Add(AuthorityDuration+leaseDrift).Before(now) || mutator.Active(mutator.ShortLeaseAtOnce)
-	if !p.Changed() && !membersChanged && membersEqual(next, o.table) && next.HasOwnLease == o.table.HasOwnLease {
+	next.Unheard = nil
+	if len(o.table.Unheard) == 0 && !p.Changed() && !membersChanged && membersEqual(next, o.table) && next.HasOwnLease == o.table.HasOwnLease {
 		return nil
 	}
 	next.Version = o.table.Version + 1
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -91,13 +91,14 @@
 
 // member is a simulated node.
 type member struct {
-	self              partitioner.Member
-	incarnation       uint64
-	rate              float64
-	table             *partitioner.Table
-	granter           *granter.Granter
-	overseer          *overseer.Overseer
-	revision          uint64
+	self        partitioner.Member
+	incarnation uint64
+	rate        float64
+	table       *partitioner.Table
+	granter     *granter.Granter
+	overseer    *overseer.Overseer
+	// era and revision are of the stored table that the node's writes replace.
+	era, revision     uint64
 	lastContact, echo timer.Instant
 	echoEpoch         uint64
 	joinedEpoch       uint64
@@ -119,6 +120,12 @@
 	revision    uint64
 	outageUntil time.Duration
 	lossUntil   time.Duration
+	// copies are earlier states of the store, oldest first; restoreAt is when the next
+	// restore from one of them is due, or zero.
+	copies    []storeCopy
+	restoreAt time.Duration
+	// era rises with each restore.
+	era         uint64
 	method      descriptor.GrantMethod
 	pending     func() // a delayed write whose reply was lost
 	pendingAt   time.Duration
@@ -130,8 +137,41 @@
 	violation string
 }
 
+// storeCopy is a state of the store that a restore may bring back.
+type storeCopy struct {
+	at       time.Duration
+	table    *partitioner.Table
+	revision uint64
+}
+
+const (
+	copyInterval = 200 * time.Millisecond
+	maxCopyAge   = 9 * time.Second
+)
+
+// keepCopy copies the store from time to time.
+func (w *world) keepCopy() {
+	if w.table == nil {
+		return
+	}
+	if n := len(w.copies); n == 0 || w.now-w.copies[n-1].at >= copyInterval {
+		w.copies = append(w.copies, storeCopy{w.now, w.table, w.revision})
+	}
+	for w.now-w.copies[0].at > maxCopyAge {
+		w.copies = w.copies[1:]
+	}
+}
+
+// restore brings back an earlier state of the store. Revisions are given out again.
+func (w *world) restore() {
+	c := w.copies[w.r.IntN(len(w.copies))]
+	w.t.Logf("store restored at %s from a copy of %s", w.now, c.at)
+	w.table, w.revision, w.copies = c.table, c.revision, w.copies[:0]
+	w.era++
+}
+
 func newWorld(t *testing.T, seed uint64, n int, method descriptor.GrantMethod) *world {
-	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 77)), now: time.Hour, method: method}
+	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 77)), now: time.Hour, method: method, era: 1}
 	for i := range n {
 		m := &member{server: w.newServer(0), rate: 1 + (w.r.Float64()-0.5)*0.018}
 		m.self = partitioner.Member{ID: partitioner.NodeID(fmt.Sprintf("node-%d", i)), Zone: fmt.Sprintf("zone-%d", i%3)}
@@ -165,14 +205,23 @@
 	return a == b || (w.now >= a.partitionedUntil && w.now >= b.partitionedUntil && w.now >= b.pausedUntil)
 }
 
-// write replaces the table if the revision matches. The reply may be lost, and the write
-// may be delayed.
-func (w *world) write(m *member, t *partitioner.Table, revision uint64) (ok, known bool) {
+// write replaces the table of an era if the revision matches. The reply may be lost, and the
+// write may be delayed.
+func (w *world) write(m *member, t *partitioner.Table, era, revision uint64) (ok, known bool) {
+	return w.tryWrite(m, t, func() bool { return w.table.Era == era && w.revision == revision })
+}
+
+// create stores the first table of an era.
+func (w *world) create(m *member, t *partitioner.Table) (ok, known bool) {
+	return w.tryWrite(m, t, func() bool { return w.era == t.Era && w.table.Era < t.Era })
+}
+
+func (w *world) tryWrite(m *member, t *partitioner.Table, allowed func() bool) (ok, known bool) {
 	if !w.storeUp(m) {
 		return false, true
 	}
 	apply := func() bool {
-		if w.revision != revision {
+		if !allowed() {
 			return false
 		}
 		if t != nil {
@@ -194,6 +243,11 @@
 
 func (w *world) step() {
 	w.now += worldStep
+	if w.restoreAt > 0 && w.now >= w.restoreAt {
+		w.restoreAt = 0
+		w.restore()
+	}
+	w.keepCopy()
 	if w.pending != nil && w.now >= w.pendingAt {
 		w.pending()
 		w.pending = nil
@@ -310,11 +364,14 @@
 func (w *world) findCoordinator(m *member, storeDown bool) {
 	now := w.clock(m)
 	if w.table == nil {
-		t := &partitioner.Table{Epoch: 1, Version: 1, Coordinator: m.self.ID, Incarnation: m.incarnation}
+		t := &partitioner.Table{Era: w.era, Epoch: 1, Version: 1, Coordinator: m.self.ID, Incarnation: m.incarnation}
 		t.SetMember(m.self)
 		w.table, w.revision = t, 1
 	}
 	stored, revision := w.table, w.revision
+	if stored.Era < w.era && m.table != nil && m.table.Newer(stored) {
+		stored = m.table
+	}
 	view := overseer.ElectionView{
 		Self: m.self.ID, Incarnation: m.incarnation, Stored: stored, Known: m.table, CannotWrite: storeDown, Silent: now.Sub(m.lastContact),
 	}
@@ -337,11 +394,17 @@
 		step = view.NextStep()
 	}
 	switch step {
-	case overseer.StepAdopt:
-		w.startTerm(m, stored, revision, now)
-	case overseer.StepClaim:
+	case overseer.StepAdopt, overseer.StepClaim:
+		if stored.Era < w.era {
+			w.recover(m)
+			return
+		}
+		if step == overseer.StepAdopt {
+			w.startTerm(m, stored, revision, now)
+			return
+		}
 		next := overseer.ClaimTable(stored, m.self, m.incarnation)
-		if ok, _ := w.write(m, next, revision); ok {
+		if ok, _ := w.write(m, next, stored.Era, revision); ok {
 			w.applyTable(m, next)
 			w.startTerm(m, next, w.revision, now)
 		}
@@ -349,8 +412,29 @@
 	}
 }
 
+// recover takes the role with the newest table that reachable members know.
+func (w *world) recover(m *member) {
+	now := w.clock(m)
+	recovery := overseer.NewRecovery(m.self.ID, m.joinedEpoch > 0, w.table, m.table)
+	for range 2 {
+		for _, missing := range recovery.Missing() {
+			for _, o := range w.members {
+				if o.self.ID == missing.ID && w.reachable(m, o) && w.reachable(o, m) {
+					recovery.Add(o.self.ID, overseer.ProbeReply{Epoch: o.joinedEpoch, Table: o.table})
+				}
+			}
+		}
+	}
+	next := recovery.Table(m.self, m.incarnation, w.era)
+	if ok, _ := w.create(m, next); ok {
+		w.applyTable(m, next)
+		w.startTerm(m, next, w.revision, now)
+	}
+}
+
 func (w *world) startTerm(m *member, t *partitioner.Table, revision uint64, sent timer.Instant) {
 	m.overseer, m.revision = overseer.NewOverseer(m.self.ID, t, time.Second, sent, w.clock(m)), revision
+	m.era = t.Era
 	m.joinedEpoch, m.lastContact, m.lastWrite = t.Epoch, w.clock(m), sent
 }
 
@@ -375,15 +459,21 @@
 	if next != nil {
 		m.overseer.WriteStarted(next)
 	}
-	ok, known := w.write(m, next, m.revision)
+	ok, known := w.write(m, next, m.era, m.revision)
 	switch {
 	case ok:
 		m.revision = w.revision
 		m.overseer.WriteConfirmed(next, now)
 	case known && !w.storeUp(m):
 		m.overseer.WriteFailed(next)
+	case w.storeUp(m) && w.table.Era < w.era:
+		w.recover(m)
 	case w.storeUp(m):
 		if w.table.Coordinator == m.self.ID && w.table.Incarnation == m.incarnation {
+			if w.table.Epoch > m.overseer.Table().Epoch { // recovered, but the reply was lost
+				w.startTerm(m, w.table, w.revision, now)
+				return
+			}
 			m.revision = w.revision
 			m.overseer.TableRead(w.table, now)
 		} else {
@@ -586,3 +676,48 @@
 	require.Equal(t, len(w.members), followed)
 	require.Greater(t, w.table.Epoch, uint64(1), "another node has taken the coordinator's role")
 }
+
+// runRestores restores the store from older copies while keys move, with other faults beside
+// each restore if withFaults is set.
+func (w *world) runRestores(withFaults bool) {
+	w.hasHotKeys = true
+	for range 200 {
+		w.step()
+	}
+	for range 6 {
+		w.outageUntil = w.now + time.Duration(w.r.IntN(3000))*time.Millisecond
+		w.restoreAt = w.outageUntil
+		for range 2 + w.r.IntN(60) {
+			w.step()
+		}
+		if withFaults {
+			w.injectFault()
+		}
+		for range 100 + w.r.IntN(200) {
+			w.step()
+		}
+	}
+	w.hasHotKeys = false
+	for range 1600 { // 32 s: longer than all leases without a majority
+		w.step()
+	}
+	w.servedKeys, w.checkedKeys = 0, 0
+	w.step()
+}
+
+// The store comes back from an older copy while keys move and nodes fail (incident 0014): a
+// node took the role with the older table, and keys had two owners.
+func TestRestoredStoreKeepsOneOwner(t *testing.T) {
+	const seeds = 24
+	for _, method := range methods {
+		for seed := range uint64(seeds) {
+			t.Run(fmt.Sprintf("%s/%d", method, seed), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, 1000+seed, 6, method)
+				w.runRestores(seed%2 == 1)
+				require.Empty(t, w.violation)
+				require.Equal(t, w.checkedKeys, w.servedKeys, "all keys are served again")
+			})
+		}
+	}
+}
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -157,7 +157,7 @@
 
 // coordinate plans and writes the table while this node is the coordinator.
 func (p *Participant) coordinate(ctx context.Context) {
-	next, revision, ok := p.plan()
+	next, object, ok := p.plan()
 	if !ok {
 		return
 	}
@@ -166,18 +166,22 @@
 	var err error
 	switch {
 	case next != nil:
-		state, err = p.writeTable(ctx, next, revision)
+		state, err = p.writeTable(ctx, next, object)
 	case sent.Sub(p.lastWriteSent) >= overseer.RenewalInterval:
 		p.renewals++
-		state, err = p.writeStatus(ctx, p.renewals, revision)
+		state, err = p.writeStatus(ctx, p.renewals, object)
 	default:
 		return
 	}
 	p.lastWriteSent = sent
+	if err == nil && state.Era != object.Era {
+		err = errors.Newf("the store was restored from era %d to %d", object.Era, state.Era)
+	}
 	p.handleWriteResult(ctx, next, state, sent, err)
 }
 
-func (p *Participant) plan() (*partitioner.Table, uint64, bool) {
+// plan returns the table to write next, or nil, and the name and revision of the object.
+func (p *Participant) plan() (*partitioner.Table, descriptor.Object, bool) {
 	zones := *p.zonesOut.Load()
 	list := make([]string, 0, len(zones))
 	for z := range zones {
@@ -186,24 +190,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.overseer == nil {
-		return nil, 0, false
+		return nil, descriptor.Object{}, false
 	}
 	p.overseer.SetZonesOut(list)
 	next := p.overseer.Plan(p.timers.Now())
 	if next != nil {
 		p.overseer.WriteStarted(next)
 	}
-	return next, p.revision, true
+	return next, descriptor.Object{Name: p.tableName, Revision: p.revision, Era: p.tableEra}, true
 }
 
-func (p *Participant) writeTable(ctx context.Context, t *partitioner.Table, revision uint64) (descriptor.StoreState, error) {
+func (p *Participant) writeTable(ctx context.Context, t *partitioner.Table, o descriptor.Object) (descriptor.StoreState, error) {
 	spec, err := encodeTable(t)
 	if err != nil {
 		return descriptor.StoreState{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return p.store.Replace(ctx, tableKind, descriptor.Object{Name: tableName, Revision: revision, Spec: spec})
+	o.Spec = spec
+	return p.store.Replace(ctx, tableKind, o)
 }
 
 // renewalStatus is the status of the table's object; each renewal changes it.
@@ -212,14 +217,15 @@
 	Renewals    int    `json:"renewals"`
 }
 
-func (p *Participant) writeStatus(ctx context.Context, renewals int, revision uint64) (descriptor.StoreState, error) {
+func (p *Participant) writeStatus(ctx context.Context, renewals int, o descriptor.Object) (descriptor.StoreState, error) {
 	status, err := json.Marshal(renewalStatus{Incarnation: p.incarnation, Renewals: renewals})
 	if err != nil {
 		return descriptor.StoreState{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return p.store.ReplaceStatus(ctx, tableKind, descriptor.Object{Name: tableName, Revision: revision, Status: status})
+	o.Status = status
+	return p.store.ReplaceStatus(ctx, tableKind, o)
 }
 
 // handleWriteResult handles the result of a write of the table's object.
@@ -260,22 +266,21 @@
 // revision.
 func (p *Participant) rereadTable(ctx context.Context) {
 	sent := p.timers.Now()
-	rctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	o, err := p.store.Get(rctx, tableKind, tableName)
-	cancel()
+	stored, err := p.readTable(ctx)
 	if err != nil {
 		p.logger.Warn().Err(err).Msg("cannot read the table again after a failed write")
 		pause(ctx, failedWriteDelay)
 		return
 	}
-	t, err := decodeTable(o.Spec)
-	if err != nil {
-		p.logger.Error().Err(err).Msg("cannot decode the stored table")
+	if stored.isRestored() {
+		p.recoverTable(ctx, stored)
 		return
 	}
+	t := stored.table
 	p.mu.Lock()
-	if p.overseer != nil && t.Coordinator == p.self.ID && t.Incarnation == p.incarnation {
-		p.revision = o.Revision
+	isOwn := p.overseer != nil && t.Coordinator == p.self.ID && t.Incarnation == p.incarnation
+	if isOwn && t.Epoch == p.overseer.Table().Epoch {
+		p.tableName, p.revision, p.tableEra = stored.name, stored.revision, stored.era
 		p.overseer.TableRead(t, sent)
 		p.notify()
 		p.mu.Unlock()
@@ -285,8 +290,12 @@
 	p.overseer = nil
 	p.notify()
 	p.mu.Unlock()
-	p.logger.Info().Uint64("epoch", t.Epoch).Str("coordinator", string(t.Coordinator)).Msg("coordinator's role lost")
 	p.applyTable(t)
+	if isOwn { // a table of a later term, whose write was in doubt
+		p.startTerm(stored, sent)
+		return
+	}
+	p.logger.Info().Uint64("epoch", t.Epoch).Str("coordinator", string(t.Coordinator)).Msg("coordinator's role lost")
 }
 
 // updateGrants ticks the forwarder and sends the key requests that the table and the lease
--- a/papayapass/internal/participant/era.go
+++ b/papayapass/internal/participant/era.go
@@ -1,5 +1,21 @@
 package participant
 
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/shared/descriptor"
+)
+
+// recoveryRounds is how often members are asked for their tables after a restore of the
+// store, unless all have answered before.
+const recoveryRounds = 2
+
 // observeEra records the store's era. It rises when the store is restored from an older copy.
 func (p *Participant) observeEra(era uint64) {
 	for {
@@ -13,3 +29,78 @@
 		}
 	}
 }
+
+func (p *Participant) logOlderTable(stored storedTable, known *partitioner.Table) {
+	p.logger.Warn().Uint64("era", stored.era).Uint64("revision", stored.revision).Uint64("epoch", stored.table.Epoch).
+		Uint64("version", stored.table.Version).Uint64("knownEpoch", known.Epoch).Uint64("knownVersion", known.Version).
+		Msg("the stored table is older than the one in force")
+}
+
+// newestTable returns the newest table that this node knows, or nil. The caller holds p.mu.
+func (p *Participant) newestTable() *partitioner.Table {
+	t := p.table.Load()
+	if p.overseer != nil && p.overseer.Table().Newer(t) {
+		return p.overseer.Table()
+	}
+	return t
+}
+
+// readTable reads the stored table. If a restore of the store has lost all tables, the
+// result has the newest one that this node knows.
+func (p *Participant) readTable(ctx context.Context) (storedTable, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	stored, err := readStoredTable(ctx, p.store)
+	p.observeEra(stored.era)
+	if !errors.Is(err, descriptor.ErrNotFound) {
+		return stored, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.newestTable(); t != nil && t.Era < stored.era {
+		stored.table = t
+		return stored, nil
+	}
+	return stored, err
+}
+
+// recoverTable takes the role in a new era of the store, with the newest table that any
+// member knows.
+func (p *Participant) recoverTable(ctx context.Context, stored storedTable) {
+	p.mu.Lock()
+	recovery := overseer.NewRecovery(p.self.ID, p.highestEpoch > 0, stored.table, p.newestTable())
+	p.mu.Unlock()
+	for range recoveryRounds {
+		p.askForTables(ctx, recovery)
+	}
+	next := recovery.Table(p.self, p.incarnation, stored.era)
+	p.logger.Info().Uint64("era", stored.era).Uint64("storedVersion", stored.table.Version).
+		Uint64("version", recovery.Newest().Version).Uint64("epoch", next.Epoch).
+		Int("members", len(next.Members)).Int("unheard", len(next.Unheard)).Msg("table recovered from the members")
+	if p.storeNewTable(ctx, next, stored.era) {
+		p.logger.Info().Uint64("epoch", next.Epoch).Msg("coordinator's role taken")
+	}
+}
+
+// askForTables asks the members that have not answered yet for newer tables.
+func (p *Participant) askForTables(ctx context.Context, recovery *overseer.Recovery) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	newest := recovery.Newest()
+	request := overseer.ProbeRequest{WantsTable: true, Epoch: newest.Epoch, Version: newest.Version}
+	var g errgroup.Group
+	var mu sync.Mutex
+	for _, m := range recovery.Missing() {
+		g.Go(func() error {
+			reply, err := p.client.Probe(ctx, m.Address, request)
+			if err != nil {
+				return nil // a member that does not reply is not heard
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			recovery.Add(m.ID, reply)
+			return nil
+		})
+	}
+	_ = g.Wait() // the functions return no errors
+}
--- /dev/null
+++ b/papayapass/internal/participant/era_test.go
@@ -0,0 +1,154 @@
+package participant
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// probeClient answers probes by address; nodes that are not listed do not answer.
+type probeClient struct {
+	Client
+
+	replies map[string]overseer.ProbeReply
+}
+
+func (c probeClient) Probe(_ context.Context, address string, _ overseer.ProbeRequest) (overseer.ProbeReply, error) {
+	if r, ok := c.replies[address]; ok {
+		return r, nil
+	}
+	return overseer.ProbeReply{}, errors.New("no answer")
+}
+
+// testTable returns a table of three nodes, whose first keys have an owner.
+func testTable(version uint64, owner partitioner.NodeID) *partitioner.Table {
+	t := &partitioner.Table{Era: 1, Epoch: 4, Version: version, Coordinator: "node-2", LastToken: version}
+	for _, id := range []partitioner.NodeID{"node-1", "node-2", "node-3"} {
+		t.SetMember(partitioner.Member{ID: id, Address: string(id)})
+	}
+	t.Divisions = []partitioner.Division{{Service: "permits", Ranges: []partitioner.Range{{Last: partitioner.LastKey, Owner: owner, Token: version}}}}
+	return t
+}
+
+func (s *fakeStore) setTable(t *testing.T, name string, table *partitioner.Table) {
+	t.Helper()
+	spec, err := json.Marshal(table)
+	require.NoError(t, err)
+	s.table = descriptor.Object{Name: name, Revision: s.revision, Spec: spec}
+}
+
+func (s *fakeStore) storedTable(t *testing.T) *partitioner.Table {
+	t.Helper()
+	var table partitioner.Table
+	require.NoError(t, json.Unmarshal(s.table.Spec, &table))
+	return &table
+}
+
+// Incident 0014: a node took the role with the table of a restored store, and keys had two
+// owners.
+func TestRoleIsNotTakenWithTheTableOfARestoredStore(t *testing.T) {
+	cases := map[string]struct {
+		replies map[string]overseer.ProbeReply
+		owner   partitioner.NodeID
+		unheard []partitioner.NodeID
+	}{
+		"another node knows a newer table": {
+			map[string]overseer.ProbeReply{"node-2": {Epoch: 4, Table: testTable(9, "node-3")}, "node-3": {Epoch: 4}}, "node-3", nil,
+		},
+		"this node's table is the newest": {
+			map[string]overseer.ProbeReply{"node-2": {Epoch: 4}, "node-3": {Epoch: 4}}, "node-2", nil,
+		},
+		"a node does not answer": {map[string]overseer.ProbeReply{"node-2": {Epoch: 4}}, "node-2", []partitioner.NodeID{"node-3"}},
+		"a node has restarted": {
+			map[string]overseer.ProbeReply{"node-2": {Epoch: 4}, "node-3": {}}, "node-2", []partitioner.NodeID{"node-3"},
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{version: 1, revision: 10, era: 2}
+			s.setTable(t, "main-1", testTable(3, "node-1"))
+			p, _ := newTestParticipant(t, s)
+			require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Table: testTable(8, "node-2")}, 0))
+			p.client = probeClient{replies: tt.replies}
+			p.findCoordinator(context.Background(), true)
+			require.True(t, p.Status().IsCoordinator)
+			require.Equal(t, "main-2", s.table.Name)
+			table := s.storedTable(t)
+			require.Equal(t, tt.owner, table.Divisions[0].Ranges[0].Owner)
+			require.Equal(t, tt.unheard, table.Unheard)
+			require.Equal(t, uint64(2), table.Era)
+			require.Greater(t, table.Epoch, uint64(1<<16), "above the epochs that may have been lost")
+			require.Greater(t, table.LastToken, uint64(1<<20), "above the tokens that may have been lost")
+		})
+	}
+}
+
+// The coordinator itself finds the restored table after its write was rejected.
+func TestCoordinatorRecoversItsTableInARestoredStore(t *testing.T) {
+	s := &fakeStore{version: 1, revision: 10, era: 1}
+	p, _ := newTestParticipant(t, s)
+	p.findCoordinator(context.Background(), false)
+	require.True(t, p.Status().IsCoordinator)
+	first := p.Status().Epoch
+	older := s.storedTable(t)
+	newer := p.overseer.Table().Clone()
+	newer.Version += 7
+	p.applyTable(newer)
+	s.era = 2
+	s.setTable(t, "main-1", older)
+	p.handleWriteResult(context.Background(), nil, descriptor.StoreState{}, 0, descriptor.ErrConflict)
+	require.True(t, p.Status().IsCoordinator)
+	require.Equal(t, "main-2", s.table.Name)
+	require.Greater(t, p.Status().Epoch, first)
+}
+
+// A restore may go back to before the first table.
+func TestTableOutlivesAStoreThatIsRestoredEmpty(t *testing.T) {
+	s := &fakeStore{version: 1, revision: 10, era: 2}
+	p, _ := newTestParticipant(t, s)
+	require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Table: testTable(8, "node-2")}, 0))
+	p.client = probeClient{replies: map[string]overseer.ProbeReply{"node-2": {Epoch: 4}, "node-3": {Epoch: 4}}}
+	p.findCoordinator(context.Background(), true)
+	require.Equal(t, partitioner.NodeID("node-2"), s.storedTable(t).Divisions[0].Ranges[0].Owner)
+}
+
+// A member that could not be asked may hold keys by a table that was lost: it gets no lease,
+// and no keys are assigned, until its leases have ended. Then its keys get new tokens.
+func TestKeysOfUnheardMembersWaitForTheirLeases(t *testing.T) {
+	table := testTable(8, "node-3")
+	table.Coordinator, table.Unheard = "node-1", []partitioner.NodeID{"node-3"}
+	now := timer.Instant(time.Hour)
+	o := overseer.NewOverseer("node-1", table, time.Second, now, now)
+	beat := func(id partitioner.NodeID) overseer.HeartbeatReply {
+		m, _ := table.Member(id)
+		m.Server = partitioner.Server{ID: "s-" + string(id), Service: "permits", Slots: 4, Divided: true}
+		return o.HandleHeartbeat(overseer.Heartbeat{Member: m, Epoch: 4, Version: 8}, now)
+	}
+	for range 35 {
+		require.Positive(t, beat("node-2").Lease)
+		require.Zero(t, beat("node-3").Lease)
+		require.Nil(t, o.Plan(now))
+		now = now.Add(100 * time.Millisecond)
+		o.WriteConfirmed(nil, now)
+	}
+	now = now.Add(500 * time.Millisecond)
+	o.WriteConfirmed(nil, now)
+	beat("node-1")
+	beat("node-2")
+	beat("node-3")
+	next := o.Plan(now)
+	require.NotNil(t, next)
+	require.Empty(t, next.Unheard)
+	for _, r := range next.Divisions[0].Ranges {
+		require.Greater(t, r.Token, uint64(8))
+	}
+}
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -202,48 +202,44 @@
 // findCoordinator reads the stored table, or creates the first one, and takes the next step
 // of the election. cannotWrite means that the coordinator reported an outage of its store.
 func (p *Participant) findCoordinator(ctx context.Context, cannotWrite bool) {
-	rctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	sent := p.timers.Now()
-	o, err := p.store.Get(rctx, tableKind, tableName)
-	cancel()
+	stored, err := p.readTable(ctx)
 	p.searchBackoff.record(err)
 	if errors.Is(err, descriptor.ErrNotFound) {
-		p.createTable(ctx)
+		p.createTable(ctx, stored.era)
 		return
 	}
 	if err != nil {
 		p.logger.Info().Err(err).Msg("cannot read the table")
 		return
 	}
-	t, err := decodeTable(o.Spec)
-	if err != nil {
-		p.logger.Error().Err(err).Uint64("revision", o.Revision).Msg("cannot decode the stored table")
-		return
+	t, known := stored.table, p.table.Load()
+	if known != nil && known.Newer(t) {
+		p.logOlderTable(stored, known)
+		if stored.isRestored() {
+			t = known
+		}
 	}
 	view := overseer.ElectionView{
-		Self: p.self.ID, Incarnation: p.incarnation, Stored: t, Known: p.table.Load(), CannotWrite: cannotWrite, Silent: p.coordinatorSilence(),
-	}
-	p.observeEra(o.Era)
-	if t.Newer(view.Known) {
-		p.applyTable(t)
-	} else if view.Known.Newer(t) {
-		p.logger.Warn().Uint64("era", o.Era).Uint64("revision", o.Revision).Uint64("epoch", t.Epoch).Uint64("version", t.Version).
-			Uint64("knownEpoch", view.Known.Epoch).Uint64("knownVersion", view.Known.Version).Msg("the stored table is older than the one in force")
+		Self: p.self.ID, Incarnation: p.incarnation, Stored: t, Known: known, CannotWrite: cannotWrite, Silent: p.coordinatorSilence(),
 	}
+	p.applyTable(t)
 	step := view.NextStep()
 	if step == overseer.StepProbe {
 		p.probeMembers(ctx, &view)
 		step = view.NextStep()
 	}
 	p.logger.Info().Str("step", string(step)).Uint64("epoch", t.Epoch).Str("coordinator", string(t.Coordinator)).
-		Bool("cannotWrite", cannotWrite).Dur("silent", view.Silent).Int("others", view.Others).Int("answered", view.Answered).
-		Int("hear", view.InContact).Msg("coordinator looked for")
-	switch step {
-	case overseer.StepAdopt:
-		p.startTerm(t, o.Revision, sent)
-	case overseer.StepClaim:
-		p.claimRole(ctx, t, o.Revision)
-	case overseer.StepFollow, overseer.StepProbe:
+		Bool("cannotWrite", cannotWrite).Bool("restored", stored.isRestored()).Dur("silent", view.Silent).Int("others", view.Others).
+		Int("answered", view.Answered).Int("hear", view.InContact).Msg("coordinator looked for")
+	switch {
+	case step == overseer.StepFollow || step == overseer.StepProbe:
+	case stored.isRestored():
+		p.recoverTable(ctx, stored)
+	case step == overseer.StepAdopt:
+		p.startTerm(stored, sent)
+	case step == overseer.StepClaim:
+		p.claimRole(ctx, stored)
 	}
 }
 
@@ -261,7 +257,7 @@
 		}
 		view.Others++
 		g.Go(func() error {
-			reply, err := p.client.Probe(ctx, m.Address)
+			reply, err := p.client.Probe(ctx, m.Address, overseer.ProbeRequest{})
 			if err == nil {
 				replies[i] = &reply
 			}
@@ -280,37 +276,60 @@
 	}
 }
 
-// Probe reports whether this node is in contact with its coordinator.
-func (p *Participant) Probe() overseer.ProbeReply {
+// HandleProbe reports whether this node is in contact with its coordinator.
+func (p *Participant) HandleProbe(r overseer.ProbeRequest) overseer.ProbeReply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return overseer.ProbeReply{Epoch: p.highestEpoch, InContact: p.timers.Now().Sub(p.lastContact) < overseer.CoordinatorTimeout}
+	reply := overseer.ProbeReply{Epoch: p.highestEpoch, InContact: p.timers.Now().Sub(p.lastContact) < overseer.CoordinatorTimeout}
+	if t := p.newestTable(); r.WantsTable && t != nil && t.Newer(&partitioner.Table{Epoch: r.Epoch, Version: r.Version}) {
+		reply.Table = t
+	}
+	return reply
 }
 
-// createTable creates the first table of the deployment.
-func (p *Participant) createTable(ctx context.Context) {
-	t := &partitioner.Table{Epoch: 1, Version: 1, Coordinator: p.self.ID, Incarnation: p.incarnation}
-	t.SetMember(p.self)
+// createTable creates the first table of the deployment. Its epoch and tokens are above
+// those of earlier eras, whose tables a restore of the store may have lost.
+func (p *Participant) createTable(ctx context.Context, era uint64) {
+	first := &partitioner.Table{Coordinator: p.self.ID}
+	first.SetMember(p.self)
+	t := overseer.NewRecovery(p.self.ID, true, first, nil).Table(p.self, p.incarnation, era)
+	if p.storeNewTable(ctx, t, era) {
+		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("era", era).Msg("first table created")
+	}
+}
+
+// storeNewTable creates the table's object of an era and starts a term with it. The result
+// is false if another node was first, or if the write is in doubt.
+func (p *Participant) storeNewTable(ctx context.Context, t *partitioner.Table, era uint64) bool {
+	out := storedTable{table: t, name: tableName(era), era: era}
 	spec, err := encodeTable(t)
 	if err != nil {
-		p.logger.Error().Err(err).Msg("cannot encode the first table")
-		return
+		p.logger.Error().Err(err).Msg("cannot encode the table")
+		return false
 	}
 	wctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	sent := p.timers.Now()
-	state, err := p.store.Create(wctx, tableKind, descriptor.Object{Name: tableName, Spec: spec})
+	state, err := p.store.Create(wctx, tableKind, descriptor.Object{Name: out.name, Spec: spec})
+	if err == nil && state.Era != era {
+		err = errors.Newf("the store was restored from era %d to %d", era, state.Era)
+	}
 	if err != nil {
-		p.logger.Info().Err(err).Msg("cannot create the first table")
-		return
+		p.logger.Info().Err(err).Str("name", out.name).Msg("cannot create the table")
+		return false
 	}
+	out.revision = state.Revision
 	p.applyTable(t)
-	p.startTerm(t, state.Revision, sent)
+	p.startTerm(out, sent)
+	return true
 }
 
 // claimRole takes the coordinator role by a conditional write.
-func (p *Participant) claimRole(ctx context.Context, t *partitioner.Table, revision uint64) {
-	next := overseer.ClaimTable(t, p.self, p.incarnation)
+func (p *Participant) claimRole(ctx context.Context, stored storedTable) {
+	next := overseer.ClaimTable(stored.table, p.self, p.incarnation)
+	if next.Era == 0 {
+		next.Era = stored.era
+	}
 	spec, err := encodeTable(next)
 	if err != nil {
 		p.logger.Error().Err(err).Msg("cannot encode the table")
@@ -319,20 +338,25 @@
 	sent := p.timers.Now()
 	wctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	state, err := p.store.Replace(wctx, tableKind, descriptor.Object{Name: tableName, Revision: revision, Spec: spec})
+	state, err := p.store.Replace(wctx, tableKind, descriptor.Object{Name: stored.name, Revision: stored.revision, Spec: spec})
+	if err == nil && state.Era != stored.era {
+		err = errors.Newf("the store was restored from era %d to %d", stored.era, state.Era)
+	}
 	if err != nil {
 		p.logger.Info().Err(err).Uint64("epoch", next.Epoch).Msg("cannot take the coordinator role")
 		return
 	}
 	p.logger.Info().Uint64("epoch", next.Epoch).Msg("coordinator's role taken")
 	p.applyTable(next)
-	p.startTerm(next, state.Revision, sent)
+	stored.table, stored.revision = next, state.Revision
+	p.startTerm(stored, sent)
 }
 
 // startTerm starts a term with a table that the store has acknowledged.
-func (p *Participant) startTerm(t *partitioner.Table, revision uint64, sent timer.Instant) {
+func (p *Participant) startTerm(stored storedTable, sent timer.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	t := stored.table
 	if t.Epoch < p.highestEpoch || (p.overseer != nil && p.overseer.Table().Epoch >= t.Epoch) {
 		return
 	}
@@ -340,7 +364,8 @@
 	if mutator.Active(mutator.TermFromReply) {
 		sent = now
 	}
-	p.overseer, p.revision = overseer.NewOverseer(p.self.ID, t, p.bounds.Load().HeartbeatInterval, sent, now), revision
+	p.overseer = overseer.NewOverseer(p.self.ID, t, p.bounds.Load().HeartbeatInterval, sent, now)
+	p.tableName, p.revision, p.tableEra = stored.name, stored.revision, stored.era
 	p.highestEpoch, p.lastContact = t.Epoch, now
 	close(p.termStarted)
 	p.termStarted = make(chan struct{})
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +35,7 @@
 	// Heartbeat sends a heartbeat to the node at an address.
 	Heartbeat(ctx context.Context, address string, h overseer.Heartbeat) (overseer.HeartbeatReply, error)
 	// Probe asks the node at an address whether it is in contact with its coordinator.
-	Probe(ctx context.Context, address string) (overseer.ProbeReply, error)
+	Probe(ctx context.Context, address string, r overseer.ProbeRequest) (overseer.ProbeReply, error)
 	// Announce sends the coordinator's table to the node at an address.
 	Announce(ctx context.Context, address string, t *partitioner.Table) error
 	// UpdateGrant sends a key request to the local backend server. The second result is
@@ -53,12 +52,6 @@
 	Decode            func(spec []byte) (*descriptor.Configuration, error)
 }
 
-// Kind and name of the ownership table's object.
-const (
-	tableKind = "papayapass-tables"
-	tableName = "main"
-)
-
 // Bounds are limits from the deployment's settings.
 type Bounds struct {
 	RetryRatio  float64
@@ -123,10 +116,14 @@
 	// tableMu keeps older tables from replacing newer ones.
 	tableMu sync.Mutex
 
-	mu             sync.Mutex
-	overseer       *overseer.Overseer
-	termStarted    chan struct{} // closed, and replaced, when this node becomes the coordinator
-	revision       uint64        // of the table's object, as last known to this coordinator
+	mu          sync.Mutex
+	overseer    *overseer.Overseer
+	termStarted chan struct{} // closed, and replaced, when this node becomes the coordinator
+	// tableName and revision are of the table's object, as last known to this coordinator,
+	// and tableEra is the store's era in which its term may write it.
+	tableName      string
+	revision       uint64
+	tableEra       uint64
 	changed        chan struct{}
 	lastContact    timer.Instant // time of the last reply from a coordinator
 	lastStamp      timer.Instant
@@ -247,25 +244,6 @@
 		Int("members", len(t.Members)).Int("owned", len(t.Owned(p.self.ID))).Msg("table")
 }
 
-// ReadTable returns the stored ownership table.
-func ReadTable(ctx context.Context, s Store) (*partitioner.Table, error) {
-	o, err := s.Get(ctx, tableKind, tableName)
-	if err != nil {
-		return nil, err
-	}
-	return decodeTable(o.Spec)
-}
-
-func encodeTable(t *partitioner.Table) (json.RawMessage, error) { return json.Marshal(t) }
-
-func decodeTable(spec []byte) (*partitioner.Table, error) {
-	var t partitioner.Table
-	if err := json.Unmarshal(spec, &t); err != nil {
-		return nil, err
-	}
-	return &t, nil
-}
-
 func (p *Participant) peer(address string) *dispatcher.Peer {
 	if peer, ok := p.peers.Load(address); ok {
 		return peer.(*dispatcher.Peer)
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -34,24 +34,24 @@
 	delay func()
 }
 
-func (s *fakeStore) Get(_ context.Context, kind, _ string) (descriptor.Object, error) {
+func (s *fakeStore) Get(context.Context, string, string) (descriptor.Object, error) {
 	if s.err != nil {
 		return descriptor.Object{}, s.err
 	}
+	return descriptor.Object{Revision: s.revision, Spec: []byte(strconv.FormatUint(s.version, 10))}, nil
+}
+
+func (s *fakeStore) List(_ context.Context, kind string) (descriptor.Listing, error) {
+	var out []descriptor.Object
 	if kind == tableKind {
 		if s.delay != nil {
 			s.delay()
 		}
-		if s.table.Spec == nil {
-			return descriptor.Object{}, descriptor.ErrNotFound
+		if s.table.Spec != nil {
+			out = append(out, s.table)
 		}
-		return s.table, nil
+		return descriptor.Listing{Objects: out, State: descriptor.StoreState{Era: s.era, Revision: s.revision}}, s.err
 	}
-	return descriptor.Object{Revision: s.revision, Spec: []byte(strconv.FormatUint(s.version, 10))}, nil
-}
-
-func (s *fakeStore) List(context.Context, string) (descriptor.Listing, error) {
-	var out []descriptor.Object
 	for _, z := range s.zones {
 		out = append(out, descriptor.Object{Name: z})
 	}
@@ -277,9 +277,9 @@
 	calls *int
 }
 
-func (c countingStore) Get(ctx context.Context, kind, name string) (descriptor.Object, error) {
+func (c countingStore) List(ctx context.Context, kind string) (descriptor.Listing, error) {
 	*c.calls++
-	return c.Store.Get(ctx, kind, name)
+	return c.Store.List(ctx, kind)
 }
 
 func TestLaterEpochEndsTerm(t *testing.T) {
--- a/papayapass/internal/partitioner/delta.go
+++ b/papayapass/internal/partitioner/delta.go
@@ -9,6 +9,7 @@
 	Version   uint64     `json:"version"`
 	LastToken uint64     `json:"lastToken"`
 	OwnLease  bool       `json:"ownLease,omitempty"`
+	Unheard   []NodeID   `json:"unheard,omitempty"`
 	Members   []Member   `json:"members,omitempty"`
 	Removed   []NodeID   `json:"removed,omitempty"`
 	Divisions []Division `json:"divisions,omitempty"` // only the changed ranges
@@ -16,7 +17,7 @@
 
 // Diff returns the delta from an older table to a newer one of the same epoch.
 func Diff(from, to *Table) *Delta {
-	d := &Delta{Epoch: to.Epoch, From: from.Version, Version: to.Version, LastToken: to.LastToken, OwnLease: to.HasOwnLease}
+	d := &Delta{Epoch: to.Epoch, From: from.Version, Version: to.Version, LastToken: to.LastToken, OwnLease: to.HasOwnLease, Unheard: to.Unheard}
 	for _, m := range to.Members {
 		if old, ok := from.Member(m.ID); !ok || old != m {
 			d.Members = append(d.Members, m)
@@ -49,7 +50,7 @@
 		return nil
 	}
 	next := t.Clone()
-	next.Version, next.LastToken, next.HasOwnLease = d.Version, d.LastToken, d.OwnLease
+	next.Version, next.LastToken, next.HasOwnLease, next.Unheard = d.Version, d.LastToken, d.OwnLease, d.Unheard
 	for _, id := range d.Removed {
 		next.RemoveMember(id)
 	}
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -170,6 +170,17 @@
 	}
 }
 
+// Free clears the owner of the ranges of some members, which hold no keys any more.
+func (p *Plan) Free(members []NodeID) {
+	for _, d := range p.table.Divisions {
+		for i := range d.Ranges {
+			if r := &d.Ranges[i]; slices.Contains(members, r.Owner) {
+				p.clearOwner(r, "")
+			}
+		}
+	}
+}
+
 func (p *Plan) clearOwner(r *Range, handover string) {
 	r.Owner, r.Server, r.ServerStartedAtMillis, r.Handover = "", "", 0, handover
 	p.changed = true
--- a/papayapass/internal/partitioner/table.go
+++ b/papayapass/internal/partitioner/table.go
@@ -86,11 +86,16 @@
 	// HasOwnLease is set when the coordinator's node has no lease of an earlier term any
 	// more, only the shorter one of its own term. FormerCoordinator is the coordinator of
 	// the term before, if it was set then.
-	HasOwnLease       bool       `json:"ownLease,omitempty"`
-	FormerCoordinator NodeID     `json:"former,omitempty"`
-	LastToken         uint64     `json:"lastToken"`
-	Members           []Member   `json:"members"`
-	Divisions         []Division `json:"divisions"`
+	HasOwnLease       bool   `json:"ownLease,omitempty"`
+	FormerCoordinator NodeID `json:"former,omitempty"`
+	// Era is the store's era in which the epoch began; zero if the store has none.
+	Era uint64 `json:"era,omitempty"`
+	// Unheard are the members that could not be asked when the table was recovered after a
+	// restore of the store. Until their leases have ended, no keys change hands.
+	Unheard   []NodeID   `json:"unheard,omitempty"`
+	LastToken uint64     `json:"lastToken"`
+	Members   []Member   `json:"members"`
+	Divisions []Division `json:"divisions"`
 }
 
 // Newer reports whether the table supersedes another.
@@ -197,6 +202,7 @@
 // Clone returns a copy that may be changed.
 func (t *Table) Clone() *Table {
 	c := *t
+	c.Unheard = slices.Clone(t.Unheard)
 	c.Members = slices.Clone(t.Members)
 	c.Divisions = make([]Division, len(t.Divisions))
 	for i, d := range t.Divisions {
