Apply a configuration whose revision is given out again

What callers would see: a change of the configuration that is not in force (CONFIG) until the next one.

Cause: a node skips a configuration with the revision of the one that it read last. A store that is restored from an older copy gives revisions out again, so another configuration may have it.

Change: the reading is known by era and revision. Versions still never decrease, so an older copy is not taken.

Test: TestConfigurationWithARepeatedRevisionIsApplied failed before (version 8, 9 expected).

--- a/papayapass/internal/participant/era_test.go
+++ b/papayapass/internal/participant/era_test.go
@@ -152,3 +152,24 @@
 		require.Greater(t, r.Token, uint64(8))
 	}
 }
+
+// A restored store gives revisions out again: a new configuration may have the revision of
+// the one that a node read last.
+func TestConfigurationWithARepeatedRevisionIsApplied(t *testing.T) {
+	s := &fakeStore{version: 7, revision: 10, era: 1}
+	p, _ := newTestParticipant(t, s)
+	p.readStore(context.Background())
+	require.Equal(t, uint64(7), p.Configuration().Version)
+	s.version, s.era = 6, 2
+	p.readStore(context.Background())
+	require.Equal(t, uint64(7), p.Configuration().Version, "an older version from the copy")
+	s.version = 8
+	p.readStore(context.Background())
+	require.Equal(t, uint64(7), p.Configuration().Version, "the same object was read before")
+	s.revision = 11
+	p.readStore(context.Background())
+	require.Equal(t, uint64(8), p.Configuration().Version)
+	s.version, s.era = 9, 3
+	p.readStore(context.Background())
+	require.Equal(t, uint64(9), p.Configuration().Version, "revision 11 of another era")
+}
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -86,9 +86,9 @@
 	stopping              atomic.Bool
 
 	configuration atomic.Pointer[descriptor.Configuration]
-	// configurationRevision is the store's revision of the last configuration read.
-	configurationRevision atomic.Uint64
-	zonesOut              atomic.Pointer[map[string]bool]
+	// configurationRead is the state of the store with the last configuration read.
+	configurationRead atomic.Pointer[descriptor.StoreState]
+	zonesOut          atomic.Pointer[map[string]bool]
 	// storeEra is the highest era of the store that this node has seen.
 	storeEra atomic.Uint64
 	// keysServedUntil is the instant until which requests with keys are still served after
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -38,7 +38,7 @@
 	if s.err != nil {
 		return descriptor.Object{}, s.err
 	}
-	return descriptor.Object{Revision: s.revision, Spec: []byte(strconv.FormatUint(s.version, 10))}, nil
+	return descriptor.Object{Revision: s.revision, Era: s.era, Spec: []byte(strconv.FormatUint(s.version, 10))}, nil
 }
 
 func (s *fakeStore) List(_ context.Context, kind string) (descriptor.Listing, error) {
--- a/papayapass/internal/participant/poll.go
+++ b/papayapass/internal/participant/poll.go
@@ -134,7 +134,8 @@
 		p.logger.Warn().Err(err).Msg("the configuration cannot be read")
 		return false
 	}
-	if o.Revision == p.configurationRevision.Load() {
+	read := descriptor.StoreState{Era: o.Era, Revision: o.Revision}
+	if last := p.configurationRead.Load(); last != nil && *last == read {
 		return true
 	}
 	cfg, err := p.layout.Decode(o.Spec)
@@ -142,7 +143,7 @@
 		p.logger.Warn().Err(err).Uint64("revision", o.Revision).Msg("cannot decode the configuration, keeping the previous one")
 		return true
 	}
-	p.configurationRevision.Store(o.Revision)
+	p.configurationRead.Store(&read)
 	p.applyConfiguration(cfg, "store")
 	return true
 }
