Order the lists of zones by the store's era

What callers would see: after a restore of the store, a zone that operators take out of service goes on getting requests, or one that is out gets them again (EVAC).

Cause: nodes ignore lists of zones with a revision lower than the last one. Revisions go back with a restore, so lists were ignored until the counter had caught up. Ordered by era alone, the list of the copy would have put zones back into service that operators had taken out in the seconds that were lost.

Change: lists are ordered by era and revision, also in heartbeat replies. For five seconds after a rise of the era, zones that were out stay out, beside those that the new list names: operators write again what was lost.

Test: TestZonesOfARestoredStoreAreApplied failed before ("an order in the new era is in force at once").

--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -93,8 +93,9 @@
 	// Configuration is the encoded configuration, set when it is newer than the node's.
 	Configuration []byte `json:"configuration,omitempty"`
 	// ZonesOut lists the zones that operators took out of service, as read from the
-	// store at ZonesRevision.
+	// store at ZonesRevision of ZonesEra.
 	ZonesOut      []string `json:"zonesOut,omitempty"`
+	ZonesEra      uint64   `json:"zonesEra,omitempty"`
 	ZonesRevision uint64   `json:"zonesRevision,omitempty"`
 	// StoreFresh is set when the coordinator read the configuration and the zones recently.
 	StoreFresh bool `json:"fresh,omitempty"`
--- a/papayapass/internal/participant/era_test.go
+++ b/papayapass/internal/participant/era_test.go
@@ -173,3 +173,33 @@
 	p.readStore(context.Background())
 	require.Equal(t, uint64(9), p.Configuration().Version, "revision 11 of another era")
 }
+
+// The revisions of a restored store are lower than those seen before. A zone that the copy
+// does not have is out until operators have had the time to take it out again.
+func TestZonesOfARestoredStoreAreApplied(t *testing.T) {
+	s := &fakeStore{version: 1, revision: 30, zones: []string{"zone-1"}, era: 1}
+	p, clock := newTestParticipant(t, s)
+	p.readStore(context.Background())
+	require.True(t, p.ZoneOut(false))
+	s.era, s.revision, s.zones = 2, 12, []string{"zone-2"}
+	p.readStore(context.Background())
+	require.True(t, p.ZoneOut(false), "the copy is older than the order")
+	require.True(t, (*p.zonesOut.Load())["zone-2"], "an order in the new era is in force at once")
+	clock.Advance(restoreSettleTime + time.Millisecond)
+	p.readStore(context.Background())
+	require.False(t, p.ZoneOut(false))
+
+	other, otherClock := newTestParticipant(t, &fakeStore{})
+	reply := func(era, revision uint64, zones ...string) {
+		r := overseer.HeartbeatReply{IsCoordinator: true, Epoch: 1, Table: &partitioner.Table{Epoch: 1}, ZonesOut: zones, ZonesEra: era, ZonesRevision: revision}
+		require.NoError(t, other.applyReply(r, 0))
+	}
+	reply(1, 30, "zone-1")
+	reply(2, 12)
+	require.True(t, other.ZoneOut(false))
+	reply(1, 31)
+	require.True(t, other.ZoneOut(false), "a list of an earlier era")
+	otherClock.Advance(restoreSettleTime + time.Millisecond)
+	reply(2, 12)
+	require.False(t, other.ZoneOut(false))
+}
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -114,9 +114,9 @@
 	s.zones, s.revision = nil, 12
 	p.readStore(context.Background())
 	require.False(t, p.ZoneOut(false))
-	p.setZones([]string{"zone-1"}, 11)
+	p.setZones([]string{"zone-1"}, descriptor.StoreState{Revision: 11})
 	require.False(t, p.ZoneOut(false), "an older list is ignored")
-	p.setZones([]string{"zone-1"}, 13)
+	p.setZones([]string{"zone-1"}, descriptor.StoreState{Revision: 13})
 	require.True(t, p.ZoneOut(false), "shared pools stop at once")
 	require.False(t, p.ZoneOut(true), "keys have time to move")
 	clock.Advance(2600 * time.Millisecond)
--- a/papayapass/internal/participant/poll.go
+++ b/papayapass/internal/participant/poll.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,9 @@
 	// firstReadDelay is how long a node that starts waits for the coordinator's reading
 	// before it reads the configuration itself.
 	firstReadDelay = 400 * time.Millisecond
+	// restoreSettleTime is how long operators may take to write again what a restore of the
+	// store has lost.
+	restoreSettleTime = 5 * time.Second
 	// maxStoreBackoff is the number of failed calls in a row up to which the time until the
 	// next one doubles.
 	maxStoreBackoff = 2
@@ -65,9 +70,13 @@
 // desiredState is the state that operators asked for, as read from the store.
 type desiredState struct {
 	readAt timer.Instant // start of the reading, by this node's clock; zero if it failed
-	// zonesRevision orders the lists of zones.
-	zonesRevision uint64
-	zonesOut      []string
+	// zonesRead orders the lists of zones.
+	zonesRead descriptor.StoreState
+	zonesOut  []string
+	// zonesKept are out of service until keptUntil, though the list of a restored store does
+	// not have them.
+	zonesKept []string
+	keptUntil timer.Instant
 }
 
 // pollStore reads the store while this node is the coordinator, or while no coordinator
@@ -162,40 +171,46 @@
 		zones = append(zones, o.Name)
 	}
 	sort.Strings(zones)
-	p.setZones(zones, list.State.Revision)
+	p.setZones(zones, list.State)
 	return true
 }
 
 // setZones sets the zones that operators took out of service, unless a later list is
 // known.
-func (p *Participant) setZones(zones []string, revision uint64) {
+func (p *Participant) setZones(zones []string, read descriptor.StoreState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if revision < p.desired.zonesRevision {
+	if read.Before(p.desired.zonesRead) {
 		return
 	}
-	wasOut := (*p.zonesOut.Load())[p.self.Zone]
-	changed := len(zones) != len(p.desired.zonesOut)
-	for i := 0; !changed && i < len(zones); i++ {
-		changed = zones[i] != p.desired.zonesOut[i]
-	}
-	first := p.desired.zonesRevision == 0
-	p.desired.zonesRevision, p.desired.zonesOut = revision, zones
-	if !changed {
-		return
+	now, before := p.timers.Now(), *p.zonesOut.Load()
+	first := p.desired.zonesRead == descriptor.StoreState{}
+	if !first && read.Era > p.desired.zonesRead.Era {
+		p.desired.zonesKept, p.desired.keptUntil = slices.Sorted(maps.Keys(before)), now.Add(restoreSettleTime)
 	}
+	p.desired.zonesRead, p.desired.zonesOut = read, zones
 	out := make(map[string]bool, len(zones))
 	for _, z := range zones {
 		out[z] = true
 	}
+	if now < p.desired.keptUntil {
+		for _, z := range p.desired.zonesKept {
+			out[z] = true
+		}
+	}
+	if maps.Equal(before, out) {
+		return
+	}
+	wasOut := before[p.self.Zone]
 	if wasOut && !out[p.self.Zone] {
 		p.forwarder.ZoneReturned()
 	}
 	if !first && out[p.self.Zone] && !wasOut {
-		p.keysServedUntil.Store(int64(p.timers.Now().Add(time.Duration(keysServedShare * float64(p.bounds.Load().ZoneOutTimeout)))))
+		p.keysServedUntil.Store(int64(now.Add(time.Duration(keysServedShare * float64(p.bounds.Load().ZoneOutTimeout)))))
 	}
 	p.zonesOut.Store(&out)
-	p.logger.Info().Strs("zones", zones).Uint64("revision", revision).Bool("ownZone", out[p.self.Zone]).Msg("zones out of service")
+	p.logger.Info().Strs("zones", zones).Strs("kept", p.desired.zonesKept).Uint64("era", read.Era).Uint64("revision", read.Revision).
+		Bool("ownZone", out[p.self.Zone]).Msg("zones out of service")
 	p.notify()
 }
 
@@ -207,7 +222,7 @@
 
 // fillReply adds the desired state to a reply. The caller holds p.mu.
 func (p *Participant) fillReply(r *overseer.HeartbeatReply, h overseer.Heartbeat) {
-	r.ZonesOut, r.ZonesRevision = p.desired.zonesOut, p.desired.zonesRevision
+	r.ZonesOut, r.ZonesEra, r.ZonesRevision = p.desired.zonesOut, p.desired.zonesRead.Era, p.desired.zonesRead.Revision
 	r.StoreFresh = p.desired.readAt > 0 && p.timers.Now().Sub(p.desired.readAt) <= p.bounds.Load().freshness()
 	if cfg := p.Configuration(); cfg != nil && cfg.Version > h.ConfigurationVersion {
 		r.Configuration = cfg.Source
