End a recovery of the table if another node was first

What callers would see: after two restores of the store in quick succession, no coordinator. Not seen; found by reading the change before the landing.

Cause: a node that had read the store in one era learned from the members of a table of the next one, took the difference of the eras for what was lost, below zero, and would have stored a table with an epoch near 2^64, which no later one exceeds.

Change: a recovery that meets a table of its era or a later one follows that table.

Test: TestRecoveryEndsIfAnotherNodeWasFirst failed before (main-2 was created).

--- a/papayapass/internal/participant/era.go
+++ b/papayapass/internal/participant/era.go
@@ -73,6 +73,10 @@
 	for range recoveryRounds {
 		p.askForTables(ctx, recovery)
 	}
+	if newest := recovery.Newest(); newest.Era >= stored.era { // another node was first
+		p.applyTable(newest)
+		return
+	}
 	next := recovery.Table(p.self, p.incarnation, stored.era)
 	p.logger.Info().Uint64("era", stored.era).Uint64("storedVersion", stored.table.Version).
 		Uint64("version", recovery.Newest().Version).Uint64("epoch", next.Epoch).
--- a/papayapass/internal/participant/era_test.go
+++ b/papayapass/internal/participant/era_test.go
@@ -203,3 +203,22 @@
 	reply(2, 12)
 	require.False(t, other.ZoneOut(false))
 }
+
+// While a node asks the members, another one creates the table of the era, or of a later one.
+func TestRecoveryEndsIfAnotherNodeWasFirst(t *testing.T) {
+	for name, era := range map[string]uint64{"the same era": 2, "a later era": 3} {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{version: 1, revision: 10, era: 2}
+			s.setTable(t, "main-1", testTable(3, "node-1"))
+			p, _ := newTestParticipant(t, s)
+			require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Table: testTable(8, "node-2")}, 0))
+			created := testTable(1, "node-2")
+			created.Era, created.Epoch = era, 200000
+			p.client = probeClient{replies: map[string]overseer.ProbeReply{"node-2": {Epoch: 200000, Table: created}}}
+			p.findCoordinator(context.Background(), true)
+			require.Equal(t, "main-1", s.table.Name, "nothing is written")
+			require.False(t, p.Status().IsCoordinator)
+			require.Equal(t, uint64(200000), p.Status().Epoch)
+		})
+	}
+}
