Log why keys lose their owner and what is in doubt at a release

The coordinator logs "keys freed" with token, owner, next owner and cause, at most 16 lines for a table; "order about keys" carries the time for which grants of the keys are in doubt. No decision changes; tests of the planner, the coordinator, the participant and the granter pass.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -407,6 +407,19 @@
 	return slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return !p.inFlight && now < p.until })
 }
 
+// DoubtLeft returns how long grants of a call's keys may still take effect.
+func (g *Granter) DoubtLeft(c Call, now timer.Instant) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h, left := &holding{Range: partitioner.Range{First: c.First, Last: c.Last}, service: c.Service}, time.Duration(0)
+	for _, p := range g.pendingGrants {
+		if p.overlaps(h) {
+			left = max(left, p.until.Sub(now))
+		}
+	}
+	return left
+}
+
 // Released returns the released ranges that the node's table still assigns to it, once
 // no grant of their keys can take effect any more.
 func (g *Granter) Released(now timer.Instant) []partitioner.Release {
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -89,6 +89,8 @@
 	// inDoubt holds tables whose writes are in doubt. The store may hold any of them,
 	// now or later, until another write takes effect.
 	inDoubt []*partitioner.Table
+	// freed holds the ranges that lost their owner in the last plan.
+	freed []partitioner.FreedRange
 	// earlierTables are the previous tables of this term, oldest first.
 	earlierTables []*partitioner.Table
 }
@@ -117,6 +119,9 @@
 // Table returns the newest table that the store has acknowledged.
 func (o *Overseer) Table() *partitioner.Table { return o.table }
 
+// Freed returns the ranges that lost their owner in the last plan.
+func (o *Overseer) Freed() []partitioner.FreedRange { return o.freed }
+
 // WriteStarted records that a table is about to be written.
 func (o *Overseer) WriteStarted(t *partitioner.Table) { o.inDoubt = append(o.inDoubt, t) }
 
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -11,6 +11,7 @@
 // one it is based on, then calls WriteConfirmed, WriteFailed or TableRead.
 func (o *Overseer) Plan(now timer.Instant) *partitioner.Table {
 	o.decay(now)
+	o.freed = nil
 	if o.isRecovering(now) {
 		return nil
 	}
@@ -28,6 +29,7 @@
 	p.Balance()
 	p.Merge()
 	p.Compact()
+	o.freed = p.Freed()
 	next := p.Table()
 	membersChanged := o.removeExpired(next, now)
 	next.HasOwnLease = o.termStart.Add(AuthorityDuration+leaseDrift).Before(now) || mutator.Active(mutator.ShortLeaseAtOnce)
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -30,6 +30,8 @@
 	// longest between checks of grants.
 	busyGrantInterval = 25 * time.Millisecond
 	grantInterval     = 100 * time.Millisecond
+	// maxFreedLines limits the log lines about ranges that lose their owner in one table.
+	maxFreedLines = 16
 	// minGrantInterval is the shortest time between checks of grants.
 	minGrantInterval = 2 * time.Millisecond
 )
@@ -196,10 +198,23 @@
 	next := p.overseer.Plan(p.timers.Now())
 	if next != nil {
 		p.overseer.WriteStarted(next)
+		p.logFreed(next, p.overseer.Freed())
 	}
 	return next, descriptor.Object{Name: p.tableName, Revision: p.revision, Era: p.tableEra}, true
 }
 
+// logFreed logs the ranges that lose their owner in a table to be written.
+func (p *Participant) logFreed(t *partitioner.Table, freed []partitioner.FreedRange) {
+	for _, f := range freed[:min(len(freed), maxFreedLines)] {
+		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("version", t.Version).Str("service", f.Service).
+			Uint16("first", f.First).Uint16("last", f.Last).Uint64("token", f.Token).Str("owner", string(f.Owner)).
+			Str("next", string(f.NextOwner)).Str("cause", string(f.Cause)).Msg("keys freed")
+	}
+	if len(freed) > maxFreedLines {
+		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("version", t.Version).Int("count", len(freed)-maxFreedLines).Msg("more keys freed")
+	}
+}
+
 func (p *Participant) writeTable(ctx context.Context, t *partitioner.Table, o descriptor.Object) (descriptor.StoreState, error) {
 	spec, err := encodeTable(t)
 	if err != nil {
@@ -328,7 +343,7 @@
 	if call.Release || result != granter.Done {
 		p.logger.Info().Bool("release", call.Release).Uint16("first", call.First).Uint16("last", call.Last).
 			Uint64("token", call.Token).Int("result", int(result)).Dur("hold", call.Hold).
-			Bool("handover", handover != "").Msg("order about keys")
+			Bool("handover", handover != "").Dur("inDoubtFor", p.granter.DoubtLeft(call, p.timers.Now())).Msg("order about keys")
 		p.TriggerHeartbeat()
 	}
 }
--- /dev/null
+++ b/papayapass/internal/partitioner/freedrange.go
@@ -0,0 +1,29 @@
+package partitioner
+
+// FreeCause is why a range lost its owner.
+type FreeCause string
+
+// Causes of ranges without an owner.
+const (
+	FreeReleased      FreeCause = "released"
+	FreeLeaseExpired  FreeCause = "lease expired"
+	FreeServerRestart FreeCause = "backend server restarted"
+	FreeUnheard       FreeCause = "unheard after a restore of the store"
+)
+
+// FreedRange is a range that lost its owner in a round of planning.
+type FreedRange struct {
+	Range
+
+	Service string
+	Cause   FreeCause
+}
+
+// Freed returns the ranges that lost their owner in the round.
+func (p *Plan) Freed() []FreedRange { return p.freed }
+
+func (p *Plan) clearOwner(service string, r *Range, handover string, cause FreeCause) {
+	p.freed = append(p.freed, FreedRange{Range: *r, Service: service, Cause: cause})
+	r.Owner, r.Server, r.ServerStartedAtMillis, r.Handover = "", "", 0, handover
+	p.changed = true
+}
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -68,6 +68,7 @@
 	table   *Table
 	states  map[NodeID]MemberState
 	loads   map[string]*Loads
+	freed   []FreedRange
 	changed bool
 }
 
@@ -162,9 +163,9 @@
 			m, ok := p.table.Member(r.Owner)
 			switch {
 			case !ok || p.states[r.Owner].LeaseExpired:
-				p.clearOwner(r, "")
+				p.clearOwner(d.Service, r, "", FreeLeaseExpired)
 			case m.Server.ID != "" && !m.Server.SameStart(r.Server, r.ServerStartedAtMillis) && !p.states[r.Owner].Silent:
-				p.clearOwner(r, "")
+				p.clearOwner(d.Service, r, "", FreeServerRestart)
 			}
 		}
 	}
@@ -175,17 +176,12 @@
 	for _, d := range p.table.Divisions {
 		for i := range d.Ranges {
 			if r := &d.Ranges[i]; slices.Contains(members, r.Owner) {
-				p.clearOwner(r, "")
+				p.clearOwner(d.Service, r, "", FreeUnheard)
 			}
 		}
 	}
 }
 
-func (p *Plan) clearOwner(r *Range, handover string) {
-	r.Owner, r.Server, r.ServerStartedAtMillis, r.Handover = "", "", 0, handover
-	p.changed = true
-}
-
 // ApplyReleases clears the owners of ranges that they have released.
 func (p *Plan) ApplyReleases(list []Release) {
 	for _, rel := range list {
@@ -198,7 +194,7 @@
 			if r.First != rel.First || r.Last != rel.Last || r.Token != rel.Token || r.Owner == "" {
 				continue
 			}
-			p.clearOwner(r, rel.Handover)
+			p.clearOwner(d.Service, r, rel.Handover, FreeReleased)
 		}
 	}
 }
