Hold releases back until grants of a former process have ended

Cause: a process reports a release once none of its own unanswered grants can take effect any more. The next process knows none of them. It released the range once more, reported it at once, and a grant of the former process was carried out beside the next owner's. Grants in heartbeats already waited for this (priorGrantsUntil); grants by call did not.

Change: a process reports no release, and counts its grants as in doubt, until the longest hold of a grant from before its start has ended.

Tests: TestReleaseWaitsForGrantsOfFormerProcess failed before (the release was reported at once).

Two entries of TestMutationsAreDetected go: "forget a lease of an earlier term" and "count a short lease at once". They are replaced by tests that replay the two faults (TestLeaseOfAnEarlierTermCounts, TestShortLeaseIsNamedAfterTheLongOne) and fail with each mutation.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -400,18 +400,20 @@
 	}
 }
 
-// GrantInDoubt reports whether a grant without an answer may still take effect.
+// GrantInDoubt reports whether a grant without an answer, of this process or of a former one,
+// may still take effect.
 func (g *Granter) GrantInDoubt(now timer.Instant) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return !p.inFlight && now < p.until })
+	return now < g.priorGrantsUntil || slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return !p.inFlight && now < p.until })
 }
 
 // DoubtLeft returns how long grants of a call's keys may still take effect.
 func (g *Granter) DoubtLeft(c Call, now timer.Instant) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h, left := &holding{Range: partitioner.Range{First: c.First, Last: c.Last}, service: c.Service}, time.Duration(0)
+	h := &holding{Range: partitioner.Range{First: c.First, Last: c.Last}, service: c.Service}
+	left := max(0, g.priorGrantsUntil.Sub(now))
 	for _, p := range g.pendingGrants {
 		if p.overlaps(h) {
 			left = max(left, p.until.Sub(now))
@@ -425,6 +427,9 @@
 func (g *Granter) Released(now timer.Instant) []partitioner.Release {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now < g.priorGrantsUntil {
+		return nil // a former process may have left grants without an answer
+	}
 	var out []partitioner.Release
 	for _, h := range g.holdings {
 		if h.released && !slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.overlaps(h) && now < p.until }) {
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -55,6 +55,29 @@
 	require.Equal(t, []partitioner.Release{{Service: "permits", First: 0, Last: 49, Token: 4, Handover: "handover-1"}}, g.Released(now))
 }
 
+// The process before a restart may have left a renewal unanswered, which is applied after the
+// release of the next process (OWNER, incident 0015). The keys must be reported as released only
+// when the longest hold of a grant from before the start has ended.
+func TestReleaseWaitsForGrantsOfFormerProcess(t *testing.T) {
+	started := timer.Instant(time.Hour)
+	g := NewGranter("node-1", 10*time.Second, started)
+	g.SetServer(testServer)
+	g.SetLease(started.Add(time.Hour))
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), started)
+	release := g.DueCalls(started)[0]
+	require.True(t, release.Release)
+	g.HandleResult(release, Done, "handover-1", started)
+	require.Empty(t, g.Released(started))
+	require.True(t, g.GrantInDoubt(started))
+	now := started.Add(withDrift(maxUsefulHold) - time.Millisecond)
+	require.Empty(t, g.Released(now))
+	require.Positive(t, g.DoubtLeft(release, now))
+	now = now.Add(time.Millisecond)
+	require.Len(t, g.Released(now), 1)
+	require.False(t, g.GrantInDoubt(now))
+	require.Zero(t, g.DoubtLeft(release, now))
+}
+
 // A release must not be sent while a grant of the same keys is in flight, since they
 // could arrive in reverse order.
 func TestReleaseWaitsForGrantsInFlight(t *testing.T) {
--- a/papayapass/internal/overseer/beats_test.go
+++ b/papayapass/internal/overseer/beats_test.go
@@ -121,7 +121,7 @@
 func (s *beatServer) send(w *world) {
 	s.sequence++
 	b := &beat{sequence: s.sequence, sent: w.now, arrives: w.now}
-	if w.now < w.lossUntil && w.r.IntN(3) == 0 {
+	if w.losesCalls() && w.r.IntN(3) == 0 {
 		b.arrives += time.Duration(w.r.IntN(3000)) * time.Millisecond
 	}
 	for _, h := range s.rows {
@@ -139,7 +139,7 @@
 func (w *world) answer(m *member, b *beat) []*beat {
 	r := m.granter.HandleHeartbeat(b.sequence, &b.keys, w.clock(m))
 	b.answered, b.grants, b.arrives = true, r.Reply.Grants, w.now+time.Duration(w.r.IntN(3))*worldStep
-	if w.now < w.lossUntil && w.r.IntN(3) == 0 {
+	if w.losesCalls() && w.r.IntN(3) == 0 {
 		if w.r.IntN(2) == 0 {
 			return nil
 		}
--- /dev/null
+++ b/papayapass/internal/overseer/lease_test.go
@@ -0,0 +1,74 @@
+package overseer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/overseer"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+)
+
+const leaseTestStart = timer.Instant(time.Hour)
+
+// leaseTestTable returns a table of two members in which node-2 owns all keys.
+func leaseTestTable() *partitioner.Table {
+	t := &partitioner.Table{Epoch: 2, Version: 1, Coordinator: "node-1", LastToken: 1}
+	for _, id := range []partitioner.NodeID{"node-1", "node-2"} {
+		t.SetMember(partitioner.Member{ID: id, Server: partitioner.Server{ID: string(id) + "-s", Service: service, Slots: 10, Divided: true}})
+	}
+	t.Divisions = []partitioner.Division{{Service: service, Ranges: []partitioner.Range{
+		{Last: partitioner.LastKey, Owner: "node-2", Server: "node-2-s", Token: 1},
+	}}}
+	return t
+}
+
+// freesKeysUnderEarlierLease starts a term in which node-2, which has a lease of the term
+// before, gets none with its only heartbeat, since a table in doubt takes its keys. It reports
+// whether its keys are freed after a delay.
+func freesKeysUnderEarlierLease(delay time.Duration) bool {
+	t := leaseTestTable()
+	o := overseer.NewOverseer("node-1", t, time.Second, leaseTestStart, leaseTestStart)
+	taken := t.Clone()
+	taken.Divisions[0].Ranges[0].Owner = "node-1"
+	o.WriteStarted(taken)
+	m, _ := t.Member("node-2")
+	if r := o.HandleHeartbeat(overseer.Heartbeat{Member: m, Incarnation: 7, Epoch: t.Epoch, Version: t.Version}, leaseTestStart); r.Lease != 0 {
+		panic("a node whose keys a table in doubt takes got a lease")
+	}
+	o.WriteFailed(taken)
+	next := o.Plan(leaseTestStart.Add(delay))
+	return next != nil && len(next.Owned("node-2")) == 0
+}
+
+// A node has a lease of the former term and gets none in the next one before it falls silent.
+// Its keys stay its own until the former lease has ended (incident 0010).
+func TestLeaseOfAnEarlierTermCounts(t *testing.T) {
+	require.False(t, freesKeysUnderEarlierLease(time.Second))
+	require.False(t, freesKeysUnderEarlierLease(overseer.AuthorityDuration))
+	require.True(t, freesKeysUnderEarlierLease(overseer.AuthorityDuration*103/100))
+}
+
+// ownLeaseNamed reports whether a table planned after a part of the term says that the
+// coordinator's node has only the short lease of its own term.
+func ownLeaseNamed(delay time.Duration) bool {
+	t := leaseTestTable()
+	o := overseer.NewOverseer("node-1", t, time.Second, leaseTestStart, leaseTestStart)
+	now := leaseTestStart.Add(delay)
+	for _, m := range t.Members {
+		o.HandleHeartbeat(overseer.Heartbeat{Member: m, Incarnation: 7, Epoch: t.Epoch, Version: t.Version}, now)
+	}
+	o.WriteConfirmed(nil, now)
+	next := o.Plan(now)
+	return next != nil && next.HasOwnLease
+}
+
+// The coordinator's node may have a longer lease of the term before. Its successor must not
+// count it as ended after the short one.
+func TestShortLeaseIsNamedAfterTheLongOne(t *testing.T) {
+	require.False(t, ownLeaseNamed(time.Second))
+	require.False(t, ownLeaseNamed(overseer.AuthorityDuration))
+	require.True(t, ownLeaseNamed(overseer.AuthorityDuration*103/100))
+}
--- a/papayapass/internal/overseer/mutation_test.go
+++ b/papayapass/internal/overseer/mutation_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -14,6 +15,16 @@
 // maxMutationSeeds is the number of schedules in which an injected fault must be detected.
 const maxMutationSeeds = 16
 
+// schedule is a kind of random schedule.
+type schedule int
+
+// Kinds of schedules that detect an injected fault.
+const (
+	faultsAndHotKeys schedule = iota
+	restores
+	rollingRestarts
+)
+
 // TestMutationsAreDetected injects one fault of the ownership protocol at a time and
 // asserts that a random schedule detects it. firstSeed skips schedules that are known not
 // to. The faults of single heartbeats are in package granter.
@@ -22,15 +33,13 @@
 		fault     mutator.Fault
 		method    descriptor.GrantMethod
 		firstSeed uint64
-		// restores is set for faults that schedules with restores of the store detect.
-		restores bool
+		schedule  schedule
 	}{
-		"forget a lease of an earlier term":      {mutator.ForgetEarlierLease, descriptor.GrantByCall, 84, false},
-		"count a short lease at once":            {mutator.ShortLeaseAtOnce, descriptor.GrantByCall, 96, false},
-		"forget what an earlier process granted": {mutator.ForgetPriorGrants, descriptor.GrantByHeartbeat, 8, false},
-		"release keys that a heartbeat lists":    {mutator.HoldIgnoresListing, descriptor.GrantByHeartbeat, 0, false},
-		"recover the restored table":             {mutator.RecoverStoredTable, descriptor.GrantByCall, 1000, true},
-		"forget members that were not heard":     {mutator.ForgetUnheard, descriptor.GrantByCall, 1220, true},
+		"forget what an earlier process granted": {mutator.ForgetPriorGrants, descriptor.GrantByHeartbeat, 8, faultsAndHotKeys},
+		"forget calls of an earlier process":     {mutator.ForgetPriorGrants, descriptor.GrantByCall, 2000, rollingRestarts},
+		"release keys that a heartbeat lists":    {mutator.HoldIgnoresListing, descriptor.GrantByHeartbeat, 0, faultsAndHotKeys},
+		"recover the restored table":             {mutator.RecoverStoredTable, descriptor.GrantByCall, 1000, restores},
+		"forget members that were not heard":     {mutator.ForgetUnheard, descriptor.GrantByCall, 1220, restores},
 	}
 	for name, tt := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -38,10 +47,14 @@
 			defer mutator.Activate(mutator.None)
 			for seed := tt.firstSeed; seed < tt.firstSeed+maxMutationSeeds; seed++ {
 				var w *world
-				if tt.restores {
+				switch tt.schedule {
+				case restores:
 					w = newWorld(t, seed, 6, tt.method)
 					w.runRestores(true)
-				} else {
+				case rollingRestarts:
+					w = newWorld(t, seed, 5, tt.method)
+					w.runRollingRestarts()
+				default:
 					w = newWorld(t, seed, 3+int(seed%5), tt.method)
 					w.hasHotKeys = true
 					w.runFaults()
@@ -55,3 +68,22 @@
 		})
 	}
 }
+
+// TestLeaseMutationsAreDetected injects faults of leases that random schedules do not detect.
+func TestLeaseMutationsAreDetected(t *testing.T) {
+	faults := map[string]struct {
+		fault  mutator.Fault
+		breaks func() bool
+	}{
+		"forget a lease of an earlier term": {mutator.ForgetEarlierLease, func() bool { return freesKeysUnderEarlierLease(time.Second) }},
+		"count a short lease at once":       {mutator.ShortLeaseAtOnce, func() bool { return ownLeaseNamed(time.Second) }},
+	}
+	for name, tt := range faults {
+		t.Run(name, func(t *testing.T) {
+			require.False(t, tt.breaks(), "without the fault")
+			mutator.Activate(tt.fault)
+			defer mutator.Activate(mutator.None)
+			require.True(t, tt.breaks())
+		})
+	}
+}
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -133,6 +133,8 @@
 	checkedKeys int
 	// hasHotKeys is set while a run of hot keys makes keys move.
 	hasHotKeys bool
+	// alwaysLoses is set while grants and heartbeats are lost or late all the time.
+	alwaysLoses bool
 	// violation describes the first broken rule.
 	violation string
 }
@@ -241,6 +243,9 @@
 	return apply(), true
 }
 
+// losesCalls reports whether calls to backend servers and their heartbeats may be lost or late.
+func (w *world) losesCalls() bool { return w.alwaysLoses || w.now < w.lossUntil }
+
 func (w *world) step() {
 	w.now += worldStep
 	if w.restoreAt > 0 && w.now >= w.restoreAt {
@@ -283,7 +288,7 @@
 	}
 	now := w.clock(m)
 	for _, c := range m.granter.DueCalls(now) {
-		if w.now < w.lossUntil && w.r.IntN(3) == 0 {
+		if w.losesCalls() && w.r.IntN(3) == 0 {
 			m.server.delayed = append(m.server.delayed, delayedCall{at: w.now + time.Duration(w.r.IntN(9000))*time.Millisecond, arrived: w.now, call: c})
 			m.granter.HandleResult(c, granter.Unknown, "", now)
 			continue
