Trust no member's echo across its restart

A member had followed the next coordinator and restarted while the store was away. It knew no epoch, was told the former coordinator's table and followed it. Its echo completed a majority, so that the former coordinator had authority again and gave leases by its old table. Likewise, that a member had joined a term was taken as the end of its leases of earlier terms, though its next process may get one again.

Change: an echo counts only from a process that was heard before the newest acknowledged write; a later takeover needs a write of its own, so such a process cannot have forgotten it. Leases of earlier terms end by a majority that has joined, or by the longest outage, not by the member's own joining.

A planted mutation is found by a schedule.

--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -51,4 +51,7 @@
 	// ForgetUnheard assigns keys at once after a restore of the store, though members that
 	// did not answer may hold them.
 	ForgetUnheard
+	// TrustRestartedMembers extends a coordinator's authority by echoes of members that have
+	// restarted since the store last confirmed it.
+	TrustRestartedMembers
 )
--- a/papayapass/internal/overseer/lease_test.go
+++ b/papayapass/internal/overseer/lease_test.go
@@ -72,3 +72,23 @@
 	require.False(t, ownLeaseNamed(overseer.AuthorityDuration))
 	require.True(t, ownLeaseNamed(overseer.AuthorityDuration*103/100))
 }
+
+// A member joins the next term, restarts and follows the former coordinator again while the
+// store is away. Without a majority in the new term, its keys stay its own until no coordinator
+// of an earlier term can have authority (incident 0015).
+func TestJoiningEndsNoLeaseOfAnEarlierTerm(t *testing.T) {
+	table := leaseTestTable()
+	for _, id := range []partitioner.NodeID{"node-3", "node-4", "node-5"} {
+		table.SetMember(partitioner.Member{ID: id, Server: partitioner.Server{ID: string(id) + "-s", Service: service, Slots: 10, Divided: true}})
+	}
+	o := overseer.NewOverseer("node-1", table, time.Second, leaseTestStart, leaseTestStart)
+	m, _ := table.Member("node-2")
+	o.HandleHeartbeat(overseer.Heartbeat{Member: m, Incarnation: 7, Epoch: table.Epoch, Version: table.Version}, leaseTestStart)
+	freed := func(delay time.Duration) bool {
+		next := o.Plan(leaseTestStart.Add(delay))
+		return next != nil && len(next.Owned("node-2")) == 0
+	}
+	require.False(t, freed(2*overseer.AuthorityDuration))
+	require.False(t, freed(overseer.MaxStoreOutage))
+	require.True(t, freed(overseer.MaxStoreOutage+overseer.AuthorityDuration*103/100))
+}
--- a/papayapass/internal/overseer/mutation_test.go
+++ b/papayapass/internal/overseer/mutation_test.go
@@ -23,6 +23,7 @@
 	faultsAndHotKeys schedule = iota
 	restores
 	rollingRestarts
+	restartsAfterTakeovers
 )
 
 // TestMutationsAreDetected injects one fault of the ownership protocol at a time and
@@ -39,6 +40,7 @@
 		"forget calls of an earlier process":     {mutator.ForgetPriorGrants, descriptor.GrantByCall, 2000, rollingRestarts},
 		"release keys that a heartbeat lists":    {mutator.HoldIgnoresListing, descriptor.GrantByHeartbeat, 0, faultsAndHotKeys},
 		"recover the restored table":             {mutator.RecoverStoredTable, descriptor.GrantByCall, 1000, restores},
+		"trust members across their restart":     {mutator.TrustRestartedMembers, descriptor.GrantByCall, 4000, restartsAfterTakeovers},
 		"forget members that were not heard":     {mutator.ForgetUnheard, descriptor.GrantByCall, 1220, restores},
 	}
 	for name, tt := range faults {
@@ -54,6 +56,9 @@
 				case rollingRestarts:
 					w = newWorld(t, seed, 5, tt.method)
 					w.runRollingRestarts()
+				case restartsAfterTakeovers:
+					w = newWorld(t, seed, 3+int(seed%4), tt.method)
+					w.runRestartsAfterTakeovers()
 				default:
 					w = newWorld(t, seed, 3+int(seed%5), tt.method)
 					w.hasHotKeys = true
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -57,11 +57,10 @@
 type node struct {
 	lastHeartbeat   Heartbeat
 	lastHeartbeatAt timer.Instant
-	// joinedAt is when the node first followed this term; leases of earlier terms that it
-	// had by then end AuthorityDuration later.
-	joinedAt    timer.Instant
-	leaseUntil  timer.Instant
-	echoedStamp timer.Instant
+	leaseUntil      timer.Instant
+	echoedStamp     timer.Instant
+	// startedAt is when the present process of the node was first heard in this term.
+	startedAt timer.Instant
 	// meanSeconds is the smoothed mean duration of requests at the backend server.
 	meanSeconds float64
 }
@@ -198,12 +197,13 @@
 }
 
 // majorityEcho returns the newest stamp that more than half of the members have echoed.
-// The coordinator counts as one of them.
+// The coordinator counts as one of them. A process that was first heard after the newest
+// acknowledged write does not count: the one before it may have followed a later term.
 func (o *Overseer) majorityEcho() (timer.Instant, bool) {
 	members := len(o.table.Members)
 	var list []timer.Instant
 	for _, m := range o.table.Members {
-		if n, ok := o.nodes[m.ID]; ok && m.ID != o.self && n.echoedStamp > 0 {
+		if n, ok := o.nodes[m.ID]; ok && m.ID != o.self && n.echoedStamp > 0 && o.isEchoValid(n) {
 			list = append(list, n.echoedStamp)
 		}
 	}
@@ -215,6 +215,10 @@
 	return list[need-1], true
 }
 
+func (o *Overseer) isEchoValid(n *node) bool {
+	return n.startedAt.Before(o.confirmedAt) || mutator.Active(mutator.TrustRestartedMembers)
+}
+
 // StoreDown reports whether the newest acknowledged write, or read of this term's table,
 // is older than RenewalInterval and heartbeatTimeout together.
 func (o *Overseer) StoreDown(now timer.Instant) bool {
@@ -229,6 +233,9 @@
 		n = &node{}
 		o.nodes[id] = n
 	}
+	if n.startedAt == 0 || n.lastHeartbeat.Incarnation != b.Incarnation {
+		n.startedAt, n.echoedStamp = now, 0
+	}
 	n.smoothMean(b, now)
 	n.lastHeartbeat, n.lastHeartbeatAt = b, now
 	if b.Epoch == o.table.Epoch && n.echoedStamp.Before(b.Echo) {
@@ -279,9 +286,6 @@
 	if b.Epoch != o.table.Epoch {
 		return
 	}
-	if n := o.nodes[b.Member.ID]; n.joinedAt == 0 {
-		n.joinedAt = now
-	}
 	if !o.notJoined[b.Member.ID] {
 		return
 	}
@@ -398,22 +402,19 @@
 	if known && mutator.Active(mutator.ForgetEarlierLease) {
 		return true
 	}
-	return o.earlierLeaseEnd(id, n).Before(now)
+	return o.earlierLeaseEnd(id).Before(now)
 }
 
-// earlierLeaseEnd returns when the leases of earlier terms of a member have ended; n is nil
-// for one without a heartbeat. This is a lease after it or a majority has joined this term,
-// or a lease and MaxStoreOutage after the start of the term. A node that has not joined may
-// still follow the former coordinator.
-func (o *Overseer) earlierLeaseEnd(id partitioner.NodeID, n *node) timer.Instant {
+// earlierLeaseEnd returns when the leases of earlier terms of a member have ended: a lease
+// after a majority has joined this term, or a lease and MaxStoreOutage after its start. That the
+// member itself has joined proves nothing, since it may have restarted and followed the former
+// coordinator again.
+func (o *Overseer) earlierLeaseEnd(id partitioner.NodeID) timer.Instant {
 	lease := AuthorityDuration + leaseDrift
 	if id == o.table.FormerCoordinator {
 		lease = OwnLeaseDuration + leaseDrift
 	}
 	end := o.termStart.Add(MaxStoreOutage + lease)
-	if n != nil && n.joinedAt > 0 {
-		end = min(end, n.joinedAt.Add(lease))
-	}
 	if o.majorityJoinedAt > 0 {
 		end = min(end, o.majorityJoinedAt.Add(lease))
 	}
--- a/papayapass/internal/overseer/recovery.go
+++ b/papayapass/internal/overseer/recovery.go
@@ -74,6 +74,6 @@
 // still hold keys by a table that was lost.
 func (o *Overseer) isRecovering(now timer.Instant) bool {
 	return slices.ContainsFunc(o.table.Unheard, func(id partitioner.NodeID) bool {
-		return !o.earlierLeaseEnd(id, o.nodes[id]).Before(now)
+		return !o.earlierLeaseEnd(id).Before(now)
 	})
 }
--- a/papayapass/internal/overseer/rolling_test.go
+++ b/papayapass/internal/overseer/rolling_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/shared/descriptor"
 )
 
 // runRollingRestarts restarts the nodes one after the other while keys move and grants or
@@ -49,3 +51,60 @@
 		}
 	}
 }
+
+// runRestartsAfterTakeovers makes another node take the role while the former coordinator has
+// lost the store, then restarts members that have followed it, without the store.
+func (w *world) runRestartsAfterTakeovers() {
+	w.hasHotKeys = true
+	for range 200 {
+		w.step()
+	}
+	for range 8 {
+		var former *member
+		for _, m := range w.members {
+			if m.overseer != nil {
+				former = m
+			}
+		}
+		if former != nil {
+			former.noStoreUntil = w.now + time.Duration(4000+w.r.IntN(8000))*time.Millisecond
+			if w.r.IntN(2) == 0 {
+				former.partitionedUntil = w.now + time.Duration(1000+w.r.IntN(3000))*time.Millisecond
+			}
+		}
+		for range 100 + w.r.IntN(150) {
+			w.step()
+		}
+		w.outageUntil = w.now + time.Duration(2000+w.r.IntN(6000))*time.Millisecond
+		for _, m := range w.members {
+			if m != former && w.r.IntN(2) == 0 {
+				m.pausedUntil = w.now + time.Duration(w.r.IntN(800))*time.Millisecond
+				w.restart(m)
+			}
+		}
+		for range 100 + w.r.IntN(300) {
+			w.step()
+		}
+	}
+	w.hasHotKeys = false
+	for range 1600 { // 32 s: longer than all leases without a majority
+		w.step()
+	}
+	w.servedKeys, w.checkedKeys = 0, 0
+	w.step()
+}
+
+// Members that had followed the next coordinator restarted while the store was away. They
+// followed the former one, whose authority their echoes extended (incident 0015).
+func TestRestartedMembersGiveAFormerCoordinatorNoAuthority(t *testing.T) {
+	const seeds = 40
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 4000+seed, 3+int(seed%4), descriptor.GrantByCall)
+			w.runRestartsAfterTakeovers()
+			require.Empty(t, w.violation)
+			require.Equal(t, w.checkedKeys, w.servedKeys, "all keys are served again")
+		})
+	}
+}
