Log backend servers that end under running requests

The lines could not tell whether our retries carry it on, customers repeat it, or the servers end by themselves. No decision changes.

A node groups the requests that one start of its backend server cut off together. A refused connection or the next start confirms that the server ended; a response to a later request shows that it only cut off responses. The line names up to 16 of the requests, sent last first, and up to 4 abandoned just before, with fingerprints (package fingerprinter, no copy of the body). "request failed" tells how many servers closed the connection, and the fingerprint. Metric papayapass_server_ends.

--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -9,6 +9,7 @@
 
 	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/exchanger"
+	"papayapass.dev/papayapass/internal/fingerprinter"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/shared/descriptor"
 )
@@ -41,6 +42,11 @@
 	Notice Notice
 }
 
+// Fingerprint returns the fingerprint of the request.
+func (c *Call) Fingerprint() fingerprinter.Fingerprint {
+	return fingerprinter.Sum(fingerprinter.Request{Caller: c.Caller, Method: c.Method, Host: c.Host, URI: c.URI, Key: c.Key, Body: c.Body})
+}
+
 // Notice is what one start of a backend server said about itself in a response. Calls and
 // results carry it, so that a node that restarts learns it from the others before the
 // backend server's next response.
@@ -105,6 +111,9 @@
 	Retry time.Duration
 	// Sent means that the request was sent to the backend server.
 	Sent bool
+	// Disconnected means that the backend server closed the connection before its whole
+	// response had arrived: it ended, or cut off this response only.
+	Disconnected bool
 	// Notice is what the backend server last said about itself.
 	Notice Notice
 }
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -183,8 +183,9 @@
 // attemptLog records the tries of a call.
 type attemptLog struct {
 	start timer.Instant
-	// sent counts the tries that sent the call to a backend server.
-	sent int
+	// sent counts the tries that sent the call to a backend server, and disconnected those
+	// of them in which the backend server closed the connection.
+	sent, disconnected int
 	// tries counts all tries; lastNode is the node of the last one.
 	tries    int
 	lastNode partitioner.NodeID
@@ -206,6 +207,9 @@
 	if res.Sent {
 		l.sent++
 	}
+	if res.Disconnected {
+		l.disconnected++
+	}
 	return res
 }
 
@@ -359,10 +363,14 @@
 	}
 	d.counter.ObserveRequest(c.Route, res.Outcome.String(), string(res.Reason), status, now.Sub(arrived))
 	if res.Outcome != Answered || status >= http.StatusInternalServerError {
-		d.logger.Info().Str("request", c.ID).Str("route", c.Route).Str("service", c.Service).Uint16("key", c.Key).
+		e := d.logger.Info().Str("request", c.ID).Str("route", c.Route).Str("service", c.Service).Uint16("key", c.Key).
 			Stringer("outcome", res.Outcome).Str("reason", string(res.Reason)).Int("status", status).
 			Str("server", string(attempts.lastNode)).Int("asked", attempts.tries).Int("reached", attempts.sent).
-			Dur("elapsed", now.Sub(arrived)).Dur("left", left).Msg("request failed")
+			Dur("elapsed", now.Sub(arrived)).Dur("left", left)
+		if attempts.disconnected > 0 {
+			e.Int("disconnected", attempts.disconnected).Stringer("fingerprint", c.Fingerprint())
+		}
+		e.Msg("request failed")
 	}
 }
 
--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -296,6 +296,7 @@
 		"not run":  {Outcome: NotRun, Reason: ReasonFull, Retry: 70 * time.Millisecond},
 		"shed":     shed,
 		"unknown":  unknown,
+		"cut off":  {Outcome: Unknown, Reason: ReasonBroken, Sent: true, Disconnected: true},
 	}
 	for name, want := range results {
 		t.Run(name, func(t *testing.T) {
@@ -313,6 +314,7 @@
 			require.Equal(t, want.Reason, got.Reason)
 			require.Equal(t, want.Retry, got.Retry)
 			require.Equal(t, want.Sent, got.Sent)
+			require.Equal(t, want.Disconnected, got.Disconnected)
 			if want.Outcome == Answered {
 				require.Equal(t, want.Response.Status, got.Response.Status)
 				require.Equal(t, string(want.Response.Body), string(got.Response.Body))
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -56,13 +56,14 @@
 
 // resultHead is the head of the result of a call; the response's body follows it.
 type resultHead struct {
-	Outcome string      `json:"outcome"`
-	Reason  Reason      `json:"reason,omitempty"`
-	Retry   int64       `json:"retryMillis,omitempty"`
-	Sent    bool        `json:"offered,omitempty"`
-	Status  int         `json:"status,omitempty"`
-	Header  http.Header `json:"header,omitempty"`
-	Notice  *Notice     `json:"notice,omitempty"`
+	Outcome      string      `json:"outcome"`
+	Reason       Reason      `json:"reason,omitempty"`
+	Retry        int64       `json:"retryMillis,omitempty"`
+	Sent         bool        `json:"offered,omitempty"`
+	Disconnected bool        `json:"disconnected,omitempty"`
+	Status       int         `json:"status,omitempty"`
+	Header       http.Header `json:"header,omitempty"`
+	Notice       *Notice     `json:"notice,omitempty"`
 }
 
 // Peer serves calls at the backend server of another node.
@@ -176,7 +177,7 @@
 	if err != nil {
 		return Result{Outcome: Unknown, Reason: ReasonBroken, Sent: true}
 	}
-	r := Result{Reason: head.Reason, Retry: time.Duration(head.Retry) * time.Millisecond, Sent: head.Sent}
+	r := Result{Reason: head.Reason, Retry: time.Duration(head.Retry) * time.Millisecond, Sent: head.Sent, Disconnected: head.Disconnected}
 	r.Notice = p.keepNotice(head.Notice, head.Sent)
 	switch head.Outcome {
 	case Answered.String():
@@ -236,7 +237,8 @@
 	}
 	res := p.server.Serve(ctx, c)
 	result := resultHead{
-		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Sent: res.Sent, Notice: res.Notice.orNil(),
+		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Sent: res.Sent,
+		Disconnected: res.Disconnected, Notice: res.Notice.orNil(),
 	}
 	body = nil
 	if res.Outcome == Answered {
--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,10 +22,14 @@
 // Errors of an exchange. After ErrNotSent the request has certainly not reached the
 // server; after any other error it may have run.
 var (
-	ErrNotSent      = errors.New("request was not sent")
+	ErrNotSent = errors.New("request was not sent")
+	// ErrRefused means that nothing listens at the address.
+	ErrRefused      = errors.New("connection refused")
 	ErrOtherRequest = errors.New("response belongs to another request")
 	ErrMalformed    = errors.New("malformed or incomplete response")
 	ErrHeadTooLarge = errors.New("response head too large")
+	// ErrDisconnected means that the server closed the connection during the exchange.
+	ErrDisconnected = errors.New("server closed the connection")
 )
 
 const (
@@ -84,9 +89,11 @@
 	net.Conn
 	r *bufio.Reader
 	// unread is how many more bytes may be read; a peer in trouble may send without end.
-	unread    int64
-	idleSince time.Time
-	expires   time.Time
+	unread int64
+	// disconnected means that the server closed its side or reset the connection.
+	disconnected bool
+	idleSince    time.Time
+	expires      time.Time
 }
 
 // NewExchanger returns an exchanger without connections.
@@ -122,6 +129,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, keep, err := e.roundTrip(c, req)
+	if err != nil && (c.disconnected || errors.IsAny(err, unix.ECONNRESET, unix.EPIPE)) {
+		err = errors.Mark(err, ErrDisconnected)
+	}
 	if !stop() || err != nil || !keep {
 		_ = c.Close() // the exchange has ended, the error does not matter
 		return response, err
@@ -148,7 +158,11 @@
 	}
 	raw, err := e.dialer.DialContext(ctx, "tcp", e.address)
 	if err != nil {
-		return nil, errors.Wrap(err, "connect")
+		err = errors.Wrap(err, "connect")
+		if errors.Is(err, unix.ECONNREFUSED) {
+			err = errors.Mark(err, ErrRefused)
+		}
+		return nil, err
 	}
 	return newConn(raw), nil
 }
@@ -166,6 +180,9 @@
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.unread)])
 	c.unread -= int64(n)
+	if err != nil {
+		c.disconnected = errors.IsAny(err, io.EOF, unix.ECONNRESET)
+	}
 	return n, err
 }
 
--- a/papayapass/internal/exchanger/exchanger_test.go
+++ b/papayapass/internal/exchanger/exchanger_test.go
@@ -162,6 +162,13 @@
 	require.NoError(t, l.Close())
 	_, err = do(newTestExchanger(address), "1")
 	require.True(t, errors.Is(err, ErrNotSent))
+	require.True(t, errors.Is(err, ErrRefused))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = newTestExchanger(address).Do(ctx, Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+	require.True(t, errors.Is(err, ErrNotSent))
+	require.False(t, errors.Is(err, ErrRefused), "given up, which tells nothing about the server")
 }
 
 // The server closes its side of an idle connection. A request that must not run twice must
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"papayapass.dev/papayapass/internal/admitter"
@@ -96,8 +97,11 @@
 	stoppingSince timer.Instant
 	workByKey     map[uint16]float32
 	notice        serverNotice
+	ending        ending
 	// sent counts all requests sent to the backend server.
 	sent atomic.Uint64
+	// ends counts the ends of backend servers that cut off requests.
+	ends atomic.Uint64
 }
 
 // NewForwarder returns a forwarder that has not received a heartbeat yet.
@@ -133,6 +137,7 @@
 		return descriptor.HeartbeatReply{}, true // late: what it lists may have changed
 	}
 	if newStart {
+		f.ending.confirm(f.lastHeartbeat, "next start", now, maxMissedHeartbeats*f.heartbeatInterval)
 		f.leaving = f.left.SameStart(h.ID, h.StartedAtMillis)
 		f.notice = serverNotice{}
 		f.applyRateLimit(now)
@@ -303,6 +308,7 @@
 	now := f.clock.Now()
 	f.admitter.Tick(now)
 	f.reportLimit(now)
+	f.reportEnd(now)
 	f.mu.Lock()
 	silent := now.Sub(max(f.lastHeartbeatAt, f.started)) > maxMissedHeartbeats*f.heartbeatInterval
 	changed := silent && !f.down
@@ -320,8 +326,11 @@
 }
 
 // connectFailed counts a failed connect to the backend server.
-func (f *Forwarder) connectFailed() {
+func (f *Forwarder) connectFailed(err error) {
 	f.mu.Lock()
+	if errors.Is(err, exchanger.ErrRefused) {
+		f.ending.confirm(f.lastHeartbeat, "connection refused", f.clock.Now(), maxMissedHeartbeats*f.heartbeatInterval)
+	}
 	f.failedConnects++
 	changed := f.failedConnects >= maxFailedConnects && !f.down
 	f.down = f.down || changed
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -185,12 +185,15 @@
 	timedOut := float64(took) >= timedOutShare*float64(left)
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
-		f.connectFailed()
+		f.connectFailed(err)
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonUnreachable}, false
 	case err != nil:
 		f.logger.Info().Str("request", c.ID).Err(err).Dur("elapsed", f.clock.Now().Sub(sent)).Msg("backend server gave no whole answer")
-		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Sent: true}, timedOut
+		disconnected := errors.Is(err, exchanger.ErrDisconnected)
+		f.addFailure(c, server, sent, disconnected)
+		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Sent: true, Disconnected: disconnected}, timedOut
 	default:
+		f.addAnswer(server, sent)
 		f.readNotice(response, server, sent)
 		res, ran := f.interpret(c, response)
 		return res, ran || timedOut
