Quarantine requests that end their backend servers

Change: requests have a fingerprint (caller, method, host, URI, key, body). When a connection is closed under a request, a connect tells whether the backend server has ended; what ran there is suspected. Suspects of one fingerprint run one at a time at each node; an end under one that was suspected before it started quarantines the fingerprint, a success clears it. Nodes report this in heartbeats; the coordinator stores it in the table and, before the store has acknowledged it, names it in replies. Quarantined requests are rejected as not run where they arrive.

--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -40,6 +40,8 @@
 	NoQueue bool
 	// Notice is what the calling node knows of the backend server.
 	Notice Notice
+	// IsSuspect means that a backend server ended while an earlier try of the call ran there.
+	IsSuspect bool
 }
 
 // Fingerprint returns the fingerprint of the request.
@@ -100,6 +102,7 @@
 	ReasonCanceled    Reason = "canceled"
 	ReasonBroken      Reason = "broken"
 	ReasonStopping    Reason = "stopping"
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Result is the result of a call at one backend server.
@@ -114,6 +117,8 @@
 	// Disconnected means that the backend server closed the connection before its whole
 	// response had arrived: it ended, or cut off this response only.
 	Disconnected bool
+	// ServerEnded means that the backend server ended while the call ran there.
+	ServerEnded bool
 	// Notice is what the backend server last said about itself.
 	Notice Notice
 }
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -59,6 +59,9 @@
 	// AllowRetry reports whether a call may reach a backend server once more, and charges
 	// the retry budget if so. mayHaveRun refers to the previous try.
 	AllowRetry(service string, mayHaveRun bool) bool
+	// IsQuarantined reports whether a call must reach no backend server, since requests like it
+	// have ended several.
+	IsQuarantined(c *Call) bool
 	// CountRequest counts a request for a service.
 	CountRequest(service string)
 }
@@ -119,6 +122,10 @@
 		}
 	}
 	d.cluster.CountRequest(c.Service)
+	if d.cluster.IsQuarantined(c) {
+		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonQuarantined}, arrived, &attemptLog{start: arrived})
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.Deadline.Sub(arrived)+responseSlack)
 	defer cancel()
 	ctx, span, parent := d.tracer.Start(ctx, "request", r.Header.Get("Traceparent"), trace.SpanKindServer)
@@ -245,6 +252,10 @@
 		if last.Outcome == NotRun || res.Outcome == Answered {
 			last = res
 		}
+		if res.Reason == ReasonQuarantined {
+			return last, attempts
+		}
+		c.IsSuspect = c.IsSuspect || res.ServerEnded
 		if res.Reason == ReasonBusy {
 			waits.add(id, res.Retry)
 		}
@@ -378,7 +389,7 @@
 // once, so it must not be too short.
 func minRetryDelay(r Reason) time.Duration {
 	switch r {
-	case ReasonUnreachable, ReasonNotOwner, ReasonNotHeld, ReasonNoServer, ReasonStopping, ReasonZoneOut:
+	case ReasonUnreachable, ReasonNotOwner, ReasonNotHeld, ReasonNoServer, ReasonStopping, ReasonZoneOut, ReasonQuarantined:
 		return absentServerRetryAfter
 	default:
 		return minRetryAfter
--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -55,6 +55,8 @@
 	order   []partitioner.NodeID
 	servers map[partitioner.NodeID]*fakeServer
 	budget  int
+	// quarantined is set if all calls are quarantined.
+	quarantined bool
 }
 
 func (c *fakeCluster) Configuration() *descriptor.Configuration { return c.cfg }
@@ -70,6 +72,8 @@
 
 func (c *fakeCluster) Server(id partitioner.NodeID) Server { return c.servers[id] }
 
+func (c *fakeCluster) IsQuarantined(*Call) bool { return c.quarantined }
+
 func (c *fakeCluster) AllowRetry(string, bool) bool {
 	c.budget--
 	return c.budget >= 0
@@ -296,6 +300,7 @@
 		"not run":  {Outcome: NotRun, Reason: ReasonFull, Retry: 70 * time.Millisecond},
 		"shed":     shed,
 		"unknown":  unknown,
+		"ended":    {Outcome: Unknown, Reason: ReasonBroken, Sent: true, Disconnected: true, ServerEnded: true},
 		"cut off":  {Outcome: Unknown, Reason: ReasonBroken, Sent: true, Disconnected: true},
 	}
 	for name, want := range results {
@@ -315,6 +320,7 @@
 			require.Equal(t, want.Retry, got.Retry)
 			require.Equal(t, want.Sent, got.Sent)
 			require.Equal(t, want.Disconnected, got.Disconnected)
+			require.Equal(t, want.ServerEnded, got.ServerEnded)
 			if want.Outcome == Answered {
 				require.Equal(t, want.Response.Status, got.Response.Status)
 				require.Equal(t, string(want.Response.Body), string(got.Response.Body))
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -52,6 +52,7 @@
 	NoQueue    bool        `json:"impatient,omitempty"`
 	Trace      string      `json:"trace,omitempty"`
 	Notice     *Notice     `json:"notice,omitempty"`
+	IsSuspect  bool        `json:"suspect,omitempty"`
 }
 
 // resultHead is the head of the result of a call; the response's body follows it.
@@ -61,6 +62,7 @@
 	Retry        int64       `json:"retryMillis,omitempty"`
 	Sent         bool        `json:"offered,omitempty"`
 	Disconnected bool        `json:"disconnected,omitempty"`
+	ServerEnded  bool        `json:"serverEnded,omitempty"`
 	Status       int         `json:"status,omitempty"`
 	Header       http.Header `json:"header,omitempty"`
 	Notice       *Notice     `json:"notice,omitempty"`
@@ -123,6 +125,7 @@
 		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority,
 		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
 		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), NoQueue: c.NoQueue, Trace: c.Trace, Notice: p.knownNotice(),
+		IsSuspect: c.IsSuspect,
 	}, c.Body)
 	if err != nil {
 		return Result{Outcome: NotRun, Reason: ReasonBroken}
@@ -177,7 +180,7 @@
 	if err != nil {
 		return Result{Outcome: Unknown, Reason: ReasonBroken, Sent: true}
 	}
-	r := Result{Reason: head.Reason, Retry: time.Duration(head.Retry) * time.Millisecond, Sent: head.Sent, Disconnected: head.Disconnected}
+	r := Result{Reason: head.Reason, Retry: time.Duration(head.Retry) * time.Millisecond, Sent: head.Sent, Disconnected: head.Disconnected, ServerEnded: head.ServerEnded}
 	r.Notice = p.keepNotice(head.Notice, head.Sent)
 	switch head.Outcome {
 	case Answered.String():
@@ -230,7 +233,7 @@
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
 		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), NoQueue: head.NoQueue,
-		Trace: trace, Memory: memory,
+		Trace: trace, Memory: memory, IsSuspect: head.IsSuspect,
 	}
 	if head.Notice != nil {
 		c.Notice = *head.Notice
@@ -238,7 +241,7 @@
 	res := p.server.Serve(ctx, c)
 	result := resultHead{
 		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Sent: res.Sent,
-		Disconnected: res.Disconnected, Notice: res.Notice.orNil(),
+		Disconnected: res.Disconnected, ServerEnded: res.ServerEnded, Notice: res.Notice.orNil(),
 	}
 	body = nil
 	if res.Outcome == Answered {
--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -140,6 +140,24 @@
 	return response, nil
 }
 
+// Connect opens a connection and keeps it for a later request.
+func (e *Exchanger) Connect(ctx context.Context) error {
+	raw, err := e.dial(ctx)
+	if err != nil {
+		return err
+	}
+	e.putIdle(newConn(raw))
+	return nil
+}
+
+func (e *Exchanger) dial(ctx context.Context) (net.Conn, error) {
+	raw, err := e.dialer.DialContext(ctx, "tcp", e.address)
+	if errors.Is(err, unix.ECONNREFUSED) {
+		err = errors.Mark(err, ErrRefused)
+	}
+	return raw, errors.Wrap(err, "connect")
+}
+
 func (e *Exchanger) connection(ctx context.Context, maxIdle time.Duration) (*conn, error) {
 	now := time.Now()
 	for {
@@ -156,12 +174,8 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := e.dialer.DialContext(ctx, "tcp", e.address)
+	raw, err := e.dial(ctx)
 	if err != nil {
-		err = errors.Wrap(err, "connect")
-		if errors.Is(err, unix.ECONNREFUSED) {
-			err = errors.Mark(err, ErrRefused)
-		}
 		return nil, err
 	}
 	return newConn(raw), nil
--- a/papayapass/internal/forwarder/ending.go
+++ b/papayapass/internal/forwarder/ending.go
@@ -147,6 +147,9 @@
 	f.ends.Add(1)
 	requests := zerolog.Arr()
 	for _, c := range e.latest {
+		if c.abandoned && f.quarantine.Suspect(uint64(c.fingerprint)) { // it may have gone on there
+			f.node.TriggerHeartbeat()
+		}
 		requests.Object(c)
 	}
 	f.logger.Warn().Str("server", e.id).Int64("born", e.startedAtMillis).Str("cause", e.cause).Int("running", e.count).
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/quarantiner"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/tracer"
 	"papayapass.dev/shared/descriptor"
@@ -98,6 +99,7 @@
 	workByKey     map[uint16]float32
 	notice        serverNotice
 	ending        ending
+	quarantine    *quarantiner.Quarantine
 	// sent counts all requests sent to the backend server.
 	sent atomic.Uint64
 	// ends counts the ends of backend servers that cut off requests.
@@ -116,6 +118,7 @@
 		admitter:  admitter.NewAdmitter(),
 		exchanger: exchanger.NewExchanger(address, connectTimeout, maxIdle, maxResponseBytes, matches),
 		node:      node, tracer: t, logger: logger, started: clock.Now(), workByKey: make(map[uint16]float32),
+		quarantine: quarantiner.NewQuarantine(clock),
 	}
 }
 
@@ -264,6 +267,7 @@
 	now := f.clock.Now()
 	h.Released = f.granter.Released(now)
 	h.GrantInDoubt = f.granter.GrantInDoubt(now)
+	h.Suspects = f.quarantine.Unpublished()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for key, w := range f.workByKey {
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -32,6 +32,17 @@
 			return res
 		}
 	}
+	observed, reason := f.awaitVerdict(ctx, c)
+	if reason != dispatcher.ReasonNone {
+		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: reason}
+	}
+	res := f.admitAndExchange(ctx, c)
+	f.recordRun(c, observed, res)
+	return res
+}
+
+// admitAndExchange waits for admission and sends a call to the backend server.
+func (f *Forwarder) admitAndExchange(ctx context.Context, c *dispatcher.Call) dispatcher.Result {
 	r := admitter.Request{Kind: c.Route, Priority: c.Priority, Objective: c.Objective, Deadline: c.Deadline}
 	ticket, decision, retry := f.admitter.Offer(r, f.clock.Now(), !c.NoQueue)
 	switch decision {
@@ -191,7 +202,10 @@
 		f.logger.Info().Str("request", c.ID).Err(err).Dur("elapsed", f.clock.Now().Sub(sent)).Msg("backend server gave no whole answer")
 		disconnected := errors.Is(err, exchanger.ErrDisconnected)
 		f.addFailure(c, server, sent, disconnected)
-		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Sent: true, Disconnected: disconnected}, timedOut
+		return dispatcher.Result{
+			Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Sent: true,
+			Disconnected: disconnected, ServerEnded: disconnected && f.hasEnded(server),
+		}, timedOut
 	default:
 		f.addAnswer(server, sent)
 		f.readNotice(response, server, sent)
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -34,6 +34,9 @@
 	// away from the node then takes as long as the whole hold of the grant.
 	GrantInDoubt bool      `json:"doubtful,omitempty"`
 	Work         []KeyWork `json:"work,omitempty"`
+	// Suspects are what the node knows of requests that may end backend servers, and the
+	// table does not say yet.
+	Suspects []partitioner.Suspect `json:"suspects,omitempty"`
 	// Running counts the requests at the node's backend server, Waiting those queued.
 	Running int `json:"running,omitempty"`
 	Waiting int `json:"waiting,omitempty"`
@@ -97,6 +100,9 @@
 	ZonesOut      []string `json:"zonesOut,omitempty"`
 	ZonesEra      uint64   `json:"zonesEra,omitempty"`
 	ZonesRevision uint64   `json:"zonesRevision,omitempty"`
+	// Suspects are the suspects that the table does not name yet, since they are new or the
+	// store does not answer.
+	Suspects []partitioner.Suspect `json:"suspects,omitempty"`
 	// StoreFresh is set when the coordinator read the configuration and the zones recently.
 	StoreFresh bool `json:"fresh,omitempty"`
 }
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -85,6 +85,7 @@
 	firstSeen          map[string]timer.Instant
 	released           []partitioner.Release
 	zonesOut           map[string]bool
+	suspects           suspects
 	// inDoubt holds tables whose writes are in doubt. The store may hold any of them,
 	// now or later, until another write takes effect.
 	inDoubt []*partitioner.Table
@@ -103,6 +104,7 @@
 		notJoined: make(map[partitioner.NodeID]bool), nodes: make(map[partitioner.NodeID]*node),
 		loads: make(map[string]*partitioner.Loads), decayedAt: now,
 		firstSeen: make(map[string]timer.Instant), initialMemberCount: len(t.Members),
+		suspects: newSuspects(t.Suspects, now),
 	}
 	for _, m := range t.Members {
 		if m.ID != self {
@@ -249,6 +251,7 @@
 		}
 	}
 	o.released = append(o.released, b.Released...)
+	o.suspects.merge(b.Suspects, now)
 	return o.reply(n, b, now)
 }
 
@@ -323,6 +326,7 @@
 	}
 	o.addTable(&r, b)
 	r.TakeOver = o.shouldHandOver(b, now)
+	r.Suspects = o.suspects.unknownTo(o.table)
 	r.Loads = o.serverLoads(b.Member.Zone, now)
 	return r
 }
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -1,6 +1,8 @@
 package overseer
 
 import (
+	"slices"
+
 	"papayapass.dev/papayapass/internal/mutator"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
@@ -33,8 +35,8 @@
 	next := p.Table()
 	membersChanged := o.removeExpired(next, now)
 	next.HasOwnLease = o.termStart.Add(AuthorityDuration+leaseDrift).Before(now) || mutator.Active(mutator.ShortLeaseAtOnce)
-	next.Unheard = nil
-	if len(o.table.Unheard) == 0 && !p.Changed() && !membersChanged && membersEqual(next, o.table) && next.HasOwnLease == o.table.HasOwnLease {
+	next.Unheard, next.Suspects = nil, o.suspects.list(now)
+	if len(o.table.Unheard) == 0 && slices.Equal(next.Suspects, o.table.Suspects) && !p.Changed() && !membersChanged && membersEqual(next, o.table) && next.HasOwnLease == o.table.HasOwnLease {
 		return nil
 	}
 	next.Version = o.table.Version + 1
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -143,6 +143,7 @@
 		p.freshReplyAt = p.lastContact
 	}
 	p.mu.Unlock()
+	p.forwarder.Quarantine().Merge(r.Suspects)
 	p.setZones(r.ZonesOut, descriptor.StoreState{Era: r.ZonesEra, Revision: r.ZonesRevision})
 	if r.Table != nil {
 		p.applyTable(r.Table)
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -238,6 +238,7 @@
 	}
 	p.table.Store(t)
 	p.granter.SetTable(t, p.timers.Now())
+	p.forwarder.Quarantine().ApplyTable(t.Suspects)
 	wake(p.grantsDue)
 	p.retryBudget.setNodes(len(t.Members))
 	p.logger.Info().Uint64("epoch", t.Epoch).Uint64("version", t.Version).Str("coordinator", string(t.Coordinator)).
--- a/papayapass/internal/participant/view.go
+++ b/papayapass/internal/participant/view.go
@@ -116,3 +116,9 @@
 	}
 	return time.Duration(expected)
 }
+
+// IsQuarantined reports whether requests like a call have ended several backend servers.
+func (p *Participant) IsQuarantined(c *dispatcher.Call) bool {
+	q := p.forwarder.Quarantine()
+	return q.IsActive() && q.Rejects(uint64(c.Fingerprint()))
+}
--- a/papayapass/internal/partitioner/delta.go
+++ b/papayapass/internal/partitioner/delta.go
@@ -10,6 +10,7 @@
 	LastToken uint64     `json:"lastToken"`
 	OwnLease  bool       `json:"ownLease,omitempty"`
 	Unheard   []NodeID   `json:"unheard,omitempty"`
+	Suspects  []Suspect  `json:"suspects,omitempty"` // all of them
 	Members   []Member   `json:"members,omitempty"`
 	Removed   []NodeID   `json:"removed,omitempty"`
 	Divisions []Division `json:"divisions,omitempty"` // only the changed ranges
@@ -17,7 +18,10 @@
 
 // Diff returns the delta from an older table to a newer one of the same epoch.
 func Diff(from, to *Table) *Delta {
-	d := &Delta{Epoch: to.Epoch, From: from.Version, Version: to.Version, LastToken: to.LastToken, OwnLease: to.HasOwnLease, Unheard: to.Unheard}
+	d := &Delta{
+		Epoch: to.Epoch, From: from.Version, Version: to.Version, LastToken: to.LastToken, OwnLease: to.HasOwnLease,
+		Unheard: to.Unheard, Suspects: to.Suspects,
+	}
 	for _, m := range to.Members {
 		if old, ok := from.Member(m.ID); !ok || old != m {
 			d.Members = append(d.Members, m)
@@ -50,7 +54,8 @@
 		return nil
 	}
 	next := t.Clone()
-	next.Version, next.LastToken, next.HasOwnLease, next.Unheard = d.Version, d.LastToken, d.OwnLease, d.Unheard
+	next.Version, next.LastToken, next.HasOwnLease = d.Version, d.LastToken, d.OwnLease
+	next.Unheard, next.Suspects = d.Unheard, d.Suspects
 	for _, id := range d.Removed {
 		next.RemoveMember(id)
 	}
--- a/papayapass/internal/partitioner/table.go
+++ b/papayapass/internal/partitioner/table.go
@@ -92,7 +92,9 @@
 	Era uint64 `json:"era,omitempty"`
 	// Unheard are the members that could not be asked when the table was recovered after a
 	// restore of the store. Until their leases have ended, no keys change hands.
-	Unheard   []NodeID   `json:"unheard,omitempty"`
+	Unheard []NodeID `json:"unheard,omitempty"`
+	// Suspects are fingerprints of requests that may end backend servers, in ascending order.
+	Suspects  []Suspect  `json:"suspects,omitempty"`
 	LastToken uint64     `json:"lastToken"`
 	Members   []Member   `json:"members"`
 	Divisions []Division `json:"divisions"`
@@ -202,7 +204,7 @@
 // Clone returns a copy that may be changed.
 func (t *Table) Clone() *Table {
 	c := *t
-	c.Unheard = slices.Clone(t.Unheard)
+	c.Unheard, c.Suspects = slices.Clone(t.Unheard), slices.Clone(t.Suspects)
 	c.Members = slices.Clone(t.Members)
 	c.Divisions = make([]Division, len(t.Divisions))
 	for i, d := range t.Divisions {
