Test responses that are cut after each byte

Operators of other systems: a backend server stopped in the middle of the head of its response and closed; customers got a 200 with an empty or short body, framed as whole.

--- a/papayapass/internal/executor/backend_test.go
+++ b/papayapass/internal/executor/backend_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,6 +155,40 @@
 	}
 }
 
+// TestAnswerCutAfterEachByteIsUnknown stops after each byte of responses of each framing and
+// closes or resets the connection. Without the last byte, none counts as an answer.
+func TestAnswerCutAfterEachByteIsUnknown(t *testing.T) {
+	tests := map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nServer-Load: 1,2\r\n\r\nhello, world",
+		"chunked":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n",
+		"trailer":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n5\r\nhello\r\n0\r\nSum: 5\r\n\r\n",
+		"no body":    "HTTP/1.1 204 No Content\r\nServer-Load: 1,2\r\n\r\n",
+		"empty body": "HTTP/1.1 200 OK\r\nServer-Load: 1,2\r\nContent-Length: 0\r\n\r\n",
+		"rejection":  "HTTP/1.1 503 Busy\r\nPapayapass-Not-Run: shed\r\nContent-Length: 0\r\n\r\n",
+		"interim":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"line feeds": "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello",
+	}
+	for name, text := range tests {
+		for how, reset := range map[string]bool{"closed": false, "reset": true} {
+			t.Run(name+" "+how, func(t *testing.T) {
+				var part atomic.Value
+				s := newScriptedServer(t, func(conn net.Conn, _ string) {
+					fmt.Fprint(conn, part.Load())
+					if reset {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					}
+					_ = conn.Close()
+				})
+				for n := range len(text) {
+					part.Store(text[:n])
+					answer, _ := s.backend().call(request("GET"), callParams{timeout: callTimeout})
+					require.Equal(t, wirepb.Outcome_OUTCOME_UNKNOWN, answer.GetOutcome(), "after %q: %s", text[:n], answer)
+				}
+			})
+		}
+	}
+}
+
 // TestTimedOutConnectionIsNotReused responds to the first request after its
 // time-out. Later requests must get their own responses, not that late one.
 func TestTimedOutConnectionIsNotReused(t *testing.T) {
