End a response that is mixed with a part of another one

What callers saw: nothing so far; found by a test. A backend server that begins a second, late response to an earlier request on a kept connection, stops in its head, keeps the connection and then responds to the next request would have had the two taken for one response: the status of the first with the id, signature and body of the second. A customer would have got a 200 for a failure (MIXED), or "not run" for a request that ran (REFUSED, and TWICE after the retry).

Cause: the rest of the first head and the status line of the second form one line. The library reads it as a reason phrase or as the value of a header, and the id that follows is the right one.

Ruled out: parts that end at a line, in a name of a header or in a body; they give malformed heads or the id of the earlier request. Bytes that are there before the next request is sent close the connection (TestExtraBytesEndTheConnection).

Change: a head, interim ones included, that contains a second status line is malformed. The request ends as unknown and is retried only if it is idempotent.

Evidence: TestPartOfLateResponseIsNotMixedIntoNext, 15 pairs of responses, the first cut after each byte.

--- a/papayapass/internal/exchanger/cut_test.go
+++ b/papayapass/internal/exchanger/cut_test.go
@@ -166,3 +166,45 @@
 		}
 	}
 }
+
+// A backend server stops in the middle of a second response to an earlier request, keeps the
+// connection open and then responds to the next request. The rest of the head of one must not
+// complete the head of the other.
+func TestPartOfLateResponseIsNotMixedIntoNext(t *testing.T) {
+	late := map[string]string{
+		"success":      "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 05:00:00 GMT\r\nSignature: 3e1b\r\nServer-Load: 1,0,8\r\nRequest-Id: 0\r\nContent-Length: 2\r\n\r\nok",
+		"refusal":      "HTTP/1.1 421 Misdirected Request\r\nNot-Run: 1\r\nRequest-Id: 0\r\nContent-Length: 0\r\n\r\n",
+		"folded":       "HTTP/1.1 200 OK\r\nNote: a\r\n b\r\nRequest-Id: 0\r\nContent-Length: 0\r\n\r\n",
+		"interim":      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+		"without body": "HTTP/1.1 204 No Content\r\nSignature: 3e1b\r\nRequest-Id: 0\r\n\r\n",
+	}
+	next := map[string]struct {
+		text   string
+		status int
+		body   string
+	}{
+		"success":             {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSignature: 77aa\r\nContent-Length: 2\r\n\r\nno", 200, "no"},
+		"failure":             {"HTTP/1.1 500 Internal Server Error\r\nRequest-Id: 1\r\nSignature: 77aa\r\nContent-Length: 4\r\n\r\noops", 500, "oops"},
+		"HTTP/1.0, no reason": {"HTTP/1.0 504 \r\nRequest-Id: 1\r\nSignature: 77aa\r\nContent-Length: 0\r\n\r\n", 504, ""},
+	}
+	for lateName, first := range late {
+		for nextName, second := range next {
+			t.Run(lateName+" before "+nextName, func(t *testing.T) {
+				t.Parallel()
+				s := newCutServer(t)
+				for n := range len(first) + 1 {
+					part := first[:n]
+					r, err := s.request(t, http.MethodGet, part+second.text)
+					if err != nil && n > 0 {
+						continue
+					}
+					require.NoError(t, err)
+					require.Equal(t, second.status, r.Status, "after %q", part)
+					require.Equal(t, "77aa", r.Header.Get("Signature"), "after %q", part)
+					require.Empty(t, r.Header.Get("Not-Run"), "after %q", part)
+					require.Equal(t, second.body, string(r.Body), "after %q", part)
+				}
+			})
+		}
+	}
+}
--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -8,6 +8,8 @@
 	"context"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,6 +48,9 @@
 	keepAliveInterval = 1 * time.Second
 )
 
+// statusLine matches the start of a status line.
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
+
 // Request is a request with its whole body.
 type Request struct {
 	Method string
@@ -237,8 +242,14 @@
 	c.unread = maxHeadBytes
 	for range maxInterim {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if containsStatusLine(resp) {
+			return nil, errors.Newf("part of another response before %q", resp.Status)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("response switches protocols")
@@ -247,6 +258,21 @@
 	return nil, errors.Newf("more than %d interim responses", maxInterim)
 }
 
+// containsStatusLine reports whether a head contains a second status line. The server began
+// another response, abandoned it and did not close the connection; status and headers may
+// be from either response.
+func containsStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // expiry returns the time at which the server closes an idle connection, less a fifth of
 // its time-out; zero if the server gives none.
 func expiry(h http.Header) (time.Time, error) {
