Refuse responses without a length on a connection that is kept

What callers saw: nothing so far; found by a test. If the line with Content-Length or Transfer-Encoding is missing from a head and the connection then ends, the body counted as delimited by the end of the connection: a 200 with an empty or short body, or with the framing of its chunks in it, whole for the customer (MIXED).

Cause: a head without a length is valid, since a body may end with its connection. Nothing compared that with what the head says of the connection.

Ruled out: a head that itself is cut (TestResponseCutAfterEachByte). A body without a length that ends by FIN and a head that says nothing of keeping the connection stay whole: nothing tells a cut one from them.

Change: a response without a length whose head keeps the connection (Keep-Alive, or Connection: keep-alive) is malformed. HEAD, 204 and 304 need no length.

Evidence: TestResponseWithoutItsFramingIsError; before, Content-Length, Transfer-Encoding and both other cases: "An error is expected but got nil ... after 0 bytes of the body". After, all pass, also with -race.

--- a/papayapass/internal/exchanger/cut_test.go
+++ b/papayapass/internal/exchanger/cut_test.go
@@ -167,6 +167,49 @@
 	}
 }
 
+// The line of a head that frames the body is lost, and the connection ends in the body or after
+// it. Such a head says that the connection is kept, so the end of the connection is not that of
+// the body.
+func TestResponseWithoutItsFramingIsError(t *testing.T) {
+	cases := map[string]struct {
+		head, body string
+		ok         bool
+	}{
+		"Content-Length":              {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nKeep-Alive: timeout=10\r\n\r\n", "hello", false},
+		"Transfer-Encoding":           {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nKeep-Alive: timeout=10\r\n\r\n", "5\r\nhello\r\n0\r\n\r\n", false},
+		"Content-Length, Connection":  {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nConnection: Server-Load, Keep-Alive\r\n\r\n", "hello", false},
+		"of a failure":                {"HTTP/1.1 500 Internal Server Error\r\nRequest-Id: 1\r\nKeep-Alive: timeout=10\r\n\r\n", "oops", false},
+		"none, 204":                   {"HTTP/1.1 204 No Content\r\nRequest-Id: 1\r\nKeep-Alive: timeout=10\r\n\r\n", "", true},
+		"none, 304":                   {"HTTP/1.1 304 Not Modified\r\nRequest-Id: 1\r\nKeep-Alive: timeout=10\r\n\r\n", "", true},
+		"none, the connection closes": {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nConnection: close\r\n\r\n", "hello", true},
+		"unclear whether it closes":   {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nConnection: close\r\nKeep-Alive: timeout=10\r\n\r\n", "hello", false},
+		"there":                       {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nKeep-Alive: timeout=10\r\nContent-Length: 5\r\n\r\n", "hello", true},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newCutServer(t)
+			if tt.ok {
+				r, err := s.request(t, http.MethodGet, tt.head+tt.body)
+				require.NoError(t, err)
+				require.Equal(t, tt.body, string(r.Body))
+				return
+			}
+			for n := range len(tt.body) + 1 {
+				_, err := s.request(t, http.MethodGet, tt.head+tt.body[:n])
+				require.Error(t, err, "after %d bytes of the body", n)
+			}
+		})
+	}
+}
+
+// A HEAD request has a response without a body, whatever its head says.
+func TestResponseToHEADNeedsNoFraming(t *testing.T) {
+	r, err := newCutServer(t).request(t, http.MethodHead, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nKeep-Alive: timeout=10\r\n\r\n")
+	require.NoError(t, err)
+	require.Empty(t, r.Body)
+}
+
 // A backend server stops in the middle of a second response to an earlier request, keeps the
 // connection open and then responds to the next request. The rest of the head of one must not
 // complete the head of the other.
--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -224,6 +225,9 @@
 	if err != nil {
 		return nil, false, errors.Mark(errors.Wrap(err, "read the response"), ErrMalformed)
 	}
+	if isFramingLost(resp) {
+		return nil, false, errors.Wrap(ErrMalformed, "no length on a connection that is kept")
+	}
 	c.unread = maxFraming*e.maxBody + maxHeadBytes
 	body, err := req.Memory.ReadAll(resp.Body, e.maxBody, resp.ContentLength)
 	_ = resp.Body.Close() // read to its end or abandoned
@@ -258,6 +262,17 @@
 	return nil, errors.Newf("more than %d interim responses", maxInterim)
 }
 
+// isFramingLost reports whether a head leaves the end of its body to the end of a connection
+// that it keeps. The line with the length is missing, and the body may be too. The library
+// has removed Connection if it holds "close".
+func isFramingLost(resp *http.Response) bool {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody {
+		return false
+	}
+	options := strings.ToLower(strings.Join(resp.Header.Values("Connection"), ","))
+	return resp.Header.Get("Keep-Alive") != "" || strings.Contains(options, "keep-alive")
+}
+
 // containsStatusLine reports whether a head contains a second status line. The server began
 // another response, abandoned it and did not close the connection; status and headers may
 // be from either response.
