Take no late response to a grant for one to a release

What callers saw: nothing so far; found by a test beside the cut responses. A backend server that writes its response to a grant a second time, when the one to a release is due on the same connection, released the keys in the node's eyes at once, while work on them was running: the next owner would have got them (OWNER). A refusal of a grant would have held the release up for 3 s.

Cause: responses to key requests carry no id, unlike those to customers' requests, so that the first response on the connection counted.

Ruled out: a cut response (TestKeyRequestCutAfterEachByteIsUnknown), and bytes that are there before the release is sent; they close the connection.

Change: a release takes only a response that can be one to a release: with a handover, and no refusal, as a release is never refused. Others are skipped like responses to other requests.

What remains: a second response to an earlier release on the same connection, and one to an earlier grant when that to a grant is due, cannot be told apart. The test of cut responses now expects that a whole refusal of a release is unknown.

Evidence: TestLateResponseToGrantIsNoRelease; before, "expected: 2 (unknown), actual: 0 (done)" for both cases with a second response to a grant, and 1 (refused) for the refusal. After, it passes, also with -race.

--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -62,6 +62,9 @@
 	// MaxIdle is the longest idle time of a connection that may carry the request. A
 	// server that has already dropped the connection resets it when data arrives.
 	MaxIdle time.Duration
+	// Matches reports whether a response may be one to the request, besides what the
+	// exchanger checks; nil accepts all.
+	Matches func(*Response) bool
 	// Memory takes the memory of the response's body; nil leaves it to the largest body.
 	Memory *budgeter.Lease
 }
@@ -194,7 +197,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if e.matches == nil || e.matches(response.Header, req.Header) {
+		if e.matchesRequest(response, req) {
 			return response, keep, nil
 		}
 		if !keep && c.r.Buffered() == 0 {
@@ -204,6 +207,10 @@
 	return nil, false, ErrOtherRequest
 }
 
+func (e *Exchanger) matchesRequest(r *Response, req Request) bool {
+	return (e.matches == nil || e.matches(r.Header, req.Header)) && (req.Matches == nil || req.Matches(r))
+}
+
 func writeRequest(c *conn, req Request) error {
 	w := bufio.NewWriterSize(c, bufferBytes)
 	_, _ = w.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -116,10 +116,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	response, err := c.server.Do(ctx, exchanger.Request{
+	request := exchanger.Request{
 		Method: http.MethodPost, URI: path, Host: c.host, Body: body, MaxIdle: granter.ReleaseTimeout,
 		Header: http.Header{"Content-Type": {"application/json"}},
-	})
+	}
+	if call.Release {
+		request.Matches = c.mayAnswerRelease
+	}
+	response, err := c.server.Do(ctx, request)
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
 		return granter.NotDelivered, ""
@@ -134,6 +138,20 @@
 	}
 }
 
+// mayAnswerRelease reports whether a response may be one to a release. Responses to key
+// requests carry no id, and one to a grant may arrive twice; a release is never refused, and
+// its response has a handover.
+func (c *client) mayAnswerRelease(r *exchanger.Response) bool {
+	switch r.Status {
+	case http.StatusOK:
+		return r.Header.Get(c.grantAPI.HandoverHeader) != ""
+	case http.StatusConflict:
+		return false
+	default:
+		return true
+	}
+}
+
 // newPeerHandler returns the handler of other nodes' calls.
 func newPeerHandler(p *participant.Participant, calls http.Handler, e *enveloper.Enveloper) http.Handler {
 	mux := http.NewServeMux()
