Send no request of papayapass run after bytes that belong to none

What callers saw: nothing so far; found by a trial beside the cut responses. At a node of papayapass run (executor; papayapass node has its own client), a second response to an earlier request that arrived on an idle connection was the response to the next request, a part of one gave its status to the next (200 for a 500), and a request sent on a connection that was already closed ended as unknown, though nothing had run.

Cause: the library takes an idle connection from its pool without looking at it, and the protocol has no id in responses.

Ruled out: responses that are cut and closed (TestAnswerCutAfterEachByteIsUnknown).

Change: the connection refuses to send a request if it has received something since the last response or was closed. Nothing was sent, so the outcome is not-run, no-server, and the node tries again. The check is the one that exchanger makes, now in one function.

What remains: a late response that arrives after the next request was sent.

Evidence: TestLateAnswerIsNotTakenForTheNext, five cases. Before, all fail: whole "answered, 200, late"; part of a status line "answered, 200, own" (the backend server's was 500); part of a header and line end "answered, 500"; close "unknown". After, all pass, also with -race.

--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"papayapass.dev/papayapass/internal/budgeter"
 )
@@ -315,24 +314,4 @@
 }
 
 // reusable reports whether an idle connection is open and has no unread data.
-func (c *conn) reusable() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	var b [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = errors.Is(rerr, unix.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
+func (c *conn) reusable() bool { return c.r.Buffered() == 0 && IsQuiet(c.Conn) }
--- a/papayapass/internal/exchanger/socket.go
+++ b/papayapass/internal/exchanger/socket.go
@@ -1,8 +1,10 @@
 package exchanger
 
 import (
+	"net"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -17,3 +19,24 @@
 	}
 	return set
 }
+
+// IsQuiet reports whether a connection is open and has received nothing that is unread. What
+// arrives before a request is sent is no response to it.
+func IsQuiet(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(rerr, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- a/papayapass/internal/executor/backend.go
+++ b/papayapass/internal/executor/backend.go
@@ -114,7 +114,7 @@
 // errorAnswer returns the outcome of a call without a complete response.
 func (b *backend) errorAnswer(req *wirepb.Request, err error) (*wirepb.Answer, limiter.Result) {
 	switch {
-	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrDialTimeout):
+	case errors.Is(err, errDial), errors.Is(err, errStale), errors.Is(err, fasthttp.ErrDialTimeout):
 		return notRun(req, wirepb.Reason_REASON_NO_SERVER), limiter.ResultFailed
 	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return notRun(req, wirepb.Reason_REASON_OVERLOADED), limiter.ResultIgnored
--- a/papayapass/internal/executor/backend_test.go
+++ b/papayapass/internal/executor/backend_test.go
@@ -214,6 +214,44 @@
 	}
 }
 
+// TestLateAnswerIsNotTakenForTheNext sends a second response to an earlier request, or a part
+// of one, on an idle connection, or closes it. The next request must not be sent there.
+func TestLateAnswerIsNotTakenForTheNext(t *testing.T) {
+	for name, late := range map[string]string{
+		"whole": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate", "part of a status line": "HTTP/1.1 200 O",
+		"part of a header": "HTTP/1.1 200 OK\r\nServer-Load: 1", "line end": "\r\n", "close": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			write, written := make(chan struct{}), make(chan struct{})
+			var n atomic.Int32
+			s := newScriptedServer(t, func(conn net.Conn, _ string) {
+				if n.Add(1) > 1 {
+					fmt.Fprint(conn, "HTTP/1.1 500 Oops\r\nContent-Length: 3\r\n\r\nown")
+					return
+				}
+				writeResponse(conn, "first")
+				<-write
+				fmt.Fprint(conn, late)
+				if late == "" {
+					_ = conn.Close()
+				}
+				close(written)
+			})
+			b := s.backend()
+			answer, _ := b.call(request("POST"), callParams{timeout: callTimeout})
+			require.Equal(t, "first", string(answer.GetBody()))
+			close(write)
+			<-written
+			answer, _ = b.call(request("POST"), callParams{timeout: callTimeout})
+			require.Equal(t, wirepb.Outcome_OUTCOME_NOT_RUN, answer.GetOutcome(), "%s", answer)
+			require.Equal(t, 1, s.count())
+			answer, _ = b.call(request("POST"), callParams{timeout: callTimeout})
+			require.Equal(t, uint32(500), answer.GetStatus())
+			require.Equal(t, "own", string(answer.GetBody()))
+		})
+	}
+}
+
 // TestUnreachableServerIsNotRun closes the server's listener: a call that
 // cannot connect was not run.
 func TestUnreachableServerIsNotRun(t *testing.T) {
