Keep that a backend server leaves when its responses overtake each other

A response from before a backend server left, overtaken by one with Server-Leaving, took that back in what the nodes tell each other. The node beside the server kept it out of use, but after a restart of that node nobody told it any more, and with a heartbeat from before the server left, it sent requests of the other nodes again (DRAIN).

Cause: the newest response to arrive replaced the whole notice, at the node beside the server and at the nodes that call it. The limit has an order by the time of sending, Leaving had none.

Ruled out: the node itself without a restart (TestBackendServerThatLeavesByResponseGetsNoMoreRequests); peers that are forgotten (they are kept by address).

Change: Leaving holds for one start of a server; only another start or server replaces it.

Evidence: TestOvertakenResponseDoesNotTakeBackThatServerLeaves (before: Leaving is false after the overtaken response) and TestOvertakenResultDoesNotTakeBackThatServerLeaves (before, with the first part fixed: two of three cases failed). After, all pass, also with -race.

--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -326,6 +326,39 @@
 	}
 }
 
+// A result from before the backend server left is overtaken by one that says that it leaves. The
+// next calls still say so; those to its successor do not.
+func TestOvertakenResultDoesNotTakeBackThatServerLeaves(t *testing.T) {
+	leaving := Notice{ServerNotice: descriptor.ServerNotice{Leaving: true}, Server: "server-1", StartedAtMillis: 10}
+	limited := Notice{ServerNotice: descriptor.ServerNotice{Limited: true, RateLimit: 4}, Server: "server-1", StartedAtMillis: 10}
+	successor := Notice{ServerNotice: descriptor.ServerNotice{Limited: true, RateLimit: 4}, Server: "server-1", StartedAtMillis: 20}
+	cases := map[string]struct {
+		late    Notice
+		leaving bool
+	}{
+		"without a notice": {Notice{}, true},
+		"with a limit":     {limited, true},
+		"of the successor": {successor, false},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			first, late := ok200(), ok200()
+			first.Notice, late.Notice = leaving, tt.late
+			s := &fakeServer{results: []Result{first, late, late}}
+			l := httptest.NewServer(NewPeerHandler(s, timer.BootClock{}, testEnveloper, budgeter.NewBudget(1<<20), &tracer.Tracer{}))
+			defer l.Close()
+			p := NewPeer(strings.TrimPrefix(l.URL, "http://"), timer.BootClock{}, testEnveloper)
+			for range 3 {
+				c := &Call{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, Deadline: timer.BootClock{}.Now().Add(time.Minute)}
+				require.Equal(t, Answered, p.Serve(context.Background(), c).Outcome)
+			}
+			require.True(t, s.calls[1].Notice.Leaving)
+			require.Equal(t, tt.leaving, s.calls[2].Notice.Leaving)
+			require.Equal(t, tt.late.Limited, s.calls[2].Notice.Limited)
+		})
+	}
+}
+
 // A call whose body does not fit into the memory of the other node has not run there.
 func TestPeerWithoutMemoryMeansNotRun(t *testing.T) {
 	s := &fakeServer{results: []Result{ok200()}}
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -158,14 +158,23 @@
 }
 
 // keepNotice keeps the notice of a result; a result that the backend server had no part in
-// may carry none.
+// may carry none. Results overtake each other, so that only another server, or another start
+// of it, replaces one that leaves.
 func (p *Peer) keepNotice(n *Notice, sent bool) Notice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n != nil {
+	left := p.notice
+	switch {
+	case n != nil:
 		p.notice = *n
-	} else if sent {
+		if left.Server == n.Server && left.StartedAtMillis == n.StartedAtMillis {
+			p.notice.Leaving = n.Leaving || left.Leaving
+		}
+	case sent:
 		p.notice = Notice{}
+		if left.Leaving {
+			p.notice.Server, p.notice.StartedAtMillis, p.notice.Leaving = left.Server, left.StartedAtMillis, true
+		}
 	}
 	return p.notice
 }
--- a/papayapass/internal/forwarder/notice.go
+++ b/papayapass/internal/forwarder/notice.go
@@ -30,13 +30,14 @@
 
 // update applies a response to a request that was sent at an instant. Responses overtake
 // each other: only one to a request sent after the limit was last named may raise or end
-// it.
+// it. A server that leaves does not come back.
 func (n *serverNotice) update(next descriptor.ServerNotice, sent, now timer.Instant) {
 	if n.Limited && sent.Before(n.namedAt) && (!next.Limited || next.RateLimit > n.RateLimit) {
 		next.Limited, next.RateLimit = n.Limited, n.RateLimit
 	} else if next.Limited {
 		n.namedAt = now
 	}
+	next.Leaving = next.Leaving || n.Leaving
 	n.ServerNotice = next
 }
 
--- a/papayapass/internal/forwarder/notice_test.go
+++ b/papayapass/internal/forwarder/notice_test.go
@@ -188,3 +188,44 @@
 		})
 	}
 }
+
+// A response from before a backend server left is overtaken by one that says so. Then the node
+// beside the server restarts, and gets a heartbeat from before it left.
+func TestOvertakenResponseDoesNotTakeBackThatServerLeaves(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	node := newTestForwarder(t, func(w http.ResponseWriter, r *http.Request) {
+		header := map[string]string{"Seal": "s"}
+		if r.URL.Path == "/slow" {
+			close(started)
+			<-release
+		} else {
+			header["Leaving"] = "1"
+		}
+		respond(http.StatusOK, header)(w, r)
+	})
+	e := enveloper.NewEnveloper("")
+	serving := node
+	l := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		dispatcher.NewPeerHandler(serving, serving.clock, e, budgeter.NewBudget(1<<20), &tracer.Tracer{}).ServeHTTP(w, r)
+	}))
+	t.Cleanup(l.Close)
+	peer := dispatcher.NewPeer(strings.TrimPrefix(l.URL, "http://"), node.clock, e)
+	call := func(uri string) dispatcher.Result {
+		c := node.call(true)
+		c.URI, c.NoQueue = uri, true
+		return peer.Serve(context.Background(), c)
+	}
+	slow := make(chan dispatcher.Result)
+	go func() { slow <- call("/slow") }()
+	<-started
+	require.Equal(t, dispatcher.Answered, call("/x").Outcome)
+	close(release)
+	require.Equal(t, dispatcher.Answered, (<-slow).Outcome)
+	n, _ := node.Notice()
+	require.True(t, n.Leaving)
+
+	serving = newTestForwarderAt(t, node.address)
+	_, ok := serving.Heartbeat(node.heartbeat())
+	require.True(t, ok)
+	require.Equal(t, dispatcher.ReasonNoServer, call("/x").Reason)
+}
