--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -9,7 +9,10 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,6 +54,9 @@
 	keepAliveInterval = 1 * time.Second
 )
 
+// statusLine matches the start of a status line.
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
+
 // Request is a request with its whole body.
 type Request struct {
 	Method string
@@ -61,6 +67,9 @@
 	// MaxIdle is the longest idle time of a connection that may carry the request. A
 	// server that has already dropped the connection resets it when data arrives.
 	MaxIdle time.Duration
+	// Matches reports whether a response may be one to the request, besides what the
+	// exchanger checks; nil accepts all.
+	Matches func(*Response) bool
 	// Memory takes the memory of the response's body; nil leaves it to the largest body.
 	Memory *budgeter.Lease
 }
@@ -219,7 +228,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if e.matches == nil || e.matches(response.Header, req.Header) {
+		if e.matchesRequest(response, req) {
 			return response, keep, nil
 		}
 		if !keep && c.r.Buffered() == 0 {
@@ -229,6 +238,10 @@
 	return nil, false, ErrOtherRequest
 }
 
+func (e *Exchanger) matchesRequest(r *Response, req Request) bool {
+	return (e.matches == nil || e.matches(r.Header, req.Header)) && (req.Matches == nil || req.Matches(r))
+}
+
 func writeRequest(c *conn, req Request) error {
 	w := bufio.NewWriterSize(c, bufferBytes)
 	_, _ = w.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
@@ -250,6 +263,9 @@
 	if err != nil {
 		return nil, false, errors.Mark(errors.Wrap(err, "read the response"), ErrMalformed)
 	}
+	if isFramingLost(resp) {
+		return nil, false, errors.Wrap(ErrMalformed, "no length on a connection that is kept")
+	}
 	c.unread = maxFraming*e.maxBody + maxHeadBytes
 	body, err := req.Memory.ReadAll(resp.Body, e.maxBody, resp.ContentLength)
 	_ = resp.Body.Close() // read to its end or abandoned
@@ -268,8 +284,14 @@
 	c.unread = maxHeadBytes
 	for range maxInterim {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if containsStatusLine(resp) {
+			return nil, errors.Newf("part of another response before %q", resp.Status)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("response switches protocols")
@@ -278,6 +300,32 @@
 	return nil, errors.Newf("more than %d interim responses", maxInterim)
 }
 
+// isFramingLost reports whether a head leaves the end of its body to the end of a connection
+// that it keeps. The line with the length is missing, and the body may be too. The library
+// has removed Connection if it holds "close".
+func isFramingLost(resp *http.Response) bool {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody {
+		return false
+	}
+	options := strings.ToLower(strings.Join(resp.Header.Values("Connection"), ","))
+	return resp.Header.Get("Keep-Alive") != "" || strings.Contains(options, "keep-alive")
+}
+
+// containsStatusLine reports whether a head contains a second status line. The server began
+// another response, abandoned it and did not close the connection; status and headers may
+// be from either response.
+func containsStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // expiry returns the time at which the server closes an idle connection, less a fifth of
 // its time-out; zero if the server gives none.
 func expiry(h http.Header) (time.Time, error) {
@@ -298,24 +346,4 @@
 }
 
 // reusable reports whether an idle connection is open and has no unread data.
-func (c *conn) reusable() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	var b [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = errors.Is(rerr, unix.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
+func (c *conn) reusable() bool { return c.r.Buffered() == 0 && IsQuiet(c.Conn) }
--- a/papayapass/internal/executor/backend_test.go
+++ b/papayapass/internal/executor/backend_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,6 +155,40 @@
 	}
 }
 
+// TestAnswerCutAfterEachByteIsUnknown stops after each byte of responses of each framing and
+// closes or resets the connection. Without the last byte, none counts as an answer.
+func TestAnswerCutAfterEachByteIsUnknown(t *testing.T) {
+	tests := map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nServer-Load: 1,2\r\n\r\nhello, world",
+		"chunked":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n",
+		"trailer":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n5\r\nhello\r\n0\r\nSum: 5\r\n\r\n",
+		"no body":    "HTTP/1.1 204 No Content\r\nServer-Load: 1,2\r\n\r\n",
+		"empty body": "HTTP/1.1 200 OK\r\nServer-Load: 1,2\r\nContent-Length: 0\r\n\r\n",
+		"rejection":  "HTTP/1.1 503 Busy\r\nPapayapass-Not-Run: shed\r\nContent-Length: 0\r\n\r\n",
+		"interim":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"line feeds": "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello",
+	}
+	for name, text := range tests {
+		for how, reset := range map[string]bool{"closed": false, "reset": true} {
+			t.Run(name+" "+how, func(t *testing.T) {
+				var part atomic.Value
+				s := newScriptedServer(t, func(conn net.Conn, _ string) {
+					fmt.Fprint(conn, part.Load())
+					if reset {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					}
+					_ = conn.Close()
+				})
+				for n := range len(text) {
+					part.Store(text[:n])
+					answer, _ := s.backend().call(request("GET"), callParams{timeout: callTimeout})
+					require.Equal(t, wirepb.Outcome_OUTCOME_UNKNOWN, answer.GetOutcome(), "after %q: %s", text[:n], answer)
+				}
+			})
+		}
+	}
+}
+
 // TestTimedOutConnectionIsNotReused responds to the first request after its
 // time-out. Later requests must get their own responses, not that late one.
 func TestTimedOutConnectionIsNotReused(t *testing.T) {
@@ -179,6 +214,44 @@
 	}
 }
 
+// TestLateAnswerIsNotTakenForTheNext sends a second response to an earlier request, or a part
+// of one, on an idle connection, or closes it. The next request must not be sent there.
+func TestLateAnswerIsNotTakenForTheNext(t *testing.T) {
+	for name, late := range map[string]string{
+		"whole": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate", "part of a status line": "HTTP/1.1 200 O",
+		"part of a header": "HTTP/1.1 200 OK\r\nServer-Load: 1", "line end": "\r\n", "close": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			write, written := make(chan struct{}), make(chan struct{})
+			var n atomic.Int32
+			s := newScriptedServer(t, func(conn net.Conn, _ string) {
+				if n.Add(1) > 1 {
+					fmt.Fprint(conn, "HTTP/1.1 500 Oops\r\nContent-Length: 3\r\n\r\nown")
+					return
+				}
+				writeResponse(conn, "first")
+				<-write
+				fmt.Fprint(conn, late)
+				if late == "" {
+					_ = conn.Close()
+				}
+				close(written)
+			})
+			b := s.backend()
+			answer, _ := b.call(request("POST"), callParams{timeout: callTimeout})
+			require.Equal(t, "first", string(answer.GetBody()))
+			close(write)
+			<-written
+			answer, _ = b.call(request("POST"), callParams{timeout: callTimeout})
+			require.Equal(t, wirepb.Outcome_OUTCOME_NOT_RUN, answer.GetOutcome(), "%s", answer)
+			require.Equal(t, 1, s.count())
+			answer, _ = b.call(request("POST"), callParams{timeout: callTimeout})
+			require.Equal(t, uint32(500), answer.GetStatus())
+			require.Equal(t, "own", string(answer.GetBody()))
+		})
+	}
+}
+
 // TestUnreachableServerIsNotRun closes the server's listener: a call that
 // cannot connect was not run.
 func TestUnreachableServerIsNotRun(t *testing.T) {
