Log what a backend server sends besides its response

What callers saw: nothing yet; a report from operators of a like system (a faulty backend server writes an earlier refusal once more on a kept connection). Cause: responses to other requests were skipped, and data after a response ended the connection, without a trace in the log. A repeated refusal could not be told from a first one afterwards. Change: the response carries the number of skipped responses and whether more data arrived with it; the forwarder logs both ("backend server sent more than the response"). No decision changes. Evidence: TestResponsesToOtherRequestsAreSkipped and TestExtraBytesEndTheConnection also check the two fields.

--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -65,6 +65,10 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Skipped is the number of responses to other requests that arrived before this one.
+	Skipped int
+	// Followed is set if more data arrived together with the response.
+	Followed bool
 }
 
 // Exchanger holds the persistent connections to one address.
@@ -183,12 +187,13 @@
 	if err := writeRequest(c, req); err != nil {
 		return nil, false, errors.Wrap(err, "send")
 	}
-	for range maxResponsesRead {
+	for skipped := range maxResponsesRead {
 		response, keep, err := e.readResponse(c, req)
 		if err != nil {
 			return nil, false, err
 		}
 		if e.matches == nil || e.matches(response.Header, req.Header) {
+			response.Skipped = skipped
 			return response, keep, nil
 		}
 		if !keep && c.r.Buffered() == 0 {
@@ -228,8 +233,8 @@
 	if c.expires, err = expiry(resp.Header); err != nil {
 		resp.Close = true
 	}
-	keep := !resp.Close && c.r.Buffered() == 0
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+	followed := c.r.Buffered() > 0
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Followed: followed}, !resp.Close && !followed, nil
 }
 
 // readHead reads the head of a response after the interim ones.
--- a/papayapass/internal/exchanger/exchanger_test.go
+++ b/papayapass/internal/exchanger/exchanger_test.go
@@ -91,6 +91,7 @@
 	a, err := do(newTestExchanger(address), "1")
 	require.NoError(t, err)
 	require.Equal(t, "yes", string(a.Body))
+	require.Equal(t, 1, a.Skipped)
 }
 
 func TestExtraBytesEndTheConnection(t *testing.T) {
@@ -105,6 +106,7 @@
 		a, err := do(e, id)
 		require.NoError(t, err)
 		require.Equal(t, "ok", string(a.Body))
+		require.Equal(t, id == "1", a.Followed)
 	}
 	require.Equal(t, int32(2), connections.Load())
 }
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -191,6 +191,10 @@
 		f.logger.Info().Str("request", c.ID).Err(err).Dur("elapsed", f.clock.Now().Sub(sent)).Msg("backend server gave no whole answer")
 		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Sent: true}, timedOut
 	default:
+		if response.Skipped > 0 || response.Followed {
+			f.logger.Warn().Str("request", c.ID).Str("server", server.ID).Int("skipped", response.Skipped).Bool("followed", response.Followed).
+				Int("status", response.Status).Msg("backend server sent more than the response")
+		}
 		f.readNotice(response, server, sent)
 		res, ran := f.interpret(c, response)
 		return res, ran || timedOut
