Send no request id twice over one connection

A backend server that refuses a request, gets the same request id again on the same connection and writes the refusal once more while it runs the request: the refusal was read as the answer, "not run" was told for a request that ran (REFUSED), and a caller that believes it runs it elsewhere (TWICE).

Cause: responses are matched by the request id, which does not tell two tries of one id apart. Class: an identity that is not unique over the life of the channel that it guards.

Ruled out: refusals without an id or with the id of another request were skipped before (TestRefusalOfAnotherRequestIsNoAnswer passes without the change), as were those that arrive on an idle connection or in a refusal's own packet (the connection ends). The dispatcher does not send a request again to the owner whose backend server refused it (new case "refused" in TestKeysAreAskedForAgainOnlyIfTheOwnerIsUnknown, passes without the change), and asks each server of a shared pool once. So the fault needs a customer that repeats an id; after a 500, nodes themselves send an id again to the same server, where the repeated 500 took the place of the second run's answer.

Change: a connection remembers the ids that it carried and is not chosen for one of them again. It ends after 100 ids, which bounds the memory. The links between nodes carry no ids and write one result for each call.

Conclusion: a repeated response never has the id of the request that is awaited.

--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -226,7 +226,8 @@
 }
 
 // A node that was asked for a key of another node says so while tables travel: the call asks
-// again with growing pauses. A node that knows the key to come too late is asked once.
+// again with growing pauses. A node that knows the key to come too late is asked once, and so
+// is one whose backend server refused the request.
 func TestKeysAreAskedForAgainOnlyIfTheOwnerIsUnknown(t *testing.T) {
 	cases := map[string]struct {
 		results []Result
@@ -235,6 +236,7 @@
 	}{
 		"not the owner":     {[]Result{notRun(ReasonNotOwner), notRun(ReasonNotOwner), ok200()}, 3, http.StatusOK},
 		"not held for long": {[]Result{notRun(ReasonNotHeld), ok200()}, 1, http.StatusServiceUnavailable},
+		"refused":           {[]Result{shed, ok200()}, 1, http.StatusServiceUnavailable},
 	}
 	for name, tt := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -36,6 +37,9 @@
 	maxHeadBytes = 64 << 10
 	// maxInterim limits the interim (1xx) responses before a response.
 	maxInterim = 8
+	// maxIDs is the number of ids that a connection carries before it is closed; it bounds
+	// the memory for them.
+	maxIDs = 100
 	// maxFraming is how much more than its body a chunked body may take on the wire, as a
 	// multiple of the largest body.
 	maxFraming = 2
@@ -48,6 +52,8 @@
 
 // Request is a request with its whole body.
 type Request struct {
+	// ID is the id that the response names; no connection carries an id twice.
+	ID     string
 	Method string
 	URI    string
 	Host   string
@@ -91,6 +97,9 @@
 	unread    int64
 	idleSince time.Time
 	expires   time.Time
+	// ids are the ids of the requests sent. A server in trouble may repeat its response to
+	// any of them.
+	ids []string
 }
 
 // NewExchanger returns an exchanger without connections.
@@ -120,13 +129,16 @@
 
 // Do sends a request and returns its response. The exchange is aborted when ctx is done.
 func (e *Exchanger) Do(ctx context.Context, req Request) (*Response, error) {
-	c, err := e.connection(ctx, req.MaxIdle)
+	c, err := e.connection(ctx, req)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	if req.ID != "" {
+		c.ids = append(c.ids, req.ID)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, keep, err := e.roundTrip(c, req)
-	if !stop() || err != nil || !keep {
+	if !stop() || err != nil || !keep || len(c.ids) >= maxIDs {
 		_ = c.Close() // the exchange has ended, the error does not matter
 		return response, err
 	}
@@ -134,18 +146,10 @@
 	return response, nil
 }
 
-func (e *Exchanger) connection(ctx context.Context, maxIdle time.Duration) (*conn, error) {
+func (e *Exchanger) connection(ctx context.Context, req Request) (*conn, error) {
 	now := time.Now()
-	for {
-		e.mu.Lock()
-		if len(e.idle) == 0 {
-			e.mu.Unlock()
-			break
-		}
-		c := e.idle[len(e.idle)-1]
-		e.idle = e.idle[:len(e.idle)-1]
-		e.mu.Unlock()
-		if now.Before(c.expires) && now.Sub(c.idleSince) <= maxIdle && c.reusable() {
+	for c := e.takeIdle(req.ID); c != nil; c = e.takeIdle(req.ID) {
+		if now.Before(c.expires) && now.Sub(c.idleSince) <= req.MaxIdle && c.reusable() {
 			return c, nil
 		}
 		_ = c.Close()
@@ -157,6 +161,20 @@
 	return newConn(raw), nil
 }
 
+// takeIdle removes and returns the idle connection that was used last, of those that have
+// not carried the id; nil if there is none.
+func (e *Exchanger) takeIdle(id string) *conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, c := range slices.Backward(e.idle) {
+		if !slices.Contains(c.ids, id) {
+			e.idle = slices.Delete(e.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 func newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw}
 	c.r = bufio.NewReaderSize(c, bufferBytes)
--- a/papayapass/internal/exchanger/exchanger_test.go
+++ b/papayapass/internal/exchanger/exchanger_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,6 +95,41 @@
 	require.Equal(t, 1, a.Skipped)
 }
 
+// A response repeated on a connection would answer the next request with the same id.
+func TestNoConnectionCarriesAnIDTwice(t *testing.T) {
+	address, connections := serve(t, func(_ int, id string) string { return okResponse(id, "ok") })
+	e := newTestExchanger(address)
+	defer e.Close()
+	send := func(id string) {
+		_, err := e.Do(context.Background(), Request{
+			ID: id, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{idHeader: {id}}, MaxIdle: time.Minute,
+		})
+		require.NoError(t, err)
+	}
+	for _, id := range []string{"1", "2", "1", "2", "3"} {
+		send(id)
+	}
+	require.Equal(t, int32(2), connections.Load())
+	send("3")
+	require.Equal(t, int32(2), connections.Load())
+	send("3")
+	require.Equal(t, int32(3), connections.Load())
+}
+
+func TestConnectionsCarryALimitedNumberOfIDs(t *testing.T) {
+	address, connections := serve(t, func(_ int, id string) string { return okResponse(id, "ok") })
+	e := newTestExchanger(address)
+	defer e.Close()
+	for n := range maxIDs + 1 {
+		id := strconv.Itoa(n)
+		_, err := e.Do(context.Background(), Request{
+			ID: id, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{idHeader: {id}}, MaxIdle: time.Minute,
+		})
+		require.NoError(t, err)
+	}
+	require.Equal(t, int32(2), connections.Load())
+}
+
 func TestExtraBytesEndTheConnection(t *testing.T) {
 	address, connections := serve(t, func(n int, id string) string {
 		if n == 1 {
