Send key requests over connections where no earlier answer can be theirs

A backend server that writes its answer to an earlier grant or release once more on a kept connection ended a release at once: the keys counted as released, with no or another move's handover, while work on them ran (OWNER). In the same way a grant counted as held, or as refused, by the answer to another grant.

Cause: responses to key requests were matched by nothing but their order.

Ruled out: matching by the request id.

Change: releases and first grants of keys have a connection of their own; its only response is theirs. Renewals of keys that are held share connections, which carry nothing but renewals and end with any other answer than 200.

What remains: a renewal may still be answered by the repeated 200 of another renewal. Keys then count as held up to 300 ms longer, and the backend server checks that itself (421). If that renewal is also executed late and its keys move meanwhile, the release does not wait for it.

Evidence, before (requests on kept connections): all 22 cases of TestRepeatedAnswersToKeyRequestsAreIgnored failed, for example "grant, then a lost release": done instead of unknown. After: all pass, with the race detector too.

--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -53,7 +53,11 @@
 // Request is a request with its whole body.
 type Request struct {
 	// ID is the id that the response names; no connection carries an id twice.
-	ID     string
+	ID string
+	// OwnConnection sends the request over a new connection that carries no other. Without
+	// an id, only the first response on a connection is certainly the request's.
+	OwnConnection bool
+
 	Method string
 	URI    string
 	Host   string
@@ -138,7 +142,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, keep, err := e.roundTrip(c, req)
-	if !stop() || err != nil || !keep || len(c.ids) >= maxIDs {
+	if !stop() || err != nil || !keep || !mayFollow(req, response) || len(c.ids) >= maxIDs {
 		_ = c.Close() // the exchange has ended, the error does not matter
 		return response, err
 	}
@@ -146,9 +150,19 @@
 	return response, nil
 }
 
+// mayFollow reports whether the connection of an exchange may carry another one. Where no id
+// tells responses apart, only a success may come before the next one.
+func mayFollow(req Request, response *Response) bool {
+	return !req.OwnConnection && (req.ID != "" || response.Status == http.StatusOK)
+}
+
 func (e *Exchanger) connection(ctx context.Context, req Request) (*conn, error) {
 	now := time.Now()
-	for c := e.takeIdle(req.ID); c != nil; c = e.takeIdle(req.ID) {
+	for !req.OwnConnection {
+		c := e.takeIdle(req.ID)
+		if c == nil {
+			break
+		}
 		if now.Before(c.expires) && now.Sub(c.idleSince) <= req.MaxIdle && c.reusable() {
 			return c, nil
 		}
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -40,7 +40,9 @@
 
 // Call is a key request, a grant or a release, to the backend server.
 type Call struct {
-	Release  bool
+	Release bool
+	// Renewal is set for a grant of keys that the backend server certainly holds.
+	Renewal  bool
 	Service  string
 	First    uint16
 	Last     uint16
@@ -350,6 +352,7 @@
 	}
 	c.Hold = g.holdFor(now)
 	c.Handover = h.Handover
+	c.Renewal = now < h.heldUntil
 	if c.Hold < minHold {
 		return Call{}, false
 	}
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -55,6 +55,36 @@
 	require.Equal(t, []partitioner.Release{{Service: "permits", First: 0, Last: 49, Token: 4, Handover: "handover-1"}}, g.Released(now))
 }
 
+// Only the renewal of keys that are certainly held may share a connection with other grants.
+func TestOnlyGrantsOfHeldKeysAreRenewals(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	next := func(result Result) bool {
+		calls := g.DueCalls(now)
+		require.Len(t, calls, 1)
+		g.HandleResult(calls[0], result, "", now)
+		return calls[0].Renewal
+	}
+	require.False(t, next(Unknown))
+	require.False(t, next(Done))
+	now = now.Add(renewalInterval)
+	require.True(t, next(Done))
+
+	now = now.Add(renewalInterval)
+	restarted := testServer
+	restarted.StartedAtMillis++
+	g.SetServer(restarted)
+	table := testTable(testRange(0, 99, 5, ""))
+	table.Divisions[0].Ranges[0].ServerStartedAtMillis++
+	g.SetTable(table, now)
+	require.False(t, next(Done))
+	now = now.Add(renewalInterval)
+	require.True(t, next(Refused))
+	now = now.Add(maxUsefulHold)
+	require.False(t, next(Done), "the hold has ended")
+}
+
 // A release must not be sent while a grant of the same keys is in flight, since they
 // could arrive in reverse order.
 func TestReleaseWaitsForGrantsInFlight(t *testing.T) {
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -116,8 +116,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	// Backend servers echo no id here. If one repeats an earlier answer, a release must not
+	// end while work on the keys runs, and keys must not count as held before they are.
 	response, err := c.server.Do(ctx, exchanger.Request{
-		Method: http.MethodPost, URI: path, Host: c.host, Body: body, MaxIdle: granter.ReleaseTimeout,
+		OwnConnection: !call.Renewal, Method: http.MethodPost, URI: path, Host: c.host, Body: body, MaxIdle: granter.ReleaseTimeout,
 		Header: http.Header{"Content-Type": {"application/json"}},
 	})
 	switch {
--- /dev/null
+++ b/papayapass/internal/launcher/calls_test.go
@@ -0,0 +1,130 @@
+package launcher
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/enveloper"
+	"papayapass.dev/papayapass/internal/granter"
+)
+
+const (
+	granted  = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	fenced   = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+	released = "HTTP/1.1 200 OK\r\nHandover: data-1\r\nContent-Length: 0\r\n\r\n"
+	final    = "HTTP/1.1 200 OK\r\nHandover: data-2\r\nContent-Length: 0\r\n\r\n"
+)
+
+// startRepeatingServer starts a backend server that responds to the first key request with
+// earlier and to the next one with answer. What a connection has carried, it writes there
+// once more before the next answer: in a packet of its own, or in that answer's.
+func startRepeatingServer(t *testing.T, earlier, answer string, joined bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	responses := make(chan string, 2)
+	responses <- earlier
+	responses <- answer
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		carried := ""
+		for r := bufio.NewReader(c); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body) // the next read reports a lost connection
+			next := <-responses
+			if carried != "" && !joined {
+				_, _ = c.Write([]byte(carried)) // the caller notices a lost connection
+				carried = ""
+			}
+			_, _ = c.Write([]byte(carried + next)) // the caller notices a lost connection
+			carried = next
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A backend server writes its answer to an earlier grant or release once more while it
+// executes the next one (OWNER).
+func TestRepeatedAnswersToKeyRequestsAreIgnored(t *testing.T) {
+	grant := granter.Call{First: 0, Last: 9, Token: 1, Hold: time.Second}
+	next := granter.Call{First: 10, Last: 19, Token: 2, Hold: time.Second}
+	release := granter.Call{Release: true, First: 0, Last: 9, Token: 1}
+	renewal := granter.Call{Renewal: true, First: 0, Last: 9, Token: 1, Hold: time.Second}
+	nextRelease := granter.Call{Release: true, First: 10, Last: 19, Token: 2}
+	cases := map[string]struct {
+		first, second   granter.Call
+		earlier, answer string
+		want            granter.Result
+		handover        string
+	}{
+		"grant, then release":          {grant, release, granted, final, granter.Done, "data-2"},
+		"release, then release":        {release, nextRelease, released, final, granter.Done, "data-2"},
+		"refused grant, then a grant":  {grant, next, fenced, granted, granter.Done, ""},
+		"grant, then a refused grant":  {grant, next, granted, fenced, granter.Refused, ""},
+		"release, then refused grant":  {release, next, released, fenced, granter.Refused, ""},
+		"renewal, then release":        {renewal, release, granted, final, granter.Done, "data-2"},
+		"renewal, then refused grant":  {renewal, next, granted, fenced, granter.Refused, ""},
+		"refused renewal, then one":    {renewal, renewal, fenced, granted, granter.Done, ""},
+		"renewal, then a lost release": {renewal, release, granted, "", granter.Unknown, ""},
+		"grant, then a lost release":   {grant, release, granted, "", granter.Unknown, ""},
+		"release, then a lost release": {release, nextRelease, released, "", granter.Unknown, ""},
+	}
+	for name, tt := range cases {
+		for way, joined := range map[string]bool{"packet of its own": false, "the answer's packet": true} {
+			t.Run(name+", "+way, func(t *testing.T) {
+				address := startRepeatingServer(t, tt.earlier, tt.answer, joined)
+				c := newClient(fakeAdapter(&memoryStore{}).GrantAPI, address, enveloper.NewEnveloper(`{"id":""}`))
+				defer c.server.Close()
+				c.UpdateGrant(context.Background(), tt.first)
+				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+				defer cancel()
+				result, handover := c.UpdateGrant(ctx, tt.second)
+				require.Equal(t, tt.want, result)
+				require.Equal(t, tt.handover, handover)
+			})
+		}
+	}
+}
+
+// Renewals are frequent; each over a connection of its own costs a new connection every 300 ms
+// and range.
+func TestRenewalsKeepTheirConnection(t *testing.T) {
+	var connections atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	c := newClient(fakeAdapter(&memoryStore{}).GrantAPI, server.Listener.Addr().String(), enveloper.NewEnveloper(`{"id":""}`))
+	defer c.server.Close()
+	for range 3 {
+		result, _ := c.UpdateGrant(context.Background(), granter.Call{Renewal: true, First: 0, Last: 9, Token: 1, Hold: time.Second})
+		require.Equal(t, granter.Done, result)
+	}
+	require.Equal(t, int32(1), connections.Load())
+}
