Send a request without an id over a connection of its own

A request without an id got any earlier response without an id that the backend server wrote once more on the connection: "not run" for a request that ran, or another customer's response (REFUSED, MIXED).

Cause: an absent id matched an absent id. Class: a missing value that compares equal.

Ruled out: rejecting such requests at the node. The backend server decides what it does without an id; the response is passed on as before.

Change: such a request uses Request.OwnConnection.

Evidence: TestRequestWithoutIDGetsNoEarlierAnswer failed before (not-run instead of answered) and passes.

--- a/papayapass/internal/forwarder/repeated_test.go
+++ b/papayapass/internal/forwarder/repeated_test.go
@@ -223,3 +223,15 @@
 	require.Equal(t, dispatcher.NotRun, f.Serve(context.Background(), f.call(false)).Outcome)
 	require.Equal(t, dispatcher.Unknown, f.Serve(context.Background(), f.call(false)).Outcome)
 }
+
+// A request without an id has nothing that distinguishes its answer from an earlier one.
+func TestRequestWithoutIDGetsNoEarlierAnswer(t *testing.T) {
+	server := &repeatingServer{write: func(c net.Conn, refused, answer string) {
+		_, _ = c.Write([]byte(refused + answer)) // the caller notices a lost connection
+	}}
+	f := newRepeatingForwarder(t, server)
+	c := f.callWithID("")
+	c.Header = http.Header{}
+	require.Equal(t, dispatcher.NotRun, f.Serve(context.Background(), c).Outcome)
+	require.Equal(t, dispatcher.Answered, f.Serve(context.Background(), c).Outcome)
+}
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -176,7 +176,8 @@
 	}
 	f.countSent()
 	response, err := f.exchanger.Do(ctx, exchanger.Request{
-		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, MaxIdle: maxIdleTime, Memory: c.Memory,
+		ID: c.ID, OwnConnection: c.ID == "", Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body,
+		MaxIdle: maxIdleTime, Memory: c.Memory,
 	})
 	took := f.clock.Now().Sub(sent)
 	f.addWork(c, took)
