Count a refusal that more data follows as an unknown outcome

A backend server that writes a refusal of a request and the answer of its run together got "not run" passed on for a request that ran (REFUSED).

Cause: the first response with the request's id decided, though the second one, or the beginning of it, was already there. Class: a statement taken as true while evidence against it was at hand.

Ruled out: an earlier refusal (no connection carries an id twice). Not covered: an answer that arrives later than its refusal; by then the caller has its outcome.

Change: "not run" needs a refusal that nothing follows in the same read; otherwise the outcome is unknown. Successes that extra data follows stay answered.

Evidence: both cases of TestRefusalWithAnAnswerIsNoRefusal failed before (not-run instead of unknown) and pass.

--- a/papayapass/internal/forwarder/repeated_test.go
+++ b/papayapass/internal/forwarder/repeated_test.go
@@ -235,3 +235,22 @@
 	require.Equal(t, dispatcher.NotRun, f.Serve(context.Background(), c).Outcome)
 	require.Equal(t, dispatcher.Answered, f.Serve(context.Background(), c).Outcome)
 }
+
+// A backend server that refuses a request and answers it as well may have run it.
+func TestRefusalWithAnAnswerIsNoRefusal(t *testing.T) {
+	for name, text := range map[string]string{
+		"an answer":         refusal("1") + signedAnswer("1"),
+		"part of an answer": refusal("1") + "HTTP/1.1 200 OK\r\nSeal: s\r\nId: 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := &repeatingServer{write: func(c net.Conn, _, _ string) {
+				_, _ = c.Write([]byte(text)) // the caller notices a lost connection
+			}}
+			f := newRepeatingForwarder(t, server)
+			server.accept("1")
+			res := f.Serve(context.Background(), f.call(false))
+			require.Equal(t, dispatcher.Unknown, res.Outcome)
+			require.True(t, res.Sent)
+		})
+	}
+}
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -208,8 +208,13 @@
 	f.mu.Lock()
 	f.failedConnects = 0
 	f.mu.Unlock()
+	notRun := f.codec.NotRun(response.Status, response.Header)
 	switch {
-	case f.codec.NotRun(response.Status, response.Header):
+	case notRun && response.Followed:
+		f.logger.Warn().Str("request", c.ID).Int("status", response.Status).
+			Msg("more data follows the refusal, the request may have run")
+		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Sent: true}, false
+	case notRun:
 		f.logger.Info().Str("request", c.ID).Int("status", response.Status).Uint16("key", c.Key).
 			Msg("backend server did not run the request")
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonShed, Sent: true}, false
