Keep the outcome of an earlier try when the request ends during a retry

What callers saw: an idempotent request whose first try had failed or had no answer got 503 "not run" if its deadline passed while a second try waited at a node.

Cause: at the end of a request's context the result of the last try was returned, though an earlier one may have run. Class: a later, weaker statement replaces a stronger one.

Ruled out: requests that are not idempotent; they have no second try once they may have run (TestOutcomes), so REFUSED is not concerned.

Change: the outcome is combined with that of the earlier tries before the check.

Evidence: the cases "unknown" and "failed" of TestEndDuringRetryKeepsEarlierOutcome failed before (not-run instead of unknown, and of answered) and pass.

--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -235,12 +235,12 @@
 			continue
 		}
 		res := attempts.serve(ctx, server, id, c)
-		if ctx.Err() != nil || (res.Outcome == Answered && !d.retryableFailure(res)) {
-			return res, attempts
-		}
 		if last.Outcome == NotRun || res.Outcome == Answered {
 			last = res
 		}
+		if ctx.Err() != nil || (res.Outcome == Answered && !d.retryableFailure(res)) {
+			return last, attempts
+		}
 		if res.Reason == ReasonBusy {
 			waits.add(id, res.Retry)
 		}
--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -163,6 +163,49 @@
 	}
 }
 
+// cancelingServer ends the request's context and rejects the call.
+type cancelingServer struct{ cancel context.CancelFunc }
+
+func (s cancelingServer) Serve(context.Context, *Call) Result {
+	s.cancel()
+	return notRun(ReasonCanceled)
+}
+
+// cancelingCluster chooses first, then the server that ends the request's context.
+type cancelingCluster struct {
+	*fakeCluster
+
+	first, second Server
+}
+
+func (c cancelingCluster) Choose(_ *Call, tried map[partitioner.NodeID]bool) (Server, partitioner.NodeID, Reason) {
+	if tried["a"] {
+		return c.second, "b", ReasonNone
+	}
+	return c.first, "a", ReasonNone
+}
+
+// A try that may have run, and a second one that the request's end cuts short before it is
+// sent: the request may have run.
+func TestEndDuringRetryKeepsEarlierOutcome(t *testing.T) {
+	for name, tt := range map[string]struct {
+		first Result
+		want  Outcome
+	}{"unknown": {unknown, Unknown}, "failed": {status(500), Answered}, "shed": {shed, NotRun}} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			v := cancelingCluster{&fakeCluster{budget: 9}, &fakeServer{results: []Result{tt.first}}, cancelingServer{cancel}}
+			d := NewDispatcher(v, fakeCodec{}, timer.BootClock{}, "own-service", fakeCounter{}, budgeter.NewBudget(1<<20), &tracer.Tracer{}, zerolog.Nop())
+			route := testConfiguration().Routes[0]
+			c := &Call{Service: "records", Idempotent: true, Deadline: timer.BootClock{}.Now().Add(time.Minute)}
+			res, attempts := d.run(ctx, c, &route)
+			require.Equal(t, 2, attempts.tries)
+			require.Equal(t, tt.want, res.Outcome)
+		})
+	}
+}
+
 func TestRejectedRequests(t *testing.T) {
 	cases := map[string]struct {
 		cfg    *descriptor.Configuration
