Match responses to calls of papayapass run by the echoed call id

The same cause in the product's own protocol: a backend server that writes an earlier refusal once more on a kept connection made "not run" the outcome of a call that ran, and the caller's retry ran it again; any earlier response could be taken for the next one.

Cause: the HTTP library takes the next response on a connection as that of the last request; the call id was sent but not compared.

Ruled out: a connection for each call; the hop to the backend server is the hot path. Not covered: backend servers that do not echo the id; their responses are accepted as before.

Change: backend servers echo Papayapass-Call (the stand-in does). A response with another id makes the outcome unknown and closes the idle connections. The header is not passed on.

Evidence: TestRepeatedRefusalDoesNotAnswerTheNextCall failed before (not-run instead of unknown) and passes.

--- a/papayapass/internal/executor/backend.go
+++ b/papayapass/internal/executor/backend.go
@@ -77,6 +77,11 @@
 	if err := b.client.DoTimeout(out, in, params.timeout); err != nil {
 		return b.errorAnswer(req, err)
 	}
+	if call := in.Header.Peek(announcer.HeaderCall); len(call) > 0 && string(call) != params.callID {
+		// The connection is one response behind.
+		b.client.CloseIdleConnections()
+		return unknown(req, wirepb.Reason_REASON_LOST_CONNECTION), limiter.ResultFailed
+	}
 	if reason := in.Header.Peek(announcer.HeaderNotRun); len(reason) > 0 {
 		return rejectedAnswer(req, reason)
 	}
--- a/papayapass/internal/executor/backend_test.go
+++ b/papayapass/internal/executor/backend_test.go
@@ -179,6 +179,37 @@
 	}
 }
 
+// TestRepeatedRefusalDoesNotAnswerTheNextCall writes an earlier refusal once more, and then
+// the answer of a call that runs.
+func TestRepeatedRefusalDoesNotAnswerTheNextCall(t *testing.T) {
+	refused := ""
+	s := newScriptedServer(t, func(conn net.Conn, request string) {
+		_, call, _ := strings.Cut(request, announcer.HeaderCall+": ")
+		call, _, _ = strings.Cut(call, "\r\n")
+		if refused == "" {
+			refused = "HTTP/1.1 503 Busy\r\nPapayapass-Not-Run: shed\r\nPapayapass-Call: " + call + "\r\nContent-Length: 0\r\n\r\n"
+			fmt.Fprint(conn, refused)
+			return
+		}
+		if call == "2" {
+			fmt.Fprint(conn, refused)
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nPapayapass-Call: %s\r\nContent-Length: 1\r\n\r\n%s", call, call)
+	})
+	b := s.backend()
+	call := func(id string) *wirepb.Answer {
+		answer, _ := b.call(request("POST"), callParams{callID: id, timeout: callTimeout})
+		return answer
+	}
+	require.Equal(t, wirepb.Outcome_OUTCOME_NOT_RUN, call("1").GetOutcome())
+	require.Equal(t, wirepb.Outcome_OUTCOME_UNKNOWN, call("2").GetOutcome(), "the call has run")
+	answer := call("3")
+	require.Equal(t, "3", string(answer.GetBody()))
+	for _, h := range answer.GetHeaders() {
+		require.NotEqual(t, announcer.HeaderCall, string(h.GetName()), "the id is not the caller's")
+	}
+}
+
 // TestUnreachableServerIsNotRun closes the server's listener: a call that
 // cannot connect was not run.
 func TestUnreachableServerIsNotRun(t *testing.T) {
--- a/papayapass/internal/executor/headers.go
+++ b/papayapass/internal/executor/headers.go
@@ -6,14 +6,16 @@
 	"github.com/valyala/fasthttp"
 
 	"papayapass.dev/papayapass/internal/wirepb"
+	"papayapass.dev/shared/announcer"
 )
 
 // isHopByHopHeader reports whether a header concerns only one connection.
-// Content-Length is included because the HTTP library sets it for each message.
+// Content-Length is included because the HTTP library sets it for each message, and the
+// id of a call because it is the node's own.
 func isHopByHopHeader(name string) bool {
 	switch strings.ToLower(name) {
 	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
-		"te", "trailer", "transfer-encoding", "upgrade", "content-length":
+		"te", "trailer", "transfer-encoding", "upgrade", "content-length", strings.ToLower(announcer.HeaderCall):
 		return true
 	default:
 		return false
--- a/shared/announcer/announcement.go
+++ b/shared/announcer/announcement.go
@@ -20,7 +20,8 @@
 
 // Headers of calls between a node and its backend server, or a caller and a node.
 const (
-	// HeaderCall carries the id of the call.
+	// HeaderCall carries the id of the call. A backend server echoes it, so that a response
+	// repeated on a connection is not taken for the next one.
 	HeaderCall = "Papayapass-Call"
 	// HeaderToken carries the fencing token of the slice, in decimal.
 	HeaderToken = "Papayapass-Token"
--- a/standin/internal/worker/worker.go
+++ b/standin/internal/worker/worker.go
@@ -202,6 +202,9 @@
 }
 
 func (w *Worker) serve(ctx *fasthttp.RequestCtx) {
+	if call := ctx.Request.Header.Peek(announcer.HeaderCall); len(call) > 0 {
+		ctx.Response.Header.SetBytesV(announcer.HeaderCall, call)
+	}
 	switch w.limiter.admit() {
 	case shed:
 		w.reject(ctx, announcer.NotRunShed)
