Pause between key requests that fail

What callers saw: nothing directly.

A backend server that is full resets new connections in less than a millisecond, and each failure also sends a heartbeat and logs a line. Class: a retry without a pause.

Change: 50 ms between a key request without an answer and the next one for the range.

Evidence: TestFailedCallsArePaced failed before (200 calls in 200 ms instead of 4) and passes; the tests of ./papayapass/... pass.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -21,6 +21,9 @@
 	maxUsefulHold = 3500 * time.Millisecond
 	// renewalInterval is the longest time between two grants of the same keys.
 	renewalInterval = 300 * time.Millisecond
+	// failureBackoff is the time after a call without an answer before the next one. A backend
+	// server that is full resets connections at once.
+	failureBackoff = 50 * time.Millisecond
 	// refusalBackoff is the time after a refusal before the token is sent again.
 	refusalBackoff = 3 * time.Second
 	// clockDrift is how much slower a backend server's clock may run, as a fraction of a
@@ -381,7 +384,7 @@
 	case result == Refused:
 		h.nextCallAt = now.Add(refusalBackoff)
 	case result != Done:
-		h.nextCallAt = now
+		h.nextCallAt = now.Add(failureBackoff)
 	case c.Release:
 		h.released, h.handover = true, handover
 	default:
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -67,6 +67,7 @@
 		return calls[0].Renewal
 	}
 	require.False(t, next(Unknown))
+	now = now.Add(failureBackoff)
 	require.False(t, next(Done))
 	now = now.Add(renewalInterval)
 	require.True(t, next(Done))
@@ -85,6 +86,31 @@
 	require.False(t, next(Done), "the hold has ended")
 }
 
+// A backend server that is full resets each new connection at once. Calls to it must not
+// follow each other as fast.
+func TestFailedCallsArePaced(t *testing.T) {
+	for call, next := range map[string]partitioner.NodeID{"grant": "", "release": "node-2"} {
+		for name, result := range map[string]Result{"no answer": Unknown, "not delivered": NotDelivered} {
+			t.Run(call+", "+name, func(t *testing.T) {
+				now := timer.Instant(time.Hour)
+				g := NewGranter("node-1", 10*time.Second, now)
+				g.SetServer(testServer)
+				g.SetLease(now.Add(time.Hour))
+				g.SetTable(testTable(testRange(0, 99, 4, next)), now)
+				calls := 0
+				for range 200 {
+					for _, c := range g.DueCalls(now) {
+						calls++
+						g.HandleResult(c, result, "", now)
+					}
+					now = now.Add(time.Millisecond)
+				}
+				require.Equal(t, int(200*time.Millisecond/failureBackoff), calls)
+			})
+		}
+	}
+}
+
 // A release must not be sent while a grant of the same keys is in flight, since they
 // could arrive in reverse order.
 func TestReleaseWaitsForGrantsInFlight(t *testing.T) {
