Send no grants to a backend server that may have started again

Cause: grants name no start of the backend server, and a new one counts as holding nothing from its first heartbeat on, though it accepts grants before. The node counts its server as down only after failed requests, of which there are none while it holds no keys, or after four missed heartbeats. Class: an order addressed to a place is taken as addressed to whom it was meant for.

Change: a grant that finds the server unreachable (no connection, but for a reset by one that is full) is the last one until its next heartbeat, which names its start.

Not covered: a server that crashes, starts again and listens between two grants (300 ms).

Evidence: TestNoGrantsReachAnUnknownStart failed before (grants were due) and passes.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -70,6 +70,9 @@
 	Unknown
 	// NotDelivered means that the call did not reach the backend server.
 	NotDelivered
+	// Unreachable means the same, and that the backend server may have ended: nothing
+	// accepts connections.
+	Unreachable
 )
 
 // holding is a range that the table assigns to this node, with the state of its grants.
@@ -122,6 +125,10 @@
 	pendingGrants []pendingGrant
 	leaseUntil    timer.Instant
 	server        partitioner.Server
+	// ended is set from a call that found the backend server unreachable until its next
+	// heartbeat. A grant before that could reach a later start of it, which counts as holding
+	// nothing until it is heard.
+	ended bool
 	// priorGrantsUntil is when grants from before the node's start have ended at the
 	// latest.
 	priorGrantsUntil timer.Instant
@@ -177,6 +184,7 @@
 		}
 		g.priorGrantsUntil = 0
 		g.pendingGrants = nil
+		g.ended = false
 		if m, ok := g.method.(*byHeartbeat); ok {
 			*m = byHeartbeat{}
 		}
@@ -350,7 +358,7 @@
 		c.Release = true
 		return c, !g.server.Down && g.server.SameStart(h.Server, h.ServerStartedAtMillis)
 	}
-	if !g.server.SameStart(h.Server, h.ServerStartedAtMillis) || g.server.Down || g.server.Leaving {
+	if !g.server.SameStart(h.Server, h.ServerStartedAtMillis) || g.server.Down || g.server.Leaving || g.ended {
 		return Call{}, false
 	}
 	c.Hold = g.holdFor(now)
@@ -369,6 +377,7 @@
 	defer g.mu.Unlock()
 	defer g.notify()
 	g.resolveGrant(c, result)
+	g.ended = g.ended || (result == Unreachable && c.Server == g.server.ID)
 	i := slices.IndexFunc(g.holdings, func(h *holding) bool {
 		return h.service == c.Service && h.First == c.First && h.Last == c.Last && h.Token == c.Token
 	})
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -111,6 +111,36 @@
 	}
 }
 
+// A backend server crashes and starts again. A grant meant for the former start that reaches
+// the new one before its first heartbeat is not known when the keys move on (OWNER).
+func TestNoGrantsReachAnUnknownStart(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 49, 4, ""), testRange(50, 99, 5, "")), now)
+	calls := g.DueCalls(now)
+	require.Len(t, calls, 2)
+	g.HandleResult(calls[0], Unreachable, "", now)
+	g.HandleResult(calls[1], Unreachable, "", now)
+	for range 20 {
+		now = now.Add(failureBackoff)
+		require.Empty(t, g.DueCalls(now))
+	}
+	g.HandleHeartbeat(1, nil, now)
+	calls = g.DueCalls(now)
+	require.Len(t, calls, 2, "the same start was heard")
+
+	g.HandleResult(calls[0], Unreachable, "", now)
+	restarted := testServer
+	restarted.StartedAtMillis++
+	g.SetServer(restarted)
+	now = now.Add(failureBackoff)
+	require.Empty(t, g.DueCalls(now), "the table still names the former start")
+	table := testTable(testRange(0, 99, 6, ""))
+	table.Divisions[0].Ranges[0].ServerStartedAtMillis++
+	g.SetTable(table, now)
+	require.Len(t, g.DueCalls(now), 1)
+}
+
 // A release must not be sent while a grant of the same keys is in flight, since they
 // could arrive in reverse order.
 func TestReleaseWaitsForGrantsInFlight(t *testing.T) {
--- a/papayapass/internal/granter/heartbeat.go
+++ b/papayapass/internal/granter/heartbeat.go
@@ -56,6 +56,7 @@
 func (g *Granter) HandleHeartbeat(sequence int64, keys *descriptor.KeyListing, now timer.Instant) HeartbeatResult {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.ended = false
 	m, ok := g.method.(*byHeartbeat)
 	if !ok || keys == nil || (sequence <= m.lastSequence && !mutator.Active(mutator.AcceptLateHeartbeat)) {
 		return HeartbeatResult{}
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -123,8 +124,10 @@
 		Header: http.Header{"Content-Type": {"application/json"}},
 	})
 	switch {
+	case errors.Is(err, exchanger.ErrNotSent) && errors.Is(err, syscall.ECONNRESET):
+		return granter.NotDelivered, "" // the backend server has no room for the connection
 	case errors.Is(err, exchanger.ErrNotSent):
-		return granter.NotDelivered, ""
+		return granter.Unreachable, ""
 	case err != nil:
 		return granter.Unknown, ""
 	case response.Status == http.StatusOK:
--- a/papayapass/internal/launcher/calls_test.go
+++ b/papayapass/internal/launcher/calls_test.go
@@ -128,3 +128,17 @@
 	}
 	require.Equal(t, int32(1), connections.Load())
 }
+
+func TestKeyRequestsThatAreNotDelivered(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	c := newClient(fakeAdapter(&memoryStore{}).GrantAPI, address, enveloper.NewEnveloper(`{"id":""}`))
+	for name, call := range map[string]granter.Call{"grant": {}, "renewal": {Renewal: true}, "release": {Release: true}} {
+		t.Run(name, func(t *testing.T) {
+			result, _ := c.UpdateGrant(context.Background(), call)
+			require.Equal(t, granter.Unreachable, result)
+		})
+	}
+}
