--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -44,6 +44,9 @@
 	maxHeadBytes = 64 << 10
 	// maxInterim limits the interim (1xx) responses before a response.
 	maxInterim = 8
+	// maxIDs is the number of ids that a connection carries before it is closed; it bounds
+	// the memory for them.
+	maxIDs = 100
 	// maxFraming is how much more than its body a chunked body may take on the wire, as a
 	// multiple of the largest body.
 	maxFraming = 2
@@ -59,6 +62,12 @@
 
 // Request is a request with its whole body.
 type Request struct {
+	// ID is the id that the response names; no connection carries an id twice.
+	ID string
+	// OwnConnection sends the request over a new connection that carries no other. Without
+	// an id, only the first response on a connection is certainly the request's.
+	OwnConnection bool
+
 	Method string
 	URI    string
 	Host   string
@@ -79,6 +88,10 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Skipped is the number of responses to other requests that arrived before this one.
+	Skipped int
+	// Followed is set if more data arrived together with the response.
+	Followed bool
 }
 
 // Exchanger holds the persistent connections to one address.
@@ -103,6 +116,9 @@
 	disconnected bool
 	idleSince    time.Time
 	expires      time.Time
+	// ids are the ids of the requests sent. A server in trouble may repeat its response to
+	// any of them.
+	ids []string
 }
 
 // NewExchanger returns an exchanger without connections.
@@ -132,16 +148,19 @@
 
 // Do sends a request and returns its response. The exchange is aborted when ctx is done.
 func (e *Exchanger) Do(ctx context.Context, req Request) (*Response, error) {
-	c, err := e.connection(ctx, req.MaxIdle)
+	c, err := e.connection(ctx, req)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	if req.ID != "" {
+		c.ids = append(c.ids, req.ID)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, keep, err := e.roundTrip(c, req)
 	if err != nil && (c.disconnected || errors.IsAny(err, unix.ECONNRESET, unix.EPIPE)) {
 		err = errors.Mark(err, ErrDisconnected)
 	}
-	if !stop() || err != nil || !keep {
+	if !stop() || err != nil || !keep || !mayFollow(req, response) || len(c.ids) >= maxIDs {
 		_ = c.Close() // the exchange has ended, the error does not matter
 		return response, err
 	}
@@ -167,18 +186,20 @@
 	return raw, errors.Wrap(err, "connect")
 }
 
-func (e *Exchanger) connection(ctx context.Context, maxIdle time.Duration) (*conn, error) {
+// mayFollow reports whether the connection of an exchange may carry another one. Where no id
+// tells responses apart, only a success may come before the next one.
+func mayFollow(req Request, response *Response) bool {
+	return !req.OwnConnection && (req.ID != "" || response.Status == http.StatusOK)
+}
+
+func (e *Exchanger) connection(ctx context.Context, req Request) (*conn, error) {
 	now := time.Now()
-	for {
-		e.mu.Lock()
-		if len(e.idle) == 0 {
-			e.mu.Unlock()
+	for !req.OwnConnection {
+		c := e.takeIdle(req.ID)
+		if c == nil {
 			break
 		}
-		c := e.idle[len(e.idle)-1]
-		e.idle = e.idle[:len(e.idle)-1]
-		e.mu.Unlock()
-		if now.Before(c.expires) && now.Sub(c.idleSince) <= maxIdle && c.reusable() {
+		if now.Before(c.expires) && now.Sub(c.idleSince) <= req.MaxIdle && c.reusable() {
 			return c, nil
 		}
 		_ = c.Close()
@@ -190,6 +211,20 @@
 	return newConn(raw), nil
 }
 
+// takeIdle removes and returns the idle connection that was used last, of those that have
+// not carried the id; nil if there is none.
+func (e *Exchanger) takeIdle(id string) *conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, c := range slices.Backward(e.idle) {
+		if !slices.Contains(c.ids, id) {
+			e.idle = slices.Delete(e.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 func newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw}
 	c.r = bufio.NewReaderSize(c, bufferBytes)
@@ -223,12 +258,13 @@
 	if err := writeRequest(c, req); err != nil {
 		return nil, false, errors.Wrap(err, "send")
 	}
-	for range maxResponsesRead {
+	for skipped := range maxResponsesRead {
 		response, keep, err := e.readResponse(c, req)
 		if err != nil {
 			return nil, false, err
 		}
 		if e.matchesRequest(response, req) {
+			response.Skipped = skipped
 			return response, keep, nil
 		}
 		if !keep && c.r.Buffered() == 0 {
@@ -275,8 +311,8 @@
 	if c.expires, err = expiry(resp.Header); err != nil {
 		resp.Close = true
 	}
-	keep := !resp.Close && c.r.Buffered() == 0
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+	followed := c.r.Buffered() > 0
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Followed: followed}, !resp.Close && !followed, nil
 }
 
 // readHead reads the head of a response after the interim ones.
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -187,7 +187,8 @@
 	}
 	f.countSent()
 	response, err := f.exchanger.Do(ctx, exchanger.Request{
-		Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, MaxIdle: maxIdleTime, Memory: c.Memory,
+		ID: c.ID, OwnConnection: c.ID == "", Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body,
+		MaxIdle: maxIdleTime, Memory: c.Memory,
 	})
 	took := f.clock.Now().Sub(sent)
 	f.addWork(c, took)
@@ -208,6 +209,10 @@
 		}, timedOut
 	default:
 		f.addAnswer(server, sent)
+		if response.Skipped > 0 || response.Followed {
+			f.logger.Warn().Str("request", c.ID).Str("server", server.ID).Int("skipped", response.Skipped).Bool("followed", response.Followed).
+				Int("status", response.Status).Msg("backend server sent more than the response")
+		}
 		f.readNotice(response, server, sent)
 		res, ran := f.interpret(c, response)
 		return res, ran || timedOut
@@ -220,8 +225,13 @@
 	f.mu.Lock()
 	f.failedConnects = 0
 	f.mu.Unlock()
+	notRun := f.codec.NotRun(response.Status, response.Header)
 	switch {
-	case f.codec.NotRun(response.Status, response.Header):
+	case notRun && response.Followed:
+		f.logger.Warn().Str("request", c.ID).Int("status", response.Status).
+			Msg("more data follows the refusal, the request may have run")
+		return dispatcher.Result{Outcome: dispatcher.Unknown, Reason: dispatcher.ReasonBroken, Sent: true}, false
+	case notRun:
 		f.logger.Info().Str("request", c.ID).Int("status", response.Status).Uint16("key", c.Key).
 			Msg("backend server did not run the request")
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonShed, Sent: true}, false
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -21,6 +21,9 @@
 	maxUsefulHold = 3500 * time.Millisecond
 	// renewalInterval is the longest time between two grants of the same keys.
 	renewalInterval = 300 * time.Millisecond
+	// failureBackoff is the time after a call without an answer before the next one. A backend
+	// server that is full resets connections at once.
+	failureBackoff = 50 * time.Millisecond
 	// refusalBackoff is the time after a refusal before the token is sent again.
 	refusalBackoff = 3 * time.Second
 	// clockDrift is how much slower a backend server's clock may run, as a fraction of a
@@ -40,7 +43,9 @@
 
 // Call is a key request, a grant or a release, to the backend server.
 type Call struct {
-	Release  bool
+	Release bool
+	// Renewal is set for a grant of keys that the backend server certainly holds.
+	Renewal  bool
 	Service  string
 	First    uint16
 	Last     uint16
@@ -65,6 +70,9 @@
 	Unknown
 	// NotDelivered means that the call did not reach the backend server.
 	NotDelivered
+	// Unreachable means the same, and that the backend server may have ended: nothing
+	// accepts connections.
+	Unreachable
 )
 
 // holding is a range that the table assigns to this node, with the state of its grants.
@@ -117,6 +125,10 @@
 	pendingGrants []pendingGrant
 	leaseUntil    timer.Instant
 	server        partitioner.Server
+	// ended is set from a call that found the backend server unreachable until its next
+	// heartbeat. A grant before that could reach a later start of it, which counts as holding
+	// nothing until it is heard.
+	ended bool
 	// priorGrantsUntil is when grants from before the node's start have ended at the
 	// latest.
 	priorGrantsUntil timer.Instant
@@ -172,6 +184,7 @@
 		}
 		g.priorGrantsUntil = 0
 		g.pendingGrants = nil
+		g.ended = false
 		if m, ok := g.method.(*byHeartbeat); ok {
 			*m = byHeartbeat{}
 		}
@@ -345,11 +358,12 @@
 		c.Release = true
 		return c, !g.server.Down && g.server.SameStart(h.Server, h.ServerStartedAtMillis)
 	}
-	if !g.server.SameStart(h.Server, h.ServerStartedAtMillis) || g.server.Down || g.server.Leaving {
+	if !g.server.SameStart(h.Server, h.ServerStartedAtMillis) || g.server.Down || g.server.Leaving || g.ended {
 		return Call{}, false
 	}
 	c.Hold = g.holdFor(now)
 	c.Handover = h.Handover
+	c.Renewal = now < h.heldUntil
 	if c.Hold < minHold {
 		return Call{}, false
 	}
@@ -363,6 +377,7 @@
 	defer g.mu.Unlock()
 	defer g.notify()
 	g.resolveGrant(c, result)
+	g.ended = g.ended || (result == Unreachable && c.Server == g.server.ID)
 	i := slices.IndexFunc(g.holdings, func(h *holding) bool {
 		return h.service == c.Service && h.First == c.First && h.Last == c.Last && h.Token == c.Token
 	})
@@ -378,7 +393,7 @@
 	case result == Refused:
 		h.nextCallAt = now.Add(refusalBackoff)
 	case result != Done:
-		h.nextCallAt = now
+		h.nextCallAt = now.Add(failureBackoff)
 	case c.Release:
 		h.released, h.handover = true, handover
 	default:
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -78,6 +78,92 @@
 	require.Zero(t, g.DoubtLeft(release, now))
 }
 
+// Only the renewal of keys that are certainly held may share a connection with other grants.
+func TestOnlyGrantsOfHeldKeysAreRenewals(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	next := func(result Result) bool {
+		calls := g.DueCalls(now)
+		require.Len(t, calls, 1)
+		g.HandleResult(calls[0], result, "", now)
+		return calls[0].Renewal
+	}
+	require.False(t, next(Unknown))
+	now = now.Add(failureBackoff)
+	require.False(t, next(Done))
+	now = now.Add(renewalInterval)
+	require.True(t, next(Done))
+
+	now = now.Add(renewalInterval)
+	restarted := testServer
+	restarted.StartedAtMillis++
+	g.SetServer(restarted)
+	table := testTable(testRange(0, 99, 5, ""))
+	table.Divisions[0].Ranges[0].ServerStartedAtMillis++
+	g.SetTable(table, now)
+	require.False(t, next(Done))
+	now = now.Add(renewalInterval)
+	require.True(t, next(Refused))
+	now = now.Add(maxUsefulHold)
+	require.False(t, next(Done), "the hold has ended")
+}
+
+// A backend server that is full resets each new connection at once. Calls to it must not
+// follow each other as fast.
+func TestFailedCallsArePaced(t *testing.T) {
+	for call, next := range map[string]partitioner.NodeID{"grant": "", "release": "node-2"} {
+		for name, result := range map[string]Result{"no answer": Unknown, "not delivered": NotDelivered} {
+			t.Run(call+", "+name, func(t *testing.T) {
+				now := timer.Instant(time.Hour)
+				g := NewGranter("node-1", 10*time.Second, now)
+				g.SetServer(testServer)
+				g.SetLease(now.Add(time.Hour))
+				g.SetTable(testTable(testRange(0, 99, 4, next)), now)
+				calls := 0
+				for range 200 {
+					for _, c := range g.DueCalls(now) {
+						calls++
+						g.HandleResult(c, result, "", now)
+					}
+					now = now.Add(time.Millisecond)
+				}
+				require.Equal(t, int(200*time.Millisecond/failureBackoff), calls)
+			})
+		}
+	}
+}
+
+// A backend server crashes and starts again. A grant meant for the former start that reaches
+// the new one before its first heartbeat is not known when the keys move on (OWNER).
+func TestNoGrantsReachAnUnknownStart(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 49, 4, ""), testRange(50, 99, 5, "")), now)
+	calls := g.DueCalls(now)
+	require.Len(t, calls, 2)
+	g.HandleResult(calls[0], Unreachable, "", now)
+	g.HandleResult(calls[1], Unreachable, "", now)
+	for range 20 {
+		now = now.Add(failureBackoff)
+		require.Empty(t, g.DueCalls(now))
+	}
+	g.HandleHeartbeat(1, nil, now)
+	calls = g.DueCalls(now)
+	require.Len(t, calls, 2, "the same start was heard")
+
+	g.HandleResult(calls[0], Unreachable, "", now)
+	restarted := testServer
+	restarted.StartedAtMillis++
+	g.SetServer(restarted)
+	now = now.Add(failureBackoff)
+	require.Empty(t, g.DueCalls(now), "the table still names the former start")
+	table := testTable(testRange(0, 99, 6, ""))
+	table.Divisions[0].Ranges[0].ServerStartedAtMillis++
+	g.SetTable(table, now)
+	require.Len(t, g.DueCalls(now), 1)
+}
+
 // A release must not be sent while a grant of the same keys is in flight, since they
 // could arrive in reverse order.
 func TestReleaseWaitsForGrantsInFlight(t *testing.T) {
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -116,8 +117,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	// Backend servers echo no id here. If one repeats an earlier answer, a release must not
+	// end while work on the keys runs, and keys must not count as held before they are.
 	request := exchanger.Request{
-		Method: http.MethodPost, URI: path, Host: c.host, Body: body, MaxIdle: granter.ReleaseTimeout,
+		OwnConnection: !call.Renewal, Method: http.MethodPost, URI: path, Host: c.host, Body: body, MaxIdle: granter.ReleaseTimeout,
 		Header: http.Header{"Content-Type": {"application/json"}},
 	}
 	if call.Release {
@@ -125,8 +128,10 @@
 	}
 	response, err := c.server.Do(ctx, request)
 	switch {
+	case errors.Is(err, exchanger.ErrNotSent) && errors.Is(err, syscall.ECONNRESET):
+		return granter.NotDelivered, "" // the backend server has no room for the connection
 	case errors.Is(err, exchanger.ErrNotSent):
-		return granter.NotDelivered, ""
+		return granter.Unreachable, ""
 	case err != nil:
 		return granter.Unknown, ""
 	case response.Status == http.StatusOK:
