Read a list of the store past an object that cannot be decoded

What callers would see: a zone that operators take out of service goes on getting requests (EVAC), a change of the configuration is not in force (CONFIG), and after the loss of the coordinator no other takes the role (LOST), for as long as the odd object exists.

Cause: each response of the store was decoded as one text. Package json rejects the whole of it for nesting over 10,000 levels, a raw control character, a revision that does not fit or a field of another type anywhere in it, also in a spec or a status that nobody reads. The same held for a single object, where a configuration that could not be decoded counted as an outage and kept the zones from being read, and for the response to a write, which then was in doubt. A page that ended with an object without a name was read again without end.

Ruled out: a crash. Package json keeps its own stack, so deep nesting is an error there and no stack overflow.

Change: responses are split into items and fields first, without a limit of the nesting and without decoding them, and each object is decoded on its own. One that has no readable name or revision is rejected, and so is the name of a zone that cannot be one; what is wrong is logged once for each change, bounded in number and length. The texts of all logged errors are bounded too: package json quotes numbers of any length. Checks of data from outside have one place from now on, package validator.

--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -32,6 +32,7 @@
 	"papayapass.dev/papayapass/internal/summarizer"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/tracer"
+	"papayapass.dev/papayapass/internal/validator"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -98,6 +99,7 @@
 	defer func() { _ = out.Close() }() // the log is closed, so an error cannot be logged
 	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	zerolog.DurationFieldUnit = time.Millisecond
+	zerolog.ErrorMarshalFunc = func(err error) any { return validator.Excerpt(err.Error()) }
 	logger := zerolog.New(out).With().Timestamp().Str("node", s.Node.ID).Logger()
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -105,6 +105,9 @@
 	lastWriteSent timer.Instant
 	renewals      int
 
+	// rejections are the objects in the store that cannot be used.
+	rejections rejections
+
 	// searchBackoff covers the calls that look for the coordinator. Reads of the
 	// configuration do not back off: it must be in force within ApplyTimeout.
 	searchBackoff storeBackoff
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -1,8 +1,11 @@
 package participant
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,14 +32,17 @@
 	revision uint64
 	era      uint64
 	err      error
+	// getErr is the error of reads of single objects, and rejected of the lists.
+	getErr   error
+	rejected []error
 	table    descriptor.Object
 	// delay runs during each call that reads or creates the table.
 	delay func()
 }
 
 func (s *fakeStore) Get(context.Context, string, string) (descriptor.Object, error) {
-	if s.err != nil {
-		return descriptor.Object{}, s.err
+	if err := cmp.Or(s.err, s.getErr); err != nil {
+		return descriptor.Object{}, err
 	}
 	return descriptor.Object{Revision: s.revision, Era: s.era, Spec: []byte(strconv.FormatUint(s.version, 10))}, nil
 }
@@ -55,7 +61,7 @@
 	for _, z := range s.zones {
 		out = append(out, descriptor.Object{Name: z})
 	}
-	return descriptor.Listing{Objects: out, State: descriptor.StoreState{Era: s.era, Revision: s.revision}}, s.err
+	return descriptor.Listing{Objects: out, Rejected: s.rejected, State: descriptor.StoreState{Era: s.era, Revision: s.revision}}, s.err
 }
 
 func (s *fakeStore) Create(_ context.Context, _ string, o descriptor.Object) (descriptor.StoreState, error) {
@@ -123,6 +129,42 @@
 	require.True(t, p.ZoneOut(true))
 }
 
+// Incident 0017: another writer left an odd object among the zones out of service, and no
+// zone was followed any more.
+func TestZonesAreFollowedBesideAnOddObject(t *testing.T) {
+	long := strings.Repeat("z", 1<<20)
+	s := &fakeStore{version: 1, revision: 10, zones: []string{"zone-1", "", "zone\n2", long}, rejected: []error{errors.New(long)}}
+	p, _ := newTestParticipant(t, s)
+	var log bytes.Buffer
+	p.logger = zerolog.New(&log)
+	for range 3 {
+		p.readStore(context.Background())
+	}
+	require.True(t, p.ZoneOut(false))
+	require.Equal(t, 1, len(*p.zonesOut.Load()), "odd names are not zones")
+	require.Positive(t, p.desired.readAt)
+	require.Equal(t, 1, strings.Count(log.String(), "objects in the store rejected"), "logged once")
+	require.Less(t, log.Len(), 8192)
+	s.zones, s.revision = []string{long}, 11
+	p.readStore(context.Background())
+	require.False(t, p.ZoneOut(false))
+}
+
+// Incident 0017: a configuration object that could not be decoded kept the zones from being
+// read.
+func TestZonesAreFollowedBesideAnOddConfiguration(t *testing.T) {
+	s := &fakeStore{version: 1, revision: 10}
+	p, _ := newTestParticipant(t, s)
+	p.readStore(context.Background())
+	s.getErr, s.zones, s.revision = descriptor.ErrMalformed, []string{"zone-1"}, 11
+	p.readStore(context.Background())
+	require.True(t, p.ZoneOut(false))
+	require.Equal(t, uint64(1), p.Configuration().Version)
+	s.getErr, s.version = nil, 2
+	p.readStore(context.Background())
+	require.Equal(t, uint64(2), p.Configuration().Version)
+}
+
 // The store rejects the coordinator (CONFIG in a search for faults): its reading is no
 // longer fresh after the failed read, and the other nodes read the store themselves.
 func TestNodesReadStoreWhenCoordinatorCannot(t *testing.T) {
--- a/papayapass/internal/participant/poll.go
+++ b/papayapass/internal/participant/poll.go
@@ -12,6 +12,7 @@
 
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/validator"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -139,6 +140,10 @@
 	if errors.Is(err, descriptor.ErrNotFound) {
 		return true
 	}
+	if errors.Is(err, descriptor.ErrMalformed) {
+		p.logRejected(p.layout.ConfigurationKind, []error{err})
+		return true // the store works, and zones are still read from it
+	}
 	if err != nil {
 		p.logger.Warn().Err(err).Msg("the configuration cannot be read")
 		return false
@@ -149,9 +154,10 @@
 	}
 	cfg, err := p.layout.Decode(o.Spec)
 	if err != nil {
-		p.logger.Warn().Err(err).Uint64("revision", o.Revision).Msg("cannot decode the configuration, keeping the previous one")
-		return true
+		p.logRejected(p.layout.ConfigurationKind, []error{errors.Wrapf(err, "revision %d", o.Revision)})
+		return true // the previous one stays in force
 	}
+	p.logRejected(p.layout.ConfigurationKind, nil)
 	p.configurationRead.Store(&read)
 	p.applyConfiguration(cfg, "store")
 	return true
@@ -168,8 +174,13 @@
 	p.observeEra(list.State.Era)
 	zones := make([]string, 0, len(list.Objects))
 	for _, o := range list.Objects {
+		if err := validator.Name(o.Name); err != nil {
+			list.Rejected = append(list.Rejected, err)
+			continue
+		}
 		zones = append(zones, o.Name)
 	}
+	p.logRejected(p.layout.ZonesOutKind, list.Rejected)
 	sort.Strings(zones)
 	p.setZones(zones, list.State)
 	return true
--- a/shared/descriptor/heartbeat.go
+++ b/shared/descriptor/heartbeat.go
@@ -55,6 +55,8 @@
 type Listing struct {
 	Objects []Object
 	State   StoreState
+	// Rejected has an error for each object that cannot be decoded.
+	Rejected []error
 }
 
 // StoreState is a state of the store. The era rises when the store is restored from an older
@@ -78,6 +80,8 @@
 	ErrNotFound = errors.New("object not found")
 	// ErrConflict means that the object has another revision or already exists.
 	ErrConflict = errors.New("object has another revision")
+	// ErrMalformed means that the object cannot be decoded; the store itself works.
+	ErrMalformed = errors.New("object cannot be decoded")
 	// ErrRejected means that the store rejected the call without any effect.
 	ErrRejected = errors.New("store rejected the call")
 )
