Reject heartbeats with numbers that no backend server has

What callers would see: one heartbeat with an enormous number of slots, at the first division of the keys, gave two backend servers all keys (OWNER); with more such servers each node that took the coordinator's role ended with a division by zero, one after the other. A heartbeat with a start time in the far future made the node reject all true ones from then on as those of an earlier start: the backend server got no requests any more (LOST). A handover value of 60 KB went into the table, which a store with a limit of the size rejects, so no keys move.

Cause: class: numbers from outside enter calculations and orders without bounds. Shares of keys were calculated with sums that overflow. A start time orders the starts of a backend server, and nothing limited it.

Ruled out: deep nesting, numbers that do not fit, fields of other types and unknown states are rejected when a heartbeat is decoded; a port out of range differs from the address in the settings (all shown by tests). An id with a line break cannot add a header: net/http replaces it. It is rejected now all the same, since ids go into the table.

Change: validator.Heartbeat bounds slots, start time, warm-up, id and handover values, far above what deployments have. The start time is not compared with the clock, which may be wrong by hours while the backend server's is right. A heartbeat over 64 KiB was acknowledged without being read; it is rejected. Each rejection is logged with the id and the reason, both bounded. An overlong handover value from a release is dropped, so the keys start cold.

Evidence: on the former code TestOddHeartbeatsChangeNothing failed (status 200 for the odd heartbeats, server i-2 taken over) and TestLargeHandoverIsDropped failed. Both tests pass now, also with the race detector.

--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -254,25 +254,37 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	id := n.adapter.DecodeLeave(r.URL.Path)
 	var reply descriptor.HeartbeatReply
 	switch r.Method {
 	case http.MethodDelete:
-		n.forwarder.Leave(n.adapter.DecodeLeave(r.URL.Path))
+		if err := validator.Name(id); err != nil {
+			n.rejectHeartbeat(w, id, http.StatusBadRequest, err)
+			return
+		}
+		n.forwarder.Leave(id)
 	case http.MethodPut:
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes))
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			n.rejectHeartbeat(w, id, http.StatusRequestEntityTooLarge, err)
+			return
+		}
 		if err != nil {
 			return // the backend server sends another heartbeat
 		}
 		h, err := n.adapter.DecodeHeartbeat(r.URL.Path, body)
+		if err == nil {
+			err = validator.Heartbeat(h)
+		}
 		if err != nil {
-			n.logger.Warn().Err(err).Msg("cannot decode the heartbeat")
-			w.WriteHeader(http.StatusBadRequest)
+			n.rejectHeartbeat(w, id, http.StatusBadRequest, err)
 			return
 		}
 		acknowledged := false
 		if reply, acknowledged = n.forwarder.Heartbeat(h); !acknowledged {
-			n.logger.Warn().Str("server", h.ID).Str("service", h.Service).Str("address", h.Address).Msg("heartbeat rejected: wrong service, address or start")
-			w.WriteHeader(http.StatusConflict)
+			n.rejectHeartbeat(w, id, http.StatusConflict, errors.Newf("service %q, address %q and start %d are not those of the backend server",
+				validator.Excerpt(h.Service), validator.Excerpt(h.Address), h.StartedAtMillis))
 			return
 		}
 	default:
@@ -283,6 +295,12 @@
 	_, _ = w.Write(n.adapter.EncodeHeartbeatReply(reply)) // the backend server sends another heartbeat
 }
 
+// rejectHeartbeat answers a heartbeat that changes nothing.
+func (n *node) rejectHeartbeat(w http.ResponseWriter, id string, status int, err error) {
+	n.logger.Warn().Err(err).Str("server", validator.Excerpt(id)).Int("status", status).Msg("heartbeat rejected")
+	w.WriteHeader(status)
+}
+
 // stop lets customers move to other nodes and waits for the requests in flight.
 func (n *node) stop(ctx context.Context) {
 	n.logger.Info().Msg("node stops")
--- a/papayapass/internal/launcher/launcher_test.go
+++ b/papayapass/internal/launcher/launcher_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -131,3 +133,52 @@
 	r.reload()
 	require.Equal(t, 60.0, r.current.Bounds.RetrySlack, "an unreadable file must change nothing")
 }
+
+// Incident 0017: heartbeats that no backend server can have sent were accepted. One with an
+// enormous number of slots ended each node that coordinated.
+func TestOddHeartbeatsChangeNothing(t *testing.T) {
+	s, err := ReadSettings(writeSettings(t, testSettings))
+	require.NoError(t, err)
+	var log bytes.Buffer
+	adapter := fakeAdapter(&memoryStore{})
+	adapter.SampleHeaders = "{}"
+	n := newNode(s, adapter, &tracer.Tracer{}, zerolog.New(&log))
+	send := func(method, id string, h descriptor.Heartbeat) int {
+		body, err := json.Marshal(h)
+		require.NoError(t, err)
+		w := httptest.NewRecorder()
+		n.heartbeat(w, httptest.NewRequest(method, "/heartbeats/"+id, bytes.NewReader(body)))
+		return w.Code
+	}
+	valid := descriptor.Heartbeat{ID: "i-1", Service: s.Node.Service, Address: s.Node.Server, Slots: 12, Sequence: 1, StartedAtMillis: 1792686224813}
+	require.Equal(t, http.StatusOK, send(http.MethodPut, "i-1", valid))
+	require.Equal(t, "i-1", n.forwarder.Server().ID)
+	for name, tt := range map[string]struct {
+		change func(*descriptor.Heartbeat)
+		status int
+	}{
+		"slots that overflow": {func(h *descriptor.Heartbeat) { h.Slots = 1 << 62 }, http.StatusBadRequest},
+		"start at the top":    {func(h *descriptor.Heartbeat) { h.StartedAtMillis = 1<<63 - 1 }, http.StatusBadRequest},
+		"port out of range":   {func(h *descriptor.Heartbeat) { h.Address = "127.0.0.1:99999999" }, http.StatusConflict},
+		"large fields": {func(h *descriptor.Heartbeat) {
+			h.Service, h.Address = strings.Repeat("s", 30<<10), strings.Repeat("a", 30<<10)
+		}, http.StatusConflict},
+		"too large": {func(h *descriptor.Heartbeat) { h.Zone = strings.Repeat("z", 1<<20) }, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log.Reset()
+			odd := valid
+			odd.ID, odd.Sequence = "i-2", 2
+			tt.change(&odd)
+			require.Equal(t, tt.status, send(http.MethodPut, "i-2", odd))
+			require.Contains(t, log.String(), `"server":"i-2"`)
+			require.Contains(t, log.String(), "heartbeat rejected")
+			require.Less(t, log.Len(), 2048)
+			require.Equal(t, "i-1", n.forwarder.Server().ID)
+			require.Equal(t, 12, n.forwarder.Server().Slots)
+		})
+	}
+	require.Equal(t, http.StatusBadRequest, send(http.MethodDelete, "", valid))
+	require.Equal(t, http.StatusOK, send(http.MethodDelete, "i-3", valid))
+	require.True(t, n.forwarder.Server().Up())
+}
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -12,6 +12,7 @@
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/validator"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -323,6 +324,10 @@
 
 func (p *Participant) sendKeyRequest(ctx context.Context, call granter.Call) {
 	result, handover := p.client.UpdateGrant(ctx, call)
+	if err := validator.Handover(handover); err != nil {
+		p.logger.Warn().Err(err).Uint16("first", call.First).Uint16("last", call.Last).Msg("handover value dropped, the keys start cold")
+		handover = ""
+	}
 	p.granter.HandleResult(call, result, handover, p.timers.Now())
 	wake(p.grantsDue)
 	if call.Release || result != granter.Done {
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -337,3 +337,29 @@
 	p.HandleTable(&partitioner.Table{Epoch: 1, Version: 9, Coordinator: "node-3"})
 	require.Equal(t, uint64(2), p.Status().Epoch)
 }
+
+// grantClient answers each key request with a handover value.
+type grantClient struct {
+	Client
+
+	handover string
+}
+
+func (c grantClient) UpdateGrant(context.Context, granter.Call) (granter.Result, string) {
+	return granter.Done, c.handover
+}
+
+// A handover value of 60 KB would go into the table, which the store then rejects.
+func TestLargeHandoverIsDropped(t *testing.T) {
+	for handover, want := range map[string]string{"5c0e7a21d94b36f8": "5c0e7a21d94b36f8", strings.Repeat("h", 60<<10): ""} {
+		p, clock := newTestParticipant(t, &fakeStore{})
+		p.client = grantClient{handover: handover}
+		table := testTable(8, "node-1")
+		table.Divisions[0].Ranges[0].NextOwner = "node-2"
+		p.applyTable(table)
+		p.sendKeyRequest(context.Background(), granter.Call{Service: "permits", Last: partitioner.LastKey, Token: 8, Release: true})
+		released := p.granter.Released(clock.Now())
+		require.Len(t, released, 1)
+		require.Equal(t, want, released[0].Handover)
+	}
+}
--- a/papayapass/internal/validator/validator.go
+++ b/papayapass/internal/validator/validator.go
@@ -4,15 +4,29 @@
 
 import (
 	"strings"
+	"time"
 	"unicode"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
+
+	"papayapass.dev/shared/descriptor"
 )
 
 const (
 	// maxNameBytes is the longest name of an availability zone or of a backend server.
 	maxNameBytes = 253
+	// maxSlots is the largest number of slots of a backend server. Sums over a deployment,
+	// multiplied by the number of keys, stay far from an overflow.
+	maxSlots = 1 << 16
+	// maxStartMillis is the latest start time of a backend server, in Unix milliseconds: in
+	// the year 2109. The clock is not used, since it may be wrong.
+	maxStartMillis = 1 << 42
+	// maxWarmUp is the longest time that a backend server may still take to warm up.
+	maxWarmUp = 24 * time.Hour
+	// maxHandoverBytes is the largest handover value. The response to a heartbeat must hold
+	// it, and the table has one for each range without an owner.
+	maxHandoverBytes = 1024
 	// maxExcerptBytes limits text from outside in a log line.
 	maxExcerptBytes = 256
 )
@@ -32,6 +46,38 @@
 	}
 }
 
+// Heartbeat returns an error for a heartbeat that no backend server can have sent. One with a
+// start time in the future would make all later heartbeats count as those of an earlier start.
+func Heartbeat(h descriptor.Heartbeat) error {
+	if err := Name(h.ID); err != nil {
+		return errors.Wrap(err, "id")
+	}
+	switch {
+	case h.Slots <= 0 || h.Slots > maxSlots:
+		return errors.Newf("%d slots, not 1 to %d", h.Slots, maxSlots)
+	case h.StartedAtMillis < 0 || h.StartedAtMillis > maxStartMillis:
+		return errors.Newf("start time %d ms, not 0 to %d", h.StartedAtMillis, maxStartMillis)
+	case h.WarmUpRemaining < 0 || h.WarmUpRemaining > maxWarmUp:
+		return errors.Newf("warm-up of %s, not up to %s", h.WarmUpRemaining, maxWarmUp)
+	case h.Keys == nil:
+		return nil
+	}
+	for _, r := range h.Keys.Released {
+		if err := Handover(r.Handover); err != nil {
+			return errors.Wrapf(err, "released keys %d to %d", r.First, r.Last)
+		}
+	}
+	return nil
+}
+
+// Handover returns an error for a handover value that is too large to be passed on.
+func Handover(s string) error {
+	if len(s) > maxHandoverBytes {
+		return errors.Newf("handover value of %d bytes, at most %d are allowed", len(s), maxHandoverBytes)
+	}
+	return nil
+}
+
 // Excerpt returns the beginning of text from outside, for a log line.
 func Excerpt(s string) string {
 	if len(s) <= maxExcerptBytes {
