Let a backend server go on after a wrong start time or sequence

What callers would see: after one heartbeat with an enormous sequence number, the node took all following ones of the backend server for late ones. The server counted as down after four intervals and got neither requests nor keys until its next start (LOST). The same for a start time that is too late but possible, without any other writer: a clock that was ahead at one start and is right at the next makes the new start seem the older one.

Cause: class: an order from outside that only goes up, without a way back. Start times and sequence numbers tell held-up heartbeats from current ones, and the highest value seen decided for ever. No bound of the value helps, since a sequence may have any.

What tells them apart: the true backend server goes on sending, about once per interval, and whoever is ahead of it is silent. Heartbeats that were held up arrive together.

Change: at least three heartbeats of one start in ascending order count as current once the accepted one has been without a successor long enough: three intervals for the same start, which ends before the server counts as down. For another start it is also the time after which nothing that was granted to the accepted one can be held any more, since another start counts as holding nothing. The granter, which orders the heartbeats that list keys by itself, begins anew when all keys that it granted by them have ended. So the order is never given up while a key may be held by it.

Ruled out: ordering by arrival (a heartbeat that was held up would take the place of the next start), and a limit of the step of a sequence (nothing says that it counts by one).

--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -85,6 +85,7 @@
 	mu              sync.Mutex
 	lastHeartbeat   descriptor.Heartbeat
 	lastHeartbeatAt timer.Instant
+	late            lateHeartbeats
 	leaving         bool
 	// left is the backend server that had left before the node started.
 	left           partitioner.Server
@@ -123,14 +124,10 @@
 	}
 	now := f.clock.Now()
 	f.mu.Lock()
-	newStart := h.ID != f.lastHeartbeat.ID || h.StartedAtMillis != f.lastHeartbeat.StartedAtMillis
-	if newStart && h.StartedAtMillis < f.lastHeartbeat.StartedAtMillis {
+	newStart := !f.lastHeartbeat.SameStart(h.ID, h.StartedAtMillis)
+	if f.isLate(h, now) {
 		f.mu.Unlock()
-		return descriptor.HeartbeatReply{}, false
-	}
-	if !newStart && h.Sequence < f.lastHeartbeat.Sequence {
-		f.mu.Unlock()
-		return descriptor.HeartbeatReply{}, true // late: what it lists may have changed
+		return descriptor.HeartbeatReply{}, !newStart // what it lists may have changed
 	}
 	if newStart {
 		f.leaving = f.left.SameStart(h.ID, h.StartedAtMillis)
--- a/papayapass/internal/granter/heartbeat.go
+++ b/papayapass/internal/granter/heartbeat.go
@@ -38,6 +38,9 @@
 	g.replyLimit = l
 }
 
+// LongestHold returns how long after a grant the backend server may still hold the keys.
+func (g *Granter) LongestHold() time.Duration { return withDrift(g.maxHold) }
+
 // HeartbeatResult is what a heartbeat of the backend server leads to.
 type HeartbeatResult struct {
 	Reply descriptor.HeartbeatReply
@@ -49,7 +52,7 @@
 
 // HandleHeartbeat applies the keys that a heartbeat of the current start lists, and returns
 // the response to it. A heartbeat that is not newer than all others gets no keys, since
-// what it lists may have changed.
+// what it lists may have changed, until all keys granted before have ended.
 //
 // The response is the whole set of keys that the backend server is to hold, counted from
 // when it sent the heartbeat, so a late response never extends a hold.
@@ -57,7 +60,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m, ok := g.method.(*byHeartbeat)
-	if !ok || keys == nil || (sequence <= m.lastSequence && !mutator.Active(mutator.AcceptLateHeartbeat)) {
+	if !ok || keys == nil {
+		return HeartbeatResult{}
+	}
+	isLate := sequence <= m.lastSequence && now < m.lastAt.Add(g.LongestHold())
+	if isLate && !mutator.Active(mutator.AcceptLateHeartbeat) {
 		return HeartbeatResult{}
 	}
 	m.lastSequence = sequence
--- a/papayapass/internal/granter/heartbeat_test.go
+++ b/papayapass/internal/granter/heartbeat_test.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -230,3 +231,26 @@
 	g.DueCalls(now)
 	require.Len(t, g.Released(now), 1)
 }
+
+// Incident 0017: after one heartbeat with an enormous sequence number the backend server got
+// no keys any more. It gets keys again once all that it may hold have ended, and not before.
+func TestOddSequenceDoesNotKeepKeysAway(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newHeartbeats(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	require.NotNil(t, g.send(now, descriptor.KeyListing{}))
+	g.sequence = math.MaxInt64 - 1
+	odd := now.Add(beat)
+	require.NotNil(t, g.send(odd, descriptor.KeyListing{}))
+	g.sequence = 1
+	granted := 0
+	for now = odd.Add(beat); now < odd.Add(10*time.Second); now = now.Add(beat) {
+		g.SetLease(now.Add(2 * time.Second))
+		if grants := g.send(now, descriptor.KeyListing{Held: []descriptor.HeldRange{held(0, 99, 4)}}); grants != nil {
+			require.Greater(t, now.Sub(odd), g.LongestHold())
+			granted++
+			require.True(t, g.holds(5, now.Add(settleTime)))
+		}
+	}
+	require.GreaterOrEqual(t, granted, 5)
+}
