Read the table past objects of other writers

What callers would see: with an object of another writer beside the table, no node can read the table. The coordinator goes on until its next failed write or its loss; then nobody takes the role and all keys lose their owners (LOST). If the object looks like a newer table, all nodes follow it: with an epoch at the top of its range nobody can ever take the role, with keys left out nodes end by an index out of range.

Cause: all objects of the kind were decoded and compared by epoch. One that could not be decoded failed the whole reading, and any that could was taken for a table, also {}.

Change: an object counts if its name is one that this system gives, for an era that the store has reached, and if validator.Table finds what the planner relies on: counters with room for a next one, members in order with the coordinator among them, slots in bounds, ranges that cover each key once. All others are logged as rejected, once for each change, and ignored. An address with an impossible port does not reject a table: that member is unreachable, and the others hold.

The tables in the tests of package commander had no name, tokens above the last one and no members, as no coordinator writes them, and would now be rejected. They have these now; what the tests check is unchanged.

--- a/papayapass/internal/commander/deployment_test.go
+++ b/papayapass/internal/commander/deployment_test.go
@@ -32,7 +32,7 @@
 		return descriptor.Listing{}, nil
 	}
 	spec, err := json.Marshal(s.table)
-	return descriptor.Listing{Objects: []descriptor.Object{{Spec: spec}}}, err
+	return descriptor.Listing{Objects: []descriptor.Object{{Name: "main", Spec: spec}}}, err
 }
 
 func TestDeployment(t *testing.T) {
@@ -51,7 +51,8 @@
 }
 
 func TestOwnerOfADeployment(t *testing.T) {
-	table := &partitioner.Table{Epoch: 4, Version: 9, Coordinator: "node-1"}
+	table := &partitioner.Table{Epoch: 4, Version: 9, Coordinator: "node-1", LastToken: 8}
+	table.SetMember(partitioner.Member{ID: "node-1"})
 	table.Divisions = []partitioner.Division{{Service: "permits", Ranges: []partitioner.Range{
 		{First: 0, Last: 999, Owner: "node-1", Server: "s-1", Token: 7, NextOwner: "node-2"}, {First: 1000, Last: 65535, Token: 8},
 	}}}
--- a/papayapass/internal/participant/era.go
+++ b/papayapass/internal/participant/era.go
@@ -52,6 +52,9 @@
 	defer cancel()
 	stored, err := readStoredTable(ctx, p.store)
 	p.observeEra(stored.era)
+	if err == nil {
+		p.logRejected(tableKind, stored.rejected)
+	}
 	if !errors.Is(err, descriptor.ErrNotFound) {
 		return stored, err
 	}
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -36,6 +36,8 @@
 	getErr   error
 	rejected []error
 	table    descriptor.Object
+	// others are objects that other writers left beside the table.
+	others []descriptor.Object
 	// delay runs during each call that reads or creates the table.
 	delay func()
 }
@@ -56,7 +58,8 @@
 		if s.table.Spec != nil {
 			out = append(out, s.table)
 		}
-		return descriptor.Listing{Objects: out, State: descriptor.StoreState{Era: s.era, Revision: s.revision}}, s.err
+		out = append(out, s.others...)
+		return descriptor.Listing{Objects: out, Rejected: s.rejected, State: descriptor.StoreState{Era: s.era, Revision: s.revision}}, s.err
 	}
 	for _, z := range s.zones {
 		out = append(out, descriptor.Object{Name: z})
@@ -68,6 +71,20 @@
 	if s.delay != nil {
 		s.delay()
 	}
+	if s.table.Spec != nil && s.table.Name == o.Name {
+		return descriptor.StoreState{}, descriptor.ErrConflict
+	}
+	return s.write(o)
+}
+
+func (s *fakeStore) Replace(_ context.Context, _ string, o descriptor.Object) (descriptor.StoreState, error) {
+	if s.table.Name != o.Name || s.table.Revision != o.Revision {
+		return descriptor.StoreState{}, descriptor.ErrConflict
+	}
+	return s.write(o)
+}
+
+func (s *fakeStore) write(o descriptor.Object) (descriptor.StoreState, error) {
 	s.revision++
 	o.Revision = s.revision
 	s.table = o
--- a/papayapass/internal/participant/storedtable.go
+++ b/papayapass/internal/participant/storedtable.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/validator"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -31,6 +33,8 @@
 	revision uint64
 	// era is the store's era when the table was read.
 	era uint64
+	// rejected says why objects of the kind were not used.
+	rejected []error
 }
 
 // isRestored reports whether the store was restored from an older copy since the table was
@@ -38,20 +42,21 @@
 func (s storedTable) isRestored() bool { return s.table.Era > 0 && s.table.Era < s.era }
 
 // readStoredTable reads the newest table. Without any, the error is descriptor.ErrNotFound
-// and the result has the era only.
+// and the result has no table.
 func readStoredTable(ctx context.Context, s Store) (storedTable, error) {
 	list, err := s.List(ctx, tableKind)
 	if err != nil {
 		return storedTable{}, err
 	}
-	out := storedTable{era: list.State.Era}
+	out := storedTable{era: list.State.Era, rejected: list.Rejected}
 	for _, o := range list.Objects {
-		var t partitioner.Table
-		if err := json.Unmarshal(o.Spec, &t); err != nil {
-			return out, errors.Wrapf(err, "decode the table in %s, revision %d", o.Name, o.Revision)
+		t, err := decodeTable(o, out.era)
+		if err != nil {
+			out.rejected = append(out.rejected, errors.Wrapf(err, "object %q, revision %d", validator.Excerpt(o.Name), o.Revision))
+			continue
 		}
 		if t.Newer(out.table) {
-			out.table, out.name, out.revision = &t, o.Name, o.Revision
+			out.table, out.name, out.revision = t, o.Name, o.Revision
 		}
 	}
 	if out.table == nil {
@@ -60,6 +65,34 @@
 	return out, nil
 }
 
+// decodeTable decodes the table in an object that this system has created, in the store's
+// era or in an earlier one. A store without eras has the era zero.
+func decodeTable(o descriptor.Object, storeEra uint64) (*partitioner.Table, error) {
+	era, ok := eraOfTable(o.Name)
+	if !ok {
+		return nil, errors.New("not the name of a table")
+	}
+	var t partitioner.Table
+	if err := json.Unmarshal(o.Spec, &t); err != nil {
+		return nil, err
+	}
+	if latest := max(era, t.Era); latest > storeEra && storeEra > 0 {
+		return nil, errors.Newf("era %d is later than the store's, %d", latest, storeEra)
+	}
+	return &t, validator.Table(&t)
+}
+
+// eraOfTable returns the era for which tableName returns a name.
+func eraOfTable(name string) (era uint64, ok bool) {
+	if suffix, ok := strings.CutPrefix(name, tableName(0)+"-"); ok {
+		var err error
+		if era, err = strconv.ParseUint(suffix, 10, 64); err != nil {
+			return 0, false
+		}
+	}
+	return era, name == tableName(era)
+}
+
 // ReadTable returns the stored ownership table.
 func ReadTable(ctx context.Context, s Store) (*partitioner.Table, error) {
 	stored, err := readStoredTable(ctx, s)
--- a/papayapass/internal/validator/validator.go
+++ b/papayapass/internal/validator/validator.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -24,6 +25,9 @@
 	maxStartMillis = 1 << 42
 	// maxWarmUp is the longest time that a backend server may still take to warm up.
 	maxWarmUp = 24 * time.Hour
+	// maxCounter is the highest epoch, version or token of a stored table, so that there is
+	// always a next one.
+	maxCounter = 1 << 62
 	// maxHandoverBytes is the largest handover value. The response to a heartbeat must hold
 	// it, and the table has one for each range without an owner.
 	maxHandoverBytes = 1024
@@ -70,6 +74,53 @@
 	return nil
 }
 
+// Table returns an error for a stored table that no coordinator can have written. The planner
+// relies on members in order and on ranges that cover each key once.
+func Table(t *partitioner.Table) error {
+	if t.Epoch == 0 || max(t.Epoch, t.Version, t.LastToken) > maxCounter {
+		return errors.Newf("epoch %d, version %d or last token %d out of range", t.Epoch, t.Version, t.LastToken)
+	}
+	for i, m := range t.Members {
+		if i > 0 && t.Members[i-1].ID >= m.ID {
+			return errors.Newf("member %q is not in order", Excerpt(string(m.ID)))
+		}
+		if m.Server.Slots < 0 || m.Server.Slots > maxSlots {
+			return errors.Newf("member %q has %d slots, not 0 to %d", Excerpt(string(m.ID)), m.Server.Slots, maxSlots)
+		}
+	}
+	if _, ok := t.Member(t.Coordinator); !ok {
+		return errors.Newf("coordinator %q is not a member", Excerpt(string(t.Coordinator)))
+	}
+	services := make(map[string]bool)
+	for _, d := range t.Divisions {
+		if services[d.Service] {
+			return errors.Newf("service %q is divided twice", Excerpt(d.Service))
+		}
+		services[d.Service] = true
+		if err := division(d, t.LastToken); err != nil {
+			return errors.Wrapf(err, "service %q", Excerpt(d.Service))
+		}
+	}
+	return nil
+}
+
+func division(d partitioner.Division, lastToken uint64) error {
+	next := 0
+	for _, r := range d.Ranges {
+		if int(r.First) != next || r.Last < r.First {
+			return errors.Newf("range %d to %d follows key %d", r.First, r.Last, next-1)
+		}
+		if r.Token > lastToken {
+			return errors.Newf("range %d to %d has token %d, above the last one, %d", r.First, r.Last, r.Token, lastToken)
+		}
+		next = int(r.Last) + 1
+	}
+	if next != partitioner.KeyCount {
+		return errors.Newf("ranges end at key %d", next-1)
+	}
+	return nil
+}
+
 // Handover returns an error for a handover value that is too large to be passed on.
 func Handover(s string) error {
 	if len(s) > maxHandoverBytes {
