Recover the table after another writer has overwritten it

What callers would see: once another writer has overwritten or removed the object of the table, no write of the coordinator meets its condition and no node can take the role: all keys lose their owners after the leases, at most 20 s later, for good (LOST).

Cause: class: the store's copy of the table was the only one that counted, though every member knows the table. The recovery from the members began only if the store's era had risen.

Change: a table that is lost, since the object of the era is unusable, or is missing although this node knows a table of the era, is recovered like the one of a restored store: the node asks all members for newer tables and writes the newest one on condition that the object is still the one that it has read. Epoch and tokens skip as much as for an era, since nobody knows what the object held last. Members that do not answer are listed as unheard and their leases are waited for. A node that knows no table, and so no members, waits until all leases have ended without writes of the coordinator, and then creates a first table above the epochs and tokens of all revisions.

Ruled out: that the coordinator puts its own table back and goes on with its term. Another node may have taken the role by a write that was overwritten at once.

Evidence: TestUnusableTableIsRecoveredFromTheMembers (24 kinds of specs), TestCoordinatorRecoversItsOverwrittenTable and TestUnusableTableIsReplacedOnceAllLeasesHaveEnded failed before. TestMemberWithAnImpossibleAddressIsUnreachable passed before as well: an impossible address in a table cannot do harm.

--- a/papayapass/internal/overseer/recovery.go
+++ b/papayapass/internal/overseer/recovery.go
@@ -54,10 +54,11 @@
 	}
 }
 
-// Table returns the table with which a node takes the coordinator's role in a new era.
-func (r *Recovery) Table(self partitioner.Member, incarnation, era uint64) *partitioner.Table {
+// Table returns the table with which a node takes the coordinator's role in a new era. Its
+// epoch and tokens skip as much as in that many more eras.
+func (r *Recovery) Table(self partitioner.Member, incarnation, era, skippedEras uint64) *partitioner.Table {
 	next := ClaimTable(r.newest, self, incarnation)
-	lost := era - r.newest.Era
+	lost := era - r.newest.Era + skippedEras
 	next.Era = era
 	next.Epoch += lost * epochsPerEra
 	next.LastToken += lost * tokensPerEra
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -125,12 +125,14 @@
 	copies    []storeCopy
 	restoreAt time.Duration
 	// era rises with each restore.
-	era         uint64
-	method      descriptor.GrantMethod
-	pending     func() // a delayed write whose reply was lost
-	pendingAt   time.Duration
-	servedKeys  int
-	checkedKeys int
+	era uint64
+	// isOverwritten is set while another writer has made the stored table unusable.
+	isOverwritten bool
+	method        descriptor.GrantMethod
+	pending       func() // a delayed write whose reply was lost
+	pendingAt     time.Duration
+	servedKeys    int
+	checkedKeys   int
 	// hasHotKeys is set while a run of hot keys makes keys move.
 	hasHotKeys bool
 	// violation describes the first broken rule.
@@ -225,7 +227,7 @@
 			return false
 		}
 		if t != nil {
-			w.table = t
+			w.table, w.isOverwritten = t, false
 		}
 		w.revision++
 		return true
@@ -369,6 +371,12 @@
 		w.table, w.revision = t, 1
 	}
 	stored, revision := w.table, w.revision
+	if w.isOverwritten {
+		if m.table == nil {
+			return
+		}
+		stored = m.table
+	}
 	if stored.Era < w.era && m.table != nil && m.table.Newer(stored) {
 		stored = m.table
 	}
@@ -395,7 +403,7 @@
 	}
 	switch step {
 	case overseer.StepAdopt, overseer.StepClaim:
-		if stored.Era < w.era {
+		if stored.Era < w.era || w.isOverwritten {
 			w.recover(m)
 			return
 		}
@@ -415,7 +423,14 @@
 // recover takes the role with the newest table that reachable members know.
 func (w *world) recover(m *member) {
 	now := w.clock(m)
-	recovery := overseer.NewRecovery(m.self.ID, m.joinedEpoch > 0, w.table, m.table)
+	stored, known, revision := w.table, m.table, w.revision
+	if m.overseer != nil && m.overseer.Table().Newer(known) {
+		known = m.overseer.Table()
+	}
+	if w.isOverwritten {
+		stored = known
+	}
+	recovery := overseer.NewRecovery(m.self.ID, m.joinedEpoch > 0, stored, known)
 	for range 2 {
 		for _, missing := range recovery.Missing() {
 			for _, o := range w.members {
@@ -425,7 +440,15 @@
 			}
 		}
 	}
-	next := recovery.Table(m.self, m.incarnation, w.era)
+	if w.isOverwritten {
+		next := recovery.Table(m.self, m.incarnation, w.era, 1)
+		if ok, _ := w.tryWrite(m, next, func() bool { return w.isOverwritten && w.revision == revision }); ok {
+			w.applyTable(m, next)
+			w.startTerm(m, next, w.revision, now)
+		}
+		return
+	}
+	next := recovery.Table(m.self, m.incarnation, w.era, 0)
 	if ok, _ := w.create(m, next); ok {
 		w.applyTable(m, next)
 		w.startTerm(m, next, w.revision, now)
@@ -466,7 +489,7 @@
 		m.overseer.WriteConfirmed(next, now)
 	case known && !w.storeUp(m):
 		m.overseer.WriteFailed(next)
-	case w.storeUp(m) && w.table.Era < w.era:
+	case w.storeUp(m) && (w.table.Era < w.era || w.isOverwritten):
 		w.recover(m)
 	case w.storeUp(m):
 		if w.table.Coordinator == m.self.ID && w.table.Incarnation == m.incarnation {
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -273,7 +273,7 @@
 		pause(ctx, failedWriteDelay)
 		return
 	}
-	if stored.isRestored() {
+	if stored.mustRecover() {
 		p.recoverTable(ctx, stored)
 		return
 	}
--- a/papayapass/internal/participant/era.go
+++ b/papayapass/internal/participant/era.go
@@ -45,30 +45,29 @@
 	return t
 }
 
-// readTable reads the stored table. If a restore of the store has lost all tables, the
-// result has the newest one that this node knows.
+// readTable reads the stored table. If it is lost, or a restore of the store has lost all
+// tables, the result has the newest one that this node knows.
 func (p *Participant) readTable(ctx context.Context) (storedTable, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	stored, err := readStoredTable(ctx, p.store)
 	p.observeEra(stored.era)
-	if err == nil {
-		p.logRejected(tableKind, stored.rejected)
-	}
-	if !errors.Is(err, descriptor.ErrNotFound) {
-		return stored, err
+	if isMissing := errors.Is(err, descriptor.ErrNotFound); isMissing || stored.isLost {
+		p.mu.Lock()
+		if t := p.newestTable(); t != nil && t.Newer(stored.table) {
+			stored.table, err = t, nil
+			stored.isLost = stored.isLost || t.Era >= stored.era
+		}
+		p.mu.Unlock()
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if t := p.newestTable(); t != nil && t.Era < stored.era {
-		stored.table = t
-		return stored, nil
+	if err == nil || stored.isLost {
+		p.logRejected(tableKind, stored.rejected)
 	}
 	return stored, err
 }
 
-// recoverTable takes the role in a new era of the store, with the newest table that any
-// member knows.
+// recoverTable takes the role with the newest table that any member knows, in a new era of
+// the store or in place of a table that is lost.
 func (p *Participant) recoverTable(ctx context.Context, stored storedTable) {
 	p.mu.Lock()
 	recovery := overseer.NewRecovery(p.self.ID, p.highestEpoch > 0, stored.table, p.newestTable())
@@ -76,15 +75,20 @@
 	for range recoveryRounds {
 		p.askForTables(ctx, recovery)
 	}
-	if newest := recovery.Newest(); newest.Era >= stored.era { // another node was first
+	newest := recovery.Newest()
+	if newest.Era > stored.era || (newest.Era == stored.era && !stored.isLost) { // another node was first
 		p.applyTable(newest)
 		return
 	}
-	next := recovery.Table(p.self, p.incarnation, stored.era)
-	p.logger.Info().Uint64("era", stored.era).Uint64("storedVersion", stored.table.Version).
-		Uint64("version", recovery.Newest().Version).Uint64("epoch", next.Epoch).
+	skippedEras := uint64(0)
+	if stored.isLost {
+		skippedEras = 1
+	}
+	next := recovery.Table(p.self, p.incarnation, stored.era, skippedEras)
+	p.logger.Info().Uint64("era", stored.era).Bool("lost", stored.isLost).Uint64("storedVersion", stored.table.Version).
+		Uint64("version", newest.Version).Uint64("epoch", next.Epoch).
 		Int("members", len(next.Members)).Int("unheard", len(next.Unheard)).Msg("table recovered from the members")
-	if p.storeNewTable(ctx, next, stored.era) {
+	if p.storeNewTable(ctx, next, stored) {
 		p.logger.Info().Uint64("epoch", next.Epoch).Msg("coordinator's role taken")
 	}
 }
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -37,6 +37,9 @@
 	// takeOverInterval is the shortest time between two attempts to take a role that is
 	// handed over.
 	takeOverInterval = 2 * time.Second
+	// longestLease is the time after which no lease is valid any more if the coordinator
+	// cannot write.
+	longestLease = overseer.MaxStoreOutage + overseer.AuthorityDuration + time.Second
 	// storeTimeout limits one call to the store.
 	storeTimeout = time.Second
 )
@@ -205,8 +208,8 @@
 	sent := p.timers.Now()
 	stored, err := p.readTable(ctx)
 	p.searchBackoff.record(err)
-	if errors.Is(err, descriptor.ErrNotFound) {
-		p.createTable(ctx, stored.era)
+	if errors.Is(err, descriptor.ErrNotFound) || (errors.Is(err, errUnusableTable) && p.coordinatorSilence() > longestLease) {
+		p.createTable(ctx, stored)
 		return
 	}
 	if err != nil {
@@ -216,7 +219,7 @@
 	t, known := stored.table, p.table.Load()
 	if known != nil && known.Newer(t) {
 		p.logOlderTable(stored, known)
-		if stored.isRestored() {
+		if stored.mustRecover() {
 			t = known
 		}
 	}
@@ -230,11 +233,11 @@
 		step = view.NextStep()
 	}
 	p.logger.Info().Str("step", string(step)).Uint64("epoch", t.Epoch).Str("coordinator", string(t.Coordinator)).
-		Bool("cannotWrite", cannotWrite).Bool("restored", stored.isRestored()).Dur("silent", view.Silent).Int("others", view.Others).
+		Bool("cannotWrite", cannotWrite).Bool("restored", stored.mustRecover()).Dur("silent", view.Silent).Int("others", view.Others).
 		Int("answered", view.Answered).Int("hear", view.InContact).Msg("coordinator looked for")
 	switch {
 	case step == overseer.StepFollow || step == overseer.StepProbe:
-	case stored.isRestored():
+	case stored.mustRecover():
 		p.recoverTable(ctx, stored)
 	case step == overseer.StepAdopt:
 		p.startTerm(stored, sent)
@@ -288,20 +291,21 @@
 }
 
 // createTable creates the first table of the deployment. Its epoch and tokens are above
-// those of earlier eras, whose tables a restore of the store may have lost.
-func (p *Participant) createTable(ctx context.Context, era uint64) {
+// those of earlier eras, whose tables a restore of the store may have lost, and of a table
+// that is unusable: each of its revisions has used less than an era skips.
+func (p *Participant) createTable(ctx context.Context, stored storedTable) {
 	first := &partitioner.Table{Coordinator: p.self.ID}
 	first.SetMember(p.self)
-	t := overseer.NewRecovery(p.self.ID, true, first, nil).Table(p.self, p.incarnation, era)
-	if p.storeNewTable(ctx, t, era) {
-		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("era", era).Msg("first table created")
+	t := overseer.NewRecovery(p.self.ID, true, first, nil).Table(p.self, p.incarnation, stored.era, stored.revision)
+	if p.storeNewTable(ctx, t, stored) {
+		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("era", stored.era).Msg("first table created")
 	}
 }
 
-// storeNewTable creates the table's object of an era and starts a term with it. The result
-// is false if another node was first, or if the write is in doubt.
-func (p *Participant) storeNewTable(ctx context.Context, t *partitioner.Table, era uint64) bool {
-	out := storedTable{table: t, name: tableName(era), era: era}
+// storeNewTable creates the table's object of an era, or replaces an unusable one, and starts
+// a term with it. The result is false if another node was first, or if the write is in doubt.
+func (p *Participant) storeNewTable(ctx context.Context, t *partitioner.Table, stored storedTable) bool {
+	out := storedTable{table: t, name: tableName(stored.era), era: stored.era}
 	spec, err := encodeTable(t)
 	if err != nil {
 		p.logger.Error().Err(err).Msg("cannot encode the table")
@@ -310,9 +314,14 @@
 	wctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	sent := p.timers.Now()
-	state, err := p.store.Create(wctx, tableKind, descriptor.Object{Name: out.name, Spec: spec})
-	if err == nil && state.Era != era {
-		err = errors.Newf("the store was restored from era %d to %d", era, state.Era)
+	var state descriptor.StoreState
+	if stored.isLost && stored.revision > 0 {
+		state, err = p.store.Replace(wctx, tableKind, descriptor.Object{Name: out.name, Revision: stored.revision, Spec: spec})
+	} else {
+		state, err = p.store.Create(wctx, tableKind, descriptor.Object{Name: out.name, Spec: spec})
+	}
+	if err == nil && state.Era != stored.era {
+		err = errors.Newf("the store was restored from era %d to %d", stored.era, state.Era)
 	}
 	if err != nil {
 		p.logger.Info().Err(err).Str("name", out.name).Msg("cannot create the table")
--- a/papayapass/internal/participant/storedtable.go
+++ b/papayapass/internal/participant/storedtable.go
@@ -26,43 +26,65 @@
 	return "main-" + strconv.FormatUint(era, 10)
 }
 
+// errUnusableTable means that the object of the table has none that can be used.
+var errUnusableTable = errors.New("the stored table cannot be used")
+
 // storedTable is the newest table in the store.
 type storedTable struct {
-	table    *partitioner.Table
+	table *partitioner.Table
+	// name and revision are of the object with the table or, if isLost is set, of the one
+	// to replace; the revision is zero if there is none.
 	name     string
 	revision uint64
 	// era is the store's era when the table was read.
 	era uint64
+	// isLost is set if the object of the era is missing or was made unusable by another
+	// writer, so that nobody knows what it held last.
+	isLost bool
 	// rejected says why objects of the kind were not used.
 	rejected []error
 }
 
-// isRestored reports whether the store was restored from an older copy since the table was
-// created, and nobody has created one since. Tables of earlier versions have no era.
-func (s storedTable) isRestored() bool { return s.table.Era > 0 && s.table.Era < s.era }
+// mustRecover reports whether the table may be older than what the nodes act on: it is lost,
+// or the store was restored from an older copy since it was created, and nobody has created
+// one since. Tables of earlier versions have no era.
+func (s storedTable) mustRecover() bool {
+	return s.isLost || (s.table.Era > 0 && s.table.Era < s.era)
+}
 
-// readStoredTable reads the newest table. Without any, the error is descriptor.ErrNotFound
-// and the result has no table.
+// readStoredTable reads the newest table. Without any, the error is descriptor.ErrNotFound or
+// errUnusableTable, and the result has no table.
 func readStoredTable(ctx context.Context, s Store) (storedTable, error) {
 	list, err := s.List(ctx, tableKind)
 	if err != nil {
 		return storedTable{}, err
 	}
 	out := storedTable{era: list.State.Era, rejected: list.Rejected}
+	var unusable *descriptor.Object
 	for _, o := range list.Objects {
 		t, err := decodeTable(o, out.era)
 		if err != nil {
 			out.rejected = append(out.rejected, errors.Wrapf(err, "object %q, revision %d", validator.Excerpt(o.Name), o.Revision))
+			if o.Name == tableName(out.era) {
+				unusable = &o
+			}
 			continue
 		}
 		if t.Newer(out.table) {
 			out.table, out.name, out.revision = t, o.Name, o.Revision
 		}
 	}
-	if out.table == nil {
+	if unusable != nil {
+		out.name, out.revision, out.isLost = unusable.Name, unusable.Revision, true
+	}
+	switch {
+	case out.table != nil:
+		return out, nil
+	case out.isLost:
+		return out, errUnusableTable
+	default:
 		return out, descriptor.ErrNotFound
 	}
-	return out, nil
 }
 
 // decodeTable decodes the table in an object that this system has created, in the store's
--- a/papayapass/internal/participant/storedtable_test.go
+++ b/papayapass/internal/participant/storedtable_test.go
@@ -7,10 +7,14 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/enveloper"
+	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/shared/descriptor"
 )
@@ -77,13 +81,75 @@
 	require.NoError(t, err)
 	require.Equal(t, "main-1", stored.name)
 	require.Equal(t, uint64(4), stored.table.Epoch)
-	require.False(t, stored.isRestored())
+	require.False(t, stored.mustRecover())
 	_, err = p.readTable(context.Background())
 	require.NoError(t, err)
 	require.Equal(t, 1, strings.Count(log.String(), "objects in the store rejected"), "logged once")
 	require.Less(t, log.Len(), 8192)
 }
 
+// The object of the table was overwritten by another writer. A node that knows the table takes
+// the role with the newest one that any member knows.
+func TestUnusableTableIsRecoveredFromTheMembers(t *testing.T) {
+	for name, spec := range oddSpecs(t) {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{version: 1, revision: 10, era: 1}
+			s.table = descriptor.Object{Name: "main-1", Revision: 10, Spec: spec}
+			if spec == nil {
+				s.table.Spec = []byte{}
+			}
+			p, _ := newTestParticipant(t, s)
+			require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Table: testTable(8, "node-2")}, 0))
+			p.client = probeClient{replies: map[string]overseer.ProbeReply{"node-2": {Epoch: 4, Table: testTable(9, "node-3")}}}
+			p.findCoordinator(context.Background(), true)
+			require.True(t, p.Status().IsCoordinator)
+			table := s.storedTable(t)
+			require.Equal(t, "main-1", s.table.Name)
+			require.Equal(t, partitioner.NodeID("node-3"), table.Divisions[0].Ranges[0].Owner)
+			require.Equal(t, []partitioner.NodeID{"node-3"}, table.Unheard)
+			require.Greater(t, table.Epoch, uint64(1<<16), "above the epochs that the object may have held")
+			require.Greater(t, table.LastToken, uint64(1<<20), "above the tokens that the object may have held")
+		})
+	}
+}
+
+// Another writer overwrote or removed the table's object of a coordinator, whose next write
+// meets another revision.
+func TestCoordinatorRecoversItsOverwrittenTable(t *testing.T) {
+	for name, o := range map[string]descriptor.Object{"overwritten": {Name: "main-1", Revision: 30, Spec: []byte("{}")}, "removed": {}} {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{version: 1, revision: 10, era: 1}
+			p, _ := newTestParticipant(t, s)
+			p.findCoordinator(context.Background(), false)
+			first := p.Status().Epoch
+			s.table = o
+			p.handleWriteResult(context.Background(), nil, descriptor.StoreState{}, 0, descriptor.ErrConflict)
+			require.True(t, p.Status().IsCoordinator)
+			require.Equal(t, "main-1", s.table.Name)
+			require.Greater(t, p.Status().Epoch, first+1<<16)
+			require.Equal(t, p.Status().Epoch, s.storedTable(t).Epoch)
+		})
+	}
+}
+
+// A node that knows no table must not replace an unusable one while others, which it cannot
+// know, may still hold keys by it.
+func TestUnusableTableIsReplacedOnceAllLeasesHaveEnded(t *testing.T) {
+	s := &fakeStore{version: 1, revision: 10, era: 1}
+	s.table = descriptor.Object{Name: "main-1", Revision: 10, Spec: []byte("{}")}
+	p, clock := newTestParticipant(t, s)
+	p.findCoordinator(context.Background(), false)
+	clock.Advance(overseer.MaxStoreOutage + overseer.AuthorityDuration)
+	p.findCoordinator(context.Background(), false)
+	require.False(t, p.Status().IsCoordinator)
+	require.Equal(t, uint64(10), s.table.Revision)
+	clock.Advance(longestLease)
+	p.findCoordinator(context.Background(), false)
+	require.True(t, p.Status().IsCoordinator)
+	require.Greater(t, p.Status().Epoch, uint64(10<<16), "above the epochs of all revisions")
+	require.Equal(t, p.Status().Epoch, s.storedTable(t).Epoch)
+}
+
 func TestNamesOfTables(t *testing.T) {
 	for _, era := range []uint64{0, 1, 17, math.MaxUint64} {
 		got, ok := eraOfTable(tableName(era))
@@ -95,3 +161,30 @@
 		require.False(t, ok, name)
 	}
 }
+
+// A stored table names an address that cannot be one. Calls go to the other members.
+func TestMemberWithAnImpossibleAddressIsUnreachable(t *testing.T) {
+	for name, address := range map[string]string{"port out of range": "127.0.0.1:99999999", "no port": "127.0.0.1", "empty": "", "open bracket": "[::1:80"} {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{version: 1, revision: 10, era: 1}
+			table := &partitioner.Table{Era: 1, Epoch: 4, Version: 1, Coordinator: "node-2"}
+			for id, at := range map[partitioner.NodeID]string{"node-2": address, "node-3": "127.0.0.1:3"} {
+				table.SetMember(partitioner.Member{ID: id, Address: at, Zone: "zone-1", Server: partitioner.Server{ID: "s-" + string(id), Service: "records", Slots: 4}})
+			}
+			s.setTable(t, "main-1", table)
+			p, clock := newTestParticipant(t, s)
+			p.newPeer = func(address string) *dispatcher.Peer {
+				return dispatcher.NewPeer(address, clock, enveloper.NewEnveloper(""))
+			}
+			stored, err := p.readTable(context.Background())
+			require.NoError(t, err)
+			p.applyTable(stored.table)
+			call := &dispatcher.Call{Service: "records", Objective: time.Second, Deadline: clock.Now().Add(time.Second)}
+			require.Equal(t, dispatcher.NotRun, p.peer(address).Serve(context.Background(), call).Outcome)
+			for range 20 {
+				_, id, _ := p.Choose(call, nil)
+				require.Equal(t, partitioner.NodeID("node-3"), id)
+			}
+		})
+	}
+}
