--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -346,3 +347,20 @@
 	require.Equal(t, notRun(ReasonUnreachable), p.Serve(context.Background(), c))
 	require.False(t, p.Reachable())
 }
+
+// Weights that overflow, or are below zero, must not end the process.
+func TestOddWeightsAreNoPanic(t *testing.T) {
+	for name, weights := range map[string][]int{
+		"sum overflows": {math.MaxInt, math.MaxInt}, "overflow to zero": {math.MinInt, math.MinInt}, "negative": {-5, 10}, "all negative": {-5, -1}, "none": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var targets []descriptor.Target
+			for _, w := range weights {
+				targets = append(targets, descriptor.Target{Service: "records", Weight: w})
+			}
+			for range 100 {
+				require.Contains(t, []string{"", "records"}, pickService(targets))
+			}
+		})
+	}
+}
