Trust a member about its keys only while it has a lease

What callers would see: two backend servers that own the same keys, the later with a token that is not above the other's (OWNER), after a restore of the store, or after another writer has overwritten the table, if a node that was frozen or cut off until its lease had ended recovers the table or is asked by the one that does.

Cause: a recovery lists the members that did not answer and waits for their leases. A member that has followed any coordinator since its start counted as heard, on the ground that a key leaves a member only with its release or after its lease. But after its lease it does not learn of that. The same holds for the node that recovers.

Change: a member counts as heard while its lease is valid, and says so in its reply to a probe; the node that recovers counts by its own lease. All others are unheard, as restarted ones were: they get no lease until those of the lost table have ended.

The replies in TestRoleIsNotTakenWithTheTableOfARestoredStore and TestUnusableTableIsRecoveredFromTheMembers were those of nodes that follow a coordinator; they have a lease now, as such nodes do. What is checked is unchanged.

--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -119,6 +119,9 @@
 	// Epoch is that of the last coordinator that the node followed since its start, or zero.
 	Epoch uint64             `json:"epoch"`
 	Table *partitioner.Table `json:"table,omitempty"`
+	// HasLease is set while the node's lease is valid, so that no keys can have been taken
+	// from it without its knowledge.
+	HasLease bool `json:"hasLease,omitempty"`
 	// InContact is set when the coordinator of Epoch replied to the node within
 	// CoordinatorTimeout.
 	InContact bool `json:"heard"`
--- a/papayapass/internal/overseer/recovery.go
+++ b/papayapass/internal/overseer/recovery.go
@@ -24,10 +24,9 @@
 }
 
 // NewRecovery returns a recovery that starts with the stored table and the one that this
-// node knows, or nil; followed is set if this node has followed a coordinator since its
-// start.
-func NewRecovery(self partitioner.NodeID, followed bool, stored, known *partitioner.Table) *Recovery {
-	r := &Recovery{newest: stored, heard: map[partitioner.NodeID]bool{self: followed}}
+// node knows, or nil; hasLease is set if this node's lease is valid.
+func NewRecovery(self partitioner.NodeID, hasLease bool, stored, known *partitioner.Table) *Recovery {
+	r := &Recovery{newest: stored, heard: map[partitioner.NodeID]bool{self: hasLease}}
 	if known != nil && known.Newer(stored) && !mutator.Active(mutator.RecoverStoredTable) {
 		r.newest = known
 	}
@@ -45,10 +44,10 @@
 	})
 }
 
-// Add adds a member's reply to a probe. A member that has followed no coordinator since its
-// start cannot tell what its former process knew.
+// Add adds a member's reply to a probe. A member without a lease, since it has restarted or
+// was cut off, cannot tell what became of its keys.
 func (r *Recovery) Add(id partitioner.NodeID, reply ProbeReply) {
-	r.heard[id] = reply.Epoch > 0
+	r.heard[id] = reply.HasLease
 	if reply.Table != nil && reply.Table.Newer(r.newest) && !mutator.Active(mutator.RecoverStoredTable) {
 		r.newest = reply.Table
 	}
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -430,12 +430,12 @@
 	if w.isOverwritten {
 		stored = known
 	}
-	recovery := overseer.NewRecovery(m.self.ID, m.joinedEpoch > 0, stored, known)
+	recovery := overseer.NewRecovery(m.self.ID, m.granter.LeaseLeft(now) > 0, stored, known)
 	for range 2 {
 		for _, missing := range recovery.Missing() {
 			for _, o := range w.members {
 				if o.self.ID == missing.ID && w.reachable(m, o) && w.reachable(o, m) {
-					recovery.Add(o.self.ID, overseer.ProbeReply{Epoch: o.joinedEpoch, Table: o.table})
+					recovery.Add(o.self.ID, overseer.ProbeReply{Epoch: o.joinedEpoch, Table: o.table, HasLease: o.granter.LeaseLeft(w.clock(o)) > 0})
 				}
 			}
 		}
--- a/papayapass/internal/participant/era.go
+++ b/papayapass/internal/participant/era.go
@@ -70,7 +70,7 @@
 // the store or in place of a table that is lost.
 func (p *Participant) recoverTable(ctx context.Context, stored storedTable) {
 	p.mu.Lock()
-	recovery := overseer.NewRecovery(p.self.ID, p.highestEpoch > 0, stored.table, p.newestTable())
+	recovery := overseer.NewRecovery(p.self.ID, p.granter.LeaseLeft(p.timers.Now()) > 0, stored.table, p.newestTable())
 	p.mu.Unlock()
 	for range recoveryRounds {
 		p.askForTables(ctx, recovery)
--- a/papayapass/internal/participant/era_test.go
+++ b/papayapass/internal/participant/era_test.go
@@ -62,14 +62,17 @@
 		unheard []partitioner.NodeID
 	}{
 		"another node knows a newer table": {
-			map[string]overseer.ProbeReply{"node-2": {Epoch: 4, Table: testTable(9, "node-3")}, "node-3": {Epoch: 4}}, "node-3", nil,
+			map[string]overseer.ProbeReply{"node-2": {Epoch: 4, HasLease: true, Table: testTable(9, "node-3")}, "node-3": {Epoch: 4, HasLease: true}}, "node-3", nil,
 		},
 		"this node's table is the newest": {
-			map[string]overseer.ProbeReply{"node-2": {Epoch: 4}, "node-3": {Epoch: 4}}, "node-2", nil,
+			map[string]overseer.ProbeReply{"node-2": {Epoch: 4, HasLease: true}, "node-3": {Epoch: 4, HasLease: true}}, "node-2", nil,
 		},
-		"a node does not answer": {map[string]overseer.ProbeReply{"node-2": {Epoch: 4}}, "node-2", []partitioner.NodeID{"node-3"}},
+		"a node does not answer": {map[string]overseer.ProbeReply{"node-2": {Epoch: 4, HasLease: true}}, "node-2", []partitioner.NodeID{"node-3"}},
 		"a node has restarted": {
-			map[string]overseer.ProbeReply{"node-2": {Epoch: 4}, "node-3": {}}, "node-2", []partitioner.NodeID{"node-3"},
+			map[string]overseer.ProbeReply{"node-2": {Epoch: 4, HasLease: true}, "node-3": {}}, "node-2", []partitioner.NodeID{"node-3"},
+		},
+		"a node was cut off until its lease had ended": {
+			map[string]overseer.ProbeReply{"node-2": {Epoch: 4, HasLease: true}, "node-3": {Epoch: 4}}, "node-2", []partitioner.NodeID{"node-3"},
 		},
 	}
 	for name, tt := range cases {
@@ -77,7 +80,7 @@
 			s := &fakeStore{version: 1, revision: 10, era: 2}
 			s.setTable(t, "main-1", testTable(3, "node-1"))
 			p, _ := newTestParticipant(t, s)
-			require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Table: testTable(8, "node-2")}, 0))
+			require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Lease: time.Second, Table: testTable(8, "node-2")}, p.timers.Now()))
 			p.client = probeClient{replies: tt.replies}
 			p.findCoordinator(context.Background(), true)
 			require.True(t, p.Status().IsCoordinator)
@@ -92,6 +95,21 @@
 	}
 }
 
+// A node was cut off until its lease had ended, and its keys went to others. It must not hold
+// them again by the table that it knows, which is the newest that answers.
+func TestNodeWithoutALeaseDoesNotKeepItsKeys(t *testing.T) {
+	s := &fakeStore{version: 1, revision: 10, era: 2}
+	s.setTable(t, "main-1", testTable(3, "node-1"))
+	p, clock := newTestParticipant(t, s)
+	require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Lease: time.Second, Table: testTable(8, "node-1")}, clock.Now()))
+	clock.Advance(2 * time.Second)
+	p.client = probeClient{}
+	p.findCoordinator(context.Background(), true)
+	require.True(t, p.Status().IsCoordinator)
+	require.Equal(t, []partitioner.NodeID{"node-1", "node-2", "node-3"}, s.storedTable(t).Unheard)
+	require.False(t, p.HandleProbe(overseer.ProbeRequest{}).HasLease)
+}
+
 // The coordinator itself finds the restored table after its write was rejected.
 func TestCoordinatorRecoversItsTableInARestoredStore(t *testing.T) {
 	s := &fakeStore{version: 1, revision: 10, era: 1}
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -283,7 +283,7 @@
 func (p *Participant) HandleProbe(r overseer.ProbeRequest) overseer.ProbeReply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reply := overseer.ProbeReply{Epoch: p.highestEpoch, InContact: p.timers.Now().Sub(p.lastContact) < overseer.CoordinatorTimeout}
+	reply := overseer.ProbeReply{Epoch: p.highestEpoch, HasLease: p.granter.LeaseLeft(p.timers.Now()) > 0, InContact: p.timers.Now().Sub(p.lastContact) < overseer.CoordinatorTimeout}
 	if t := p.newestTable(); r.WantsTable && t != nil && t.Newer(&partitioner.Table{Epoch: r.Epoch, Version: r.Version}) {
 		reply.Table = t
 	}
--- a/papayapass/internal/participant/storedtable_test.go
+++ b/papayapass/internal/participant/storedtable_test.go
@@ -99,8 +99,8 @@
 				s.table.Spec = []byte{}
 			}
 			p, _ := newTestParticipant(t, s)
-			require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Table: testTable(8, "node-2")}, 0))
-			p.client = probeClient{replies: map[string]overseer.ProbeReply{"node-2": {Epoch: 4, Table: testTable(9, "node-3")}}}
+			require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Lease: time.Second, Table: testTable(8, "node-2")}, p.timers.Now()))
+			p.client = probeClient{replies: map[string]overseer.ProbeReply{"node-2": {Epoch: 4, HasLease: true, Table: testTable(9, "node-3")}}}
 			p.findCoordinator(context.Background(), true)
 			require.True(t, p.Status().IsCoordinator)
 			table := s.storedTable(t)
