Give a recovered table an epoch that no lost table had

What callers would see: nodes that follow two tables of one epoch, and tokens that are given out twice (OWNER), after another writer has overwritten the table twice.

Cause: the epoch of a recovered table was that of the newest table known plus a fixed step. Two recoveries that begin with the same table, one of them lost in between, get the same epoch and the same tokens.

Change: if the table is lost, epoch and tokens are at least those of as many eras as the store has eras and revisions. A revision raises an epoch by an era's step at most, and the store's revision is higher at each recovery.

Evidence: TestUnusableTableIsRecoveredFromTheMembers, which asks for an epoch above those of all revisions now, failed before in all 24 cases (65541, more than 720896 wanted).

--- a/papayapass/internal/overseer/recovery.go
+++ b/papayapass/internal/overseer/recovery.go
@@ -53,14 +53,18 @@
 	}
 }
 
-// Table returns the table with which a node takes the coordinator's role in a new era. Its
-// epoch and tokens skip as much as in that many more eras.
-func (r *Recovery) Table(self partitioner.Member, incarnation, era, skippedEras uint64) *partitioner.Table {
+// Table returns the table with which a node takes the coordinator's role in a new era, or in
+// place of one that is lost. Then minEras is not zero, and the epoch and tokens are at least
+// those of that many eras.
+func (r *Recovery) Table(self partitioner.Member, incarnation, era, minEras uint64) *partitioner.Table {
 	next := ClaimTable(r.newest, self, incarnation)
-	lost := era - r.newest.Era + skippedEras
+	lost := era - r.newest.Era
+	if minEras > 0 {
+		lost++
+	}
 	next.Era = era
-	next.Epoch += lost * epochsPerEra
-	next.LastToken += lost * tokensPerEra
+	next.Epoch = max(next.Epoch+lost*epochsPerEra, minEras*epochsPerEra+1)
+	next.LastToken = max(next.LastToken+lost*tokensPerEra, minEras*tokensPerEra)
 	next.FormerCoordinator = ""
 	for _, m := range next.Members {
 		if !r.heard[m.ID] && !mutator.Active(mutator.ForgetUnheard) && !slices.Contains(next.Unheard, m.ID) {
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -441,7 +441,7 @@
 		}
 	}
 	if w.isOverwritten {
-		next := recovery.Table(m.self, m.incarnation, w.era, 1)
+		next := recovery.Table(m.self, m.incarnation, w.era, w.era+revision)
 		if ok, _ := w.tryWrite(m, next, func() bool { return w.isOverwritten && w.revision == revision }); ok {
 			w.applyTable(m, next)
 			w.startTerm(m, next, w.revision, now)
--- a/papayapass/internal/participant/era.go
+++ b/papayapass/internal/participant/era.go
@@ -80,11 +80,7 @@
 		p.applyTable(newest)
 		return
 	}
-	skippedEras := uint64(0)
-	if stored.isLost {
-		skippedEras = 1
-	}
-	next := recovery.Table(p.self, p.incarnation, stored.era, skippedEras)
+	next := recovery.Table(p.self, p.incarnation, stored.era, stored.minEras())
 	p.logger.Info().Uint64("era", stored.era).Bool("lost", stored.isLost).Uint64("storedVersion", stored.table.Version).
 		Uint64("version", newest.Version).Uint64("epoch", next.Epoch).
 		Int("members", len(next.Members)).Int("unheard", len(next.Unheard)).Msg("table recovered from the members")
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -292,11 +292,11 @@
 
 // createTable creates the first table of the deployment. Its epoch and tokens are above
 // those of earlier eras, whose tables a restore of the store may have lost, and of a table
-// that is unusable: each of its revisions has used less than an era skips.
+// that is unusable.
 func (p *Participant) createTable(ctx context.Context, stored storedTable) {
 	first := &partitioner.Table{Coordinator: p.self.ID}
 	first.SetMember(p.self)
-	t := overseer.NewRecovery(p.self.ID, true, first, nil).Table(p.self, p.incarnation, stored.era, stored.revision)
+	t := overseer.NewRecovery(p.self.ID, true, first, nil).Table(p.self, p.incarnation, stored.era, stored.minEras())
 	if p.storeNewTable(ctx, t, stored) {
 		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("era", stored.era).Msg("first table created")
 	}
--- a/papayapass/internal/participant/storedtable.go
+++ b/papayapass/internal/participant/storedtable.go
@@ -38,6 +38,8 @@
 	revision uint64
 	// era is the store's era when the table was read.
 	era uint64
+	// storeRevision is the store's revision when the table was read.
+	storeRevision uint64
 	// isLost is set if the object of the era is missing or was made unusable by another
 	// writer, so that nobody knows what it held last.
 	isLost bool
@@ -52,6 +54,15 @@
 	return s.isLost || (s.table.Era > 0 && s.table.Era < s.era)
 }
 
+// minEras returns how many eras' worth of epochs and tokens may have been used by tables that
+// are lost, zero if none are: each revision has used less than an era skips.
+func (s storedTable) minEras() uint64 {
+	if !s.isLost {
+		return 0
+	}
+	return s.era + s.storeRevision
+}
+
 // readStoredTable reads the newest table. Without any, the error is descriptor.ErrNotFound or
 // errUnusableTable, and the result has no table.
 func readStoredTable(ctx context.Context, s Store) (storedTable, error) {
@@ -59,7 +70,7 @@
 	if err != nil {
 		return storedTable{}, err
 	}
-	out := storedTable{era: list.State.Era, rejected: list.Rejected}
+	out := storedTable{era: list.State.Era, storeRevision: list.State.Revision, rejected: list.Rejected}
 	var unusable *descriptor.Object
 	for _, o := range list.Objects {
 		t, err := decodeTable(o, out.era)
--- a/papayapass/internal/participant/storedtable_test.go
+++ b/papayapass/internal/participant/storedtable_test.go
@@ -107,8 +107,8 @@
 			require.Equal(t, "main-1", s.table.Name)
 			require.Equal(t, partitioner.NodeID("node-3"), table.Divisions[0].Ranges[0].Owner)
 			require.Equal(t, []partitioner.NodeID{"node-3"}, table.Unheard)
-			require.Greater(t, table.Epoch, uint64(1<<16), "above the epochs that the object may have held")
-			require.Greater(t, table.LastToken, uint64(1<<20), "above the tokens that the object may have held")
+			require.Greater(t, table.Epoch, uint64(11<<16), "above the epochs of all revisions")
+			require.GreaterOrEqual(t, table.LastToken, uint64(11<<20), "above the tokens of all revisions")
 		})
 	}
 }
