--- a/papayapass/internal/overseer/recovery.go
+++ b/papayapass/internal/overseer/recovery.go
@@ -24,10 +24,9 @@
 }
 
 // NewRecovery returns a recovery that starts with the stored table and the one that this
-// node knows, or nil; followed is set if this node has followed a coordinator since its
-// start.
-func NewRecovery(self partitioner.NodeID, followed bool, stored, known *partitioner.Table) *Recovery {
-	r := &Recovery{newest: stored, heard: map[partitioner.NodeID]bool{self: followed}}
+// node knows, or nil; hasLease is set if this node's lease is valid.
+func NewRecovery(self partitioner.NodeID, hasLease bool, stored, known *partitioner.Table) *Recovery {
+	r := &Recovery{newest: stored, heard: map[partitioner.NodeID]bool{self: hasLease}}
 	if known != nil && known.Newer(stored) && !mutator.Active(mutator.RecoverStoredTable) {
 		r.newest = known
 	}
@@ -45,22 +44,27 @@
 	})
 }
 
-// Add adds a member's reply to a probe. A member that has followed no coordinator since its
-// start cannot tell what its former process knew.
+// Add adds a member's reply to a probe. A member without a lease, since it has restarted or
+// was cut off, cannot tell what became of its keys.
 func (r *Recovery) Add(id partitioner.NodeID, reply ProbeReply) {
-	r.heard[id] = reply.Epoch > 0
+	r.heard[id] = reply.HasLease
 	if reply.Table != nil && reply.Table.Newer(r.newest) && !mutator.Active(mutator.RecoverStoredTable) {
 		r.newest = reply.Table
 	}
 }
 
-// Table returns the table with which a node takes the coordinator's role in a new era.
-func (r *Recovery) Table(self partitioner.Member, incarnation, era uint64) *partitioner.Table {
+// Table returns the table with which a node takes the coordinator's role in a new era, or in
+// place of one that is lost. Then minEras is not zero, and the epoch and tokens are at least
+// those of that many eras.
+func (r *Recovery) Table(self partitioner.Member, incarnation, era, minEras uint64) *partitioner.Table {
 	next := ClaimTable(r.newest, self, incarnation)
 	lost := era - r.newest.Era
+	if minEras > 0 {
+		lost++
+	}
 	next.Era = era
-	next.Epoch += lost * epochsPerEra
-	next.LastToken += lost * tokensPerEra
+	next.Epoch = max(next.Epoch+lost*epochsPerEra, minEras*epochsPerEra+1)
+	next.LastToken = max(next.LastToken+lost*tokensPerEra, minEras*tokensPerEra)
 	next.FormerCoordinator = ""
 	for _, m := range next.Members {
 		if !r.heard[m.ID] && !mutator.Active(mutator.ForgetUnheard) && !slices.Contains(next.Unheard, m.ID) {
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -12,6 +12,7 @@
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/papayapass/internal/validator"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -287,7 +288,7 @@
 		pause(ctx, failedWriteDelay)
 		return
 	}
-	if stored.isRestored() {
+	if stored.mustRecover() {
 		p.recoverTable(ctx, stored)
 		return
 	}
@@ -338,6 +339,10 @@
 
 func (p *Participant) sendKeyRequest(ctx context.Context, call granter.Call) {
 	result, handover := p.client.UpdateGrant(ctx, call)
+	if err := validator.Handover(handover); err != nil {
+		p.logger.Warn().Err(err).Uint16("first", call.First).Uint16("last", call.Last).Msg("handover value dropped, the keys start cold")
+		handover = ""
+	}
 	p.granter.HandleResult(call, result, handover, p.timers.Now())
 	wake(p.grantsDue)
 	if call.Release || result != granter.Done {
