Show that a former start of a backend server frees keys of the present one

Two tests fail: the coordinator handles a heartbeat that waited for a change once more after a newer one, and a restarted node may hear a heartbeat that the former start of its backend server had sent. Both times the keys of the present start are freed at once (cause "backend server restarted"), though it may hold them.

--- a/papayapass/internal/overseer/lease_test.go
+++ b/papayapass/internal/overseer/lease_test.go
@@ -92,3 +92,52 @@
 	require.False(t, freed(overseer.MaxStoreOutage))
 	require.True(t, freed(overseer.MaxStoreOutage+overseer.AuthorityDuration*103/100))
 }
+
+// restartedServersTable returns leaseTestTable after a restart of node-2's backend server, whose
+// new start owns the keys.
+func restartedServersTable() (t *partitioner.Table, former, restarted partitioner.Member) {
+	t = leaseTestTable()
+	former, _ = t.Member("node-2")
+	former.Server.StartedAtMillis = 1
+	restarted = former
+	restarted.Server.StartedAtMillis = 2
+	t.SetMember(restarted)
+	t.Divisions[0].Ranges[0].ServerStartedAtMillis = 2
+	return t, former, restarted
+}
+
+// A heartbeat that waited at the coordinator for a change is handled once more after a newer one
+// has named the next start of the backend server. The keys of that start must not count as lost.
+func TestWaitingHeartbeatBringsNoFormerServerBack(t *testing.T) {
+	table, former, restarted := restartedServersTable()
+	o := overseer.NewOverseer("node-1", table, time.Second, leaseTestStart, leaseTestStart)
+	waiting := overseer.Heartbeat{Member: former, Incarnation: 7, Epoch: table.Epoch, Version: table.Version}
+	o.HandleHeartbeat(waiting, leaseTestStart)
+	newer := waiting
+	newer.Member = restarted
+	o.HandleHeartbeat(newer, leaseTestStart.Add(10*time.Millisecond))
+	o.HandleHeartbeat(waiting, leaseTestStart.Add(20*time.Millisecond))
+	if next := o.Plan(leaseTestStart.Add(30 * time.Millisecond)); next != nil {
+		require.Equal(t, table.Divisions, next.Divisions)
+		m, _ := next.Member("node-2")
+		require.Equal(t, restarted, m)
+	}
+}
+
+// A node restarts and hears a heartbeat that the former start of its backend server had sent. The
+// present start may hold keys, so they must not be given away at once.
+func TestHeartbeatOfAFormerServerFreesNoKeys(t *testing.T) {
+	table, former, _ := restartedServersTable()
+	o := overseer.NewOverseer("node-1", table, time.Second, leaseTestStart, leaseTestStart)
+	for _, m := range []partitioner.NodeID{"node-1", "node-2"} {
+		member, _ := table.Member(m)
+		if m == "node-2" {
+			member = former
+		}
+		o.HandleHeartbeat(overseer.Heartbeat{Member: member, Incarnation: 8, Epoch: table.Epoch, Version: table.Version}, leaseTestStart)
+	}
+	if next := o.Plan(leaseTestStart.Add(30 * time.Millisecond)); next != nil {
+		require.Len(t, next.Owned("node-2"), len(table.Owned("node-2")))
+		require.Empty(t, next.Owned("node-1"))
+	}
+}
