Show that a late heartbeat of a former server makes a node forget prior grants

The test fails: the second start that a new process hears of clears priorGrantsUntil, and keys that the process before granted to it count as released at once, without a call.

Run: go test ./granter -run TestLateHeartbeatOfAFormerServerKeepsPriorGrants: fails.

--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -197,3 +197,20 @@
 	b.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	require.Less(t, b.NextCallIn(time.Minute, now), 4*time.Second, "a hold that runs out is a release")
 }
+
+// A node restarts and hears a late heartbeat of its backend server's former start, then one of the
+// present start, to which the process before had granted keys. They must not count as released at
+// once (two owners).
+func TestLateHeartbeatOfAFormerServerKeepsPriorGrants(t *testing.T) {
+	started := timer.Instant(time.Hour)
+	former, present := testServer, testServer
+	former.StartedAtMillis = testServer.StartedAtMillis - 1
+	g := NewGranter("node-1", 10*time.Second, started)
+	g.SetServer(former)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), started)
+	g.SetServer(present)
+	now := started.Add(time.Second)
+	g.DueCalls(now)
+	require.True(t, g.GrantInDoubt(now))
+	require.Empty(t, g.Released(now))
+}
