Keep keys of the present server against heartbeats of its former start

Callers would see two owners: the keys of a backend server were freed while it held them.

Cause: an older start in a member's heartbeat was taken for a restart. Two ways lead there. A heartbeat that waits for a change is handled again after newer ones. A restarted node knows no start and accepts a late heartbeat of the former one; when the present one is heard next, the node also forgot what the process before had granted to it.

Change: the coordinator ignores an older start from a process that has named a later one, and keeps the start in the table against a process that was first heard less than a lease ago. After that it accepts the older one, since the clock of a backend server's machine may have been set back. The node keeps priorGrantsUntil across starts of the backend server.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -162,15 +162,15 @@
 	g.changed = make(chan struct{})
 }
 
-// SetServer sets the backend server. After a restart it holds no keys.
+// SetServer sets the backend server. After a restart it holds no keys of this process. A process
+// before may have granted keys to it, if the start before it is known by a late heartbeat only.
 func (g *Granter) SetServer(s partitioner.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s.ID != "" && g.server.ID != "" && !s.SameStart(g.server.ID, g.server.StartedAtMillis) {
 		for _, h := range g.holdings {
-			h.heldUntil, h.mayHoldUntil, h.offeredAt, h.rejected = 0, 0, 0, false
+			h.heldUntil, h.mayHoldUntil, h.offeredAt, h.rejected = 0, g.priorGrantsUntil, 0, false
 		}
-		g.priorGrantsUntil = 0
 		g.pendingGrants = nil
 		if m, ok := g.method.(*byHeartbeat); ok {
 			*m = byHeartbeat{}
--- a/papayapass/internal/overseer/lease_test.go
+++ b/papayapass/internal/overseer/lease_test.go
@@ -140,4 +140,12 @@
 		require.Len(t, next.Owned("node-2"), len(table.Owned("node-2")))
 		require.Empty(t, next.Owned("node-1"))
 	}
+	later := leaseTestStart.Add(overseer.AuthorityDuration * 103 / 100)
+	for _, m := range []partitioner.Member{{ID: "node-1"}, former} {
+		o.HandleHeartbeat(overseer.Heartbeat{Member: m, Incarnation: 8, Epoch: table.Epoch, Version: table.Version}, later)
+	}
+	next := o.Plan(later)
+	require.NotNil(t, next, "the start time of a server may also go back with its clock")
+	m, _ := next.Member("node-2")
+	require.Equal(t, former, m)
 }
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -61,6 +61,8 @@
 	echoedStamp     timer.Instant
 	// startedAt is when the present process of the node was first heard in this term.
 	startedAt timer.Instant
+	// namedServer is the newest start of its backend server that the process has named.
+	namedServer partitioner.Server
 	// meanSeconds is the smoothed mean duration of requests at the backend server.
 	meanSeconds float64
 }
@@ -234,8 +236,14 @@
 		o.nodes[id] = n
 	}
 	if n.startedAt == 0 || n.lastHeartbeat.Incarnation != b.Incarnation {
-		n.startedAt, n.echoedStamp = now, 0
+		n.startedAt, n.echoedStamp, n.namedServer = now, 0, partitioner.Server{}
 	}
+	if n.namedServer.StartedAfter(b.Member.Server) {
+		b.Member = n.lastHeartbeat.Member // the heartbeat was overtaken
+	} else {
+		n.namedServer = b.Member.Server
+	}
+	o.correctServer(&b.Member, n, now)
 	n.smoothMean(b, now)
 	n.lastHeartbeat, n.lastHeartbeatAt = b, now
 	if b.Epoch == o.table.Epoch && n.echoedStamp.Before(b.Echo) {
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -41,6 +41,18 @@
 	return next
 }
 
+// correctServer replaces a backend server that started before the one in the table. A process
+// that has just started may have heard a late heartbeat of it, while the present one holds keys
+// that the process before granted.
+func (o *Overseer) correctServer(m *partitioner.Member, n *node, now timer.Instant) {
+	known, ok := o.table.Member(m.ID)
+	if !ok || !known.Server.StartedAfter(m.Server) || now.Sub(n.startedAt) > AuthorityDuration+leaseDrift {
+		return
+	}
+	known.Server.Down = m.Server.Down
+	m.Server = known.Server
+}
+
 func membersEqual(a, b *partitioner.Table) bool {
 	if len(a.Members) != len(b.Members) {
 		return false
--- a/papayapass/internal/partitioner/table.go
+++ b/papayapass/internal/partitioner/table.go
@@ -38,6 +38,11 @@
 // SameStart reports whether the backend server has the given id and start time.
 func (s Server) SameStart(id string, at int64) bool { return s.ID == id && s.StartedAtMillis == at }
 
+// StartedAfter reports whether both backend servers are known and this one started later.
+func (s Server) StartedAfter(other Server) bool {
+	return s.ID != "" && other.ID != "" && s.StartedAtMillis > other.StartedAtMillis
+}
+
 // Member is a node's entry in the table.
 type Member struct {
 	ID      NodeID `json:"id"`
