Show that holds of grants are counted from before their arrival

Three tests fail: the end of an unanswered grant, and of one that was answered, counts from when the call was planned, though it may arrive up to GrantTimeout later and its hold counts from then. A range expires while a short grant of it is in flight.

Run: go test ./granter -run 'ArrivedLate|FromTheAnswer|WithAGrantInFlight': all three report the range as released too early.

--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -214,3 +214,50 @@
 	require.True(t, g.GrantInDoubt(now))
 	require.Empty(t, g.Released(now))
 }
+
+// An unanswered grant reached the backend server late in its time-out. Its hold counts from its
+// arrival, so the keys must not count as released a hold after the call was planned (two owners).
+func TestReleaseWaitsForGrantThatArrivedLate(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	lost := g.DueCalls(now)[0]
+	arrived := now.Add(GrantTimeout)
+	g.HandleResult(lost, Unknown, "", arrived)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), arrived)
+	g.HandleResult(g.DueCalls(arrived)[0], Done, "", arrived)
+	require.Empty(t, g.Released(arrived.Add(withDrift(lost.Hold)-time.Millisecond)))
+	require.Len(t, g.Released(arrived.Add(withDrift(lost.Hold))), 1)
+}
+
+// The same for a grant that was answered, when the keys run out without a release.
+func TestExpiryCountsFromTheAnswer(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	c := g.DueCalls(now)[0]
+	arrived := now.Add(GrantTimeout)
+	g.HandleResult(c, Done, "", arrived)
+	down := testServer
+	down.Down = true
+	g.SetServer(down)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), arrived)
+	early := arrived.Add(withDrift(c.Hold) - time.Millisecond)
+	g.DueCalls(early)
+	require.Empty(t, g.Released(early))
+	g.DueCalls(arrived.Add(withDrift(c.Hold)))
+	require.Len(t, g.Released(arrived.Add(withDrift(c.Hold))), 1)
+}
+
+// A short grant is still in flight when its hold would have ended. It may arrive any moment.
+func TestKeysDoNotExpireWithAGrantInFlight(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetLease(now.Add(minHold * 11 / 10))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	c := g.DueCalls(now)[0]
+	now = now.Add(withDrift(c.Hold) + time.Millisecond)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
+	g.DueCalls(now)
+	require.Empty(t, g.Released(now))
+}
