Count the end of a hold from when its grant may have arrived

Two backend servers could hold the same keys for up to GrantTimeout.

Cause: the hold of a grant counts from its arrival at the backend server, but the node counted it from when it planned the call. The call may have waited in the node, and arrive at any moment until its time-out. A range also expired while a grant with a short hold was in flight.

Change: an answered or unanswered grant may hold keys for its hold after the result of the call. No range is reported as released while a grant of its keys is in flight.

TestReleaseWaitsForUnansweredGrants and TestMethodChangesWithTheConfiguration asserted the end that counts from the planning, though their call ends GrantTimeout later; they now assert the later end, and that nothing is reported a millisecond before.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -335,11 +335,11 @@
 	}
 	c := Call{Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Sent: now, Server: h.Server}
 	if h.NextOwner != "" {
-		if h.mayHoldUntil <= now {
-			h.released = true
+		if slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.inFlight && p.overlaps(h) }) {
 			return Call{}, false
 		}
-		if slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.inFlight && p.overlaps(h) }) {
+		if h.mayHoldUntil <= now {
+			h.released = true
 			return Call{}, false
 		}
 		c.Release = true
@@ -362,7 +362,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	defer g.notify()
-	g.resolveGrant(c, result)
+	g.resolveGrant(c, result, now)
 	i := slices.IndexFunc(g.holdings, func(h *holding) bool {
 		return h.service == c.Service && h.First == c.First && h.Last == c.Last && h.Token == c.Token
 	})
@@ -387,15 +387,24 @@
 	}
 }
 
-// resolveGrant records that a grant ended; one without an answer stays in doubt.
-func (g *Granter) resolveGrant(c Call, result Result) {
+// resolveGrant records that a grant ended; one without an answer stays in doubt. It may have
+// arrived just now, and its hold counts from then.
+func (g *Granter) resolveGrant(c Call, result Result, now timer.Instant) {
 	if c.Release {
 		return
 	}
+	until := now.Add(withDrift(c.Hold))
+	if result == Done || result == Unknown {
+		for _, h := range g.holdings {
+			if (pendingGrant{call: c}).overlaps(h) {
+				h.mayHoldUntil = max(h.mayHoldUntil, until)
+			}
+		}
+	}
 	g.pendingGrants = slices.DeleteFunc(g.pendingGrants, func(p pendingGrant) bool { return p.call == c && result != Unknown })
 	for i := range g.pendingGrants {
 		if g.pendingGrants[i].call == c {
-			g.pendingGrants[i].inFlight = false
+			g.pendingGrants[i].inFlight, g.pendingGrants[i].until = false, until
 		}
 	}
 }
@@ -432,7 +441,7 @@
 	}
 	var out []partitioner.Release
 	for _, h := range g.holdings {
-		if h.released && !slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.overlaps(h) && now < p.until }) {
+		if h.released && !slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.overlaps(h) && (p.inFlight || now < p.until) }) {
 			out = append(out, partitioner.Release{
 				Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Handover: h.handover,
 			})
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -51,7 +51,9 @@
 	require.Equal(t, uint16(49), release.Last)
 	g.HandleResult(release, Done, "handover-1", now)
 	require.Empty(t, g.Released(now), "the lost grant may still be applied")
-	now = lost.Sent.Add(lost.Hold + lost.Hold/50 + time.Millisecond)
+	now = now.Add(withDrift(lost.Hold) - time.Millisecond)
+	require.Empty(t, g.Released(now), "it may have arrived at the end of its time-out")
+	now = now.Add(time.Millisecond)
 	require.Equal(t, []partitioner.Release{{Service: "permits", First: 0, Last: 49, Token: 4, Handover: "handover-1"}}, g.Released(now))
 }
 
--- a/papayapass/internal/granter/heartbeat_test.go
+++ b/papayapass/internal/granter/heartbeat_test.go
@@ -226,7 +226,10 @@
 	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	g.send(now.Add(400*time.Millisecond), descriptor.KeyListing{})
 	require.Empty(t, g.Released(now.Add(400*time.Millisecond)))
-	now = lost.Sent.Add(withDrift(lost.Hold) + time.Millisecond)
+	now = lost.Sent.Add(GrantTimeout + withDrift(lost.Hold) - time.Millisecond)
+	g.DueCalls(now)
+	require.Empty(t, g.Released(now), "it may have arrived at the end of its time-out")
+	now = now.Add(time.Millisecond)
 	g.DueCalls(now)
 	require.Len(t, g.Released(now), 1)
 }
