Show that a shorter hold limit forgets longer grants of the process before

The test fails: after a restart with a holdMax of 1 s a range is reported as released 2 s later, though the process before may have granted it for 3.5 s.

Run: go test ./granter -run TestShorterHoldLimitKeepsPriorGrants: fails.

--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -263,3 +263,19 @@
 	g.DueCalls(now)
 	require.Empty(t, g.Released(now))
 }
+
+// A node restarts with settings that allow a shorter hold only. The process before may have
+// granted longer ones, which are still in doubt after a hold of the new settings.
+func TestShorterHoldLimitKeepsPriorGrants(t *testing.T) {
+	started := timer.Instant(time.Hour)
+	g := NewGranter("node-1", time.Second, started)
+	g.SetServer(testServer)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), started)
+	now := started.Add(2 * time.Second)
+	for _, c := range g.DueCalls(now) {
+		g.HandleResult(c, Done, "", now)
+	}
+	require.Empty(t, g.Released(now))
+	now = started.Add(withDrift(maxUsefulHold))
+	require.False(t, g.GrantInDoubt(now))
+}
