Show that a change of the method forgets a response on its way

The test fails: keys granted in the response to a heartbeat, released by call after the configuration has changed the way of granting, are reported as released while the response may still arrive.

Run: go test ./granter -run TestResponseOnItsWayOutlivesAChangeOfMethod: fails.

--- a/papayapass/internal/granter/heartbeat_test.go
+++ b/papayapass/internal/granter/heartbeat_test.go
@@ -233,3 +233,20 @@
 	g.DueCalls(now)
 	require.Len(t, g.Released(now), 1)
 }
+
+// A configuration changes the way of granting while a response that grants keys is on its way. The
+// keys move and are released by call, and the response may still bring them back (two owners).
+func TestResponseOnItsWayOutlivesAChangeOfMethod(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newHeartbeats(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	hold := g.send(now, descriptor.KeyListing{}).Hold
+	g.SetMethod(descriptor.GrantByCall)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
+	for _, c := range g.DueCalls(now) {
+		require.True(t, c.Release)
+		g.HandleResult(c, Done, "h", now.Add(10*time.Millisecond))
+	}
+	require.Empty(t, g.Released(now.Add(10*time.Millisecond)))
+	require.Len(t, g.Released(now.Add(withDrift(hold))), 1)
+}
