Wait for the longest hold of any settings after a start

A node that restarts with a smaller holdMax could report a release while a grant of the process before was still valid (two owners).

Cause: the end of the former process's grants was computed with the settings of the present one.

Change: it is the longest hold that any process requests.

Tests: TestShorterHoldLimitKeepsPriorGrants failed and passes now; the mutation that forgets prior grants is still detected.

Price: with a holdMax below 3.5 s releases are held back for 3.57 s after a start instead of holdMax.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -131,11 +131,11 @@
 // NewGranter returns a granter without keys; holdMax is the longest hold that the
 // backend server accepts.
 func NewGranter(self partitioner.NodeID, holdMax time.Duration, started timer.Instant) *Granter {
-	hold := min(maxUsefulHold, holdMax)
+	prior := started.Add(withDrift(maxUsefulHold)) // earlier settings may have allowed longer holds
 	if mutator.Active(mutator.ForgetPriorGrants) {
-		started = started.Add(-hold - time.Second)
+		prior = 0
 	}
-	return &Granter{self: self, maxHold: hold, priorGrantsUntil: started.Add(withDrift(hold)), method: byCall{}, changed: make(chan struct{})}
+	return &Granter{self: self, maxHold: min(maxUsefulHold, holdMax), priorGrantsUntil: prior, method: byCall{}, changed: make(chan struct{})}
 }
 
 // withDrift returns how long a hold lasts by a backend server's slow clock.
