Keep a response on its way in doubt when the method changes

Two backend servers could hold the same keys after a change of the way of granting.

Cause: only unanswered calls count as in doubt. A response to a heartbeat that grants keys is taken for up to a second after the heartbeat, and after the change the keys can be released by call before.

Change: with the change to calls, keys granted in responses stay in doubt until their hold has ended.

Tests: TestResponseOnItsWayOutlivesAChangeOfMethod failed and passes now; package granter passes.

Price: at most one hold for ranges that move right after such a change.

--- a/papayapass/internal/granter/method.go
+++ b/papayapass/internal/granter/method.go
@@ -41,6 +41,10 @@
 		g.method = byCall{}
 		for _, h := range g.holdings {
 			h.nextCallAt, h.callInFlight = 0, false
+			if h.offeredAt > 0 { // the response may still be on its way
+				c := Call{Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Sent: h.offeredAt, Server: h.Server}
+				g.pendingGrants = append(g.pendingGrants, pendingGrant{call: c, until: h.mayHoldUntil})
+			}
 		}
 	}
 }
