Run the schedules that detect mutations without them too

Two entries of TestMutationsAreDetected were detected by a real fault. A schedule that detects a mutation must now pass without it.

--- a/papayapass/internal/overseer/mutation_test.go
+++ b/papayapass/internal/overseer/mutation_test.go
@@ -48,24 +48,10 @@
 			mutator.Activate(tt.fault)
 			defer mutator.Activate(mutator.None)
 			for seed := tt.firstSeed; seed < tt.firstSeed+maxMutationSeeds; seed++ {
-				var w *world
-				switch tt.schedule {
-				case restores:
-					w = newWorld(t, seed, 6, tt.method)
-					w.runRestores(true)
-				case rollingRestarts:
-					w = newWorld(t, seed, 5, tt.method)
-					w.runRollingRestarts()
-				case restartsAfterTakeovers:
-					w = newWorld(t, seed, 3+int(seed%4), tt.method)
-					w.runRestartsAfterTakeovers()
-				default:
-					w = newWorld(t, seed, 3+int(seed%5), tt.method)
-					w.hasHotKeys = true
-					w.runFaults()
-				}
-				if w.violation != "" {
+				if w := runSchedule(t, tt.schedule, tt.method, seed); w.violation != "" {
 					t.Logf("detected by seed %d: %s", seed, w.violation)
+					mutator.Activate(mutator.None)
+					require.Empty(t, runSchedule(t, tt.schedule, tt.method, seed).violation, "without the fault")
 					return
 				}
 			}
@@ -74,6 +60,27 @@
 	}
 }
 
+// runSchedule runs a random schedule.
+func runSchedule(t *testing.T, s schedule, method descriptor.GrantMethod, seed uint64) *world {
+	var w *world
+	switch s {
+	case restores:
+		w = newWorld(t, seed, 6, method)
+		w.runRestores(true)
+	case rollingRestarts:
+		w = newWorld(t, seed, 5, method)
+		w.runRollingRestarts()
+	case restartsAfterTakeovers:
+		w = newWorld(t, seed, 3+int(seed%4), method)
+		w.runRestartsAfterTakeovers()
+	default:
+		w = newWorld(t, seed, 3+int(seed%5), method)
+		w.hasHotKeys = true
+		w.runFaults()
+	}
+	return w
+}
+
 // TestLeaseMutationsAreDetected injects faults of leases that random schedules do not detect.
 func TestLeaseMutationsAreDetected(t *testing.T) {
 	faults := map[string]struct {
