Show that a grant that waited in its node outlasts its lease

The test fails: a grant that is sent 500 ms after its planning asks for the whole hold, which counts from the arrival. If the node is lost then, its keys are free before the hold ends.

Run: go test ./participant -run TestGrantThatWaitedEndsWithItsLease: fails with a hold of 2 s.

--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -295,3 +295,31 @@
 	p.HandleTable(&partitioner.Table{Epoch: 1, Version: 9, Coordinator: "node-3"})
 	require.Equal(t, uint64(2), p.Status().Epoch)
 }
+
+// grantClient records the grants that it is asked to send.
+type grantClient struct {
+	Client
+
+	sent []granter.Call
+}
+
+func (c *grantClient) UpdateGrant(_ context.Context, call granter.Call) (granter.Result, string) {
+	c.sent = append(c.sent, call)
+	return granter.Done, ""
+}
+
+// A busy node sends a grant long after it has planned it. The hold counts from the arrival, so it
+// must end with the lease from which it was planned (two owners).
+func TestGrantThatWaitedEndsWithItsLease(t *testing.T) {
+	p, clock := newTestParticipant(t, &fakeStore{})
+	c := &grantClient{}
+	p.client = c
+	call := granter.Call{Service: "permits", Last: 99, Token: 4, Hold: 2 * time.Second, Sent: clock.Now()}
+	clock.Advance(500 * time.Millisecond)
+	p.sendKeyRequest(context.Background(), call)
+	require.Len(t, c.sent, 1)
+	require.Equal(t, 1500*time.Millisecond, c.sent[0].Hold)
+	clock.Advance(1450 * time.Millisecond)
+	p.sendKeyRequest(context.Background(), call)
+	require.Len(t, c.sent, 1, "too little is left of the hold")
+}
