Shorten the hold of a grant by the time that it has waited

Two backend servers could hold the same keys after the loss of a node that had sent a grant late.

Cause: the hold is planned to end with the lease, but counts from the arrival of the call. A call waits between its planning and its sending on a busy node, or one that was frozen.

Change: the hold is shortened by that time when the call is sent. A call with too little left is not sent and is planned anew.

Tests: TestGrantThatWaitedEndsWithItsLease failed and passes now; packages participant, granter and launcher pass.

What remains: connecting and the way to the backend server, at most GrantTimeout, still count on top of the lease.

--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -52,6 +52,16 @@
 	Server string
 }
 
+// At returns the call as it is to be sent now: a hold counts from its arrival, and must not end
+// later for the time that the call has waited. The second result is false if too little is left.
+func (c Call) At(now timer.Instant) (Call, bool) {
+	if c.Release {
+		return c, true
+	}
+	c.Hold -= max(0, now.Sub(c.Sent))
+	return c, c.Hold >= minHold
+}
+
 // Result is the outcome of a call.
 type Result int
 
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -337,7 +337,10 @@
 }
 
 func (p *Participant) sendKeyRequest(ctx context.Context, call granter.Call) {
-	result, handover := p.client.UpdateGrant(ctx, call)
+	result, handover := granter.NotDelivered, ""
+	if due, ok := call.At(p.timers.Now()); ok {
+		result, handover = p.client.UpdateGrant(ctx, due)
+	}
 	p.granter.HandleResult(call, result, handover, p.timers.Now())
 	wake(p.grantsDue)
 	if call.Release || result != granter.Done {
