--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -57,6 +57,16 @@
 	Server string
 }
 
+// At returns the call as it is to be sent now: a hold counts from its arrival, and must not end
+// later for the time that the call has waited. The second result is false if too little is left.
+func (c Call) At(now timer.Instant) (Call, bool) {
+	if c.Release {
+		return c, true
+	}
+	c.Hold -= max(0, now.Sub(c.Sent))
+	return c, c.Hold >= minHold
+}
+
 // Result is the outcome of a call.
 type Result int
 
@@ -143,11 +153,11 @@
 // NewGranter returns a granter without keys; holdMax is the longest hold that the
 // backend server accepts.
 func NewGranter(self partitioner.NodeID, holdMax time.Duration, started timer.Instant) *Granter {
-	hold := min(maxUsefulHold, holdMax)
+	prior := started.Add(withDrift(maxUsefulHold)) // earlier settings may have allowed longer holds
 	if mutator.Active(mutator.ForgetPriorGrants) {
-		started = started.Add(-hold - time.Second)
+		prior = 0
 	}
-	return &Granter{self: self, maxHold: hold, priorGrantsUntil: started.Add(withDrift(hold)), method: byCall{}, changed: make(chan struct{})}
+	return &Granter{self: self, maxHold: min(maxUsefulHold, holdMax), priorGrantsUntil: prior, method: byCall{}, changed: make(chan struct{})}
 }
 
 // withDrift returns how long a hold lasts by a backend server's slow clock.
@@ -174,15 +184,15 @@
 	g.changed = make(chan struct{})
 }
 
-// SetServer sets the backend server. After a restart it holds no keys.
+// SetServer sets the backend server. After a restart it holds no keys of this process. A process
+// before may have granted keys to it, if the start before it is known by a late heartbeat only.
 func (g *Granter) SetServer(s partitioner.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s.ID != "" && g.server.ID != "" && !s.SameStart(g.server.ID, g.server.StartedAtMillis) {
 		for _, h := range g.holdings {
-			h.heldUntil, h.mayHoldUntil, h.offeredAt, h.rejected = 0, 0, 0, false
+			h.heldUntil, h.mayHoldUntil, h.offeredAt, h.rejected = 0, g.priorGrantsUntil, 0, false
 		}
-		g.priorGrantsUntil = 0
 		g.pendingGrants = nil
 		g.ended = false
 		if m, ok := g.method.(*byHeartbeat); ok {
@@ -348,11 +358,11 @@
 	}
 	c := Call{Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Sent: now, Server: h.Server}
 	if h.NextOwner != "" {
-		if h.mayHoldUntil <= now {
-			h.released = true
+		if slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.inFlight && p.overlaps(h) }) {
 			return Call{}, false
 		}
-		if slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.inFlight && p.overlaps(h) }) {
+		if h.mayHoldUntil <= now {
+			h.released = true
 			return Call{}, false
 		}
 		c.Release = true
@@ -376,7 +386,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	defer g.notify()
-	g.resolveGrant(c, result)
+	g.resolveGrant(c, result, now)
 	g.ended = g.ended || (result == Unreachable && c.Server == g.server.ID)
 	i := slices.IndexFunc(g.holdings, func(h *holding) bool {
 		return h.service == c.Service && h.First == c.First && h.Last == c.Last && h.Token == c.Token
@@ -402,15 +412,24 @@
 	}
 }
 
-// resolveGrant records that a grant ended; one without an answer stays in doubt.
-func (g *Granter) resolveGrant(c Call, result Result) {
+// resolveGrant records that a grant ended; one without an answer stays in doubt. It may have
+// arrived just now, and its hold counts from then.
+func (g *Granter) resolveGrant(c Call, result Result, now timer.Instant) {
 	if c.Release {
 		return
 	}
+	until := now.Add(withDrift(c.Hold))
+	if result == Done || result == Unknown {
+		for _, h := range g.holdings {
+			if (pendingGrant{call: c}).overlaps(h) {
+				h.mayHoldUntil = max(h.mayHoldUntil, until)
+			}
+		}
+	}
 	g.pendingGrants = slices.DeleteFunc(g.pendingGrants, func(p pendingGrant) bool { return p.call == c && result != Unknown })
 	for i := range g.pendingGrants {
 		if g.pendingGrants[i].call == c {
-			g.pendingGrants[i].inFlight = false
+			g.pendingGrants[i].inFlight, g.pendingGrants[i].until = false, until
 		}
 	}
 }
@@ -447,7 +466,7 @@
 	}
 	var out []partitioner.Release
 	for _, h := range g.holdings {
-		if h.released && !slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.overlaps(h) && now < p.until }) {
+		if h.released && !slices.ContainsFunc(g.pendingGrants, func(p pendingGrant) bool { return p.overlaps(h) && (p.inFlight || now < p.until) }) {
 			out = append(out, partitioner.Release{
 				Service: h.service, First: h.First, Last: h.Last, Token: h.Token, Handover: h.handover,
 			})
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -51,7 +51,9 @@
 	require.Equal(t, uint16(49), release.Last)
 	g.HandleResult(release, Done, "handover-1", now)
 	require.Empty(t, g.Released(now), "the lost grant may still be applied")
-	now = lost.Sent.Add(lost.Hold + lost.Hold/50 + time.Millisecond)
+	now = now.Add(withDrift(lost.Hold) - time.Millisecond)
+	require.Empty(t, g.Released(now), "it may have arrived at the end of its time-out")
+	now = now.Add(time.Millisecond)
 	require.Equal(t, []partitioner.Release{{Service: "permits", First: 0, Last: 49, Token: 4, Handover: "handover-1"}}, g.Released(now))
 }
 
@@ -283,3 +285,83 @@
 	b.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
 	require.Less(t, b.NextCallIn(time.Minute, now), 4*time.Second, "a hold that runs out is a release")
 }
+
+// A node restarts and hears a late heartbeat of its backend server's former start, then one of the
+// present start, to which the process before had granted keys. They must not count as released at
+// once (two owners).
+func TestLateHeartbeatOfAFormerServerKeepsPriorGrants(t *testing.T) {
+	started := timer.Instant(time.Hour)
+	former, present := testServer, testServer
+	former.StartedAtMillis = testServer.StartedAtMillis - 1
+	g := NewGranter("node-1", 10*time.Second, started)
+	g.SetServer(former)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), started)
+	g.SetServer(present)
+	now := started.Add(time.Second)
+	g.DueCalls(now)
+	require.True(t, g.GrantInDoubt(now))
+	require.Empty(t, g.Released(now))
+}
+
+// An unanswered grant reached the backend server late in its time-out. Its hold counts from its
+// arrival, so the keys must not count as released a hold after the call was planned (two owners).
+func TestReleaseWaitsForGrantThatArrivedLate(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	lost := g.DueCalls(now)[0]
+	arrived := now.Add(GrantTimeout)
+	g.HandleResult(lost, Unknown, "", arrived)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), arrived)
+	g.HandleResult(g.DueCalls(arrived)[0], Done, "", arrived)
+	require.Empty(t, g.Released(arrived.Add(withDrift(lost.Hold)-time.Millisecond)))
+	require.Len(t, g.Released(arrived.Add(withDrift(lost.Hold))), 1)
+}
+
+// The same for a grant that was answered, when the keys run out without a release.
+func TestExpiryCountsFromTheAnswer(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	c := g.DueCalls(now)[0]
+	arrived := now.Add(GrantTimeout)
+	g.HandleResult(c, Done, "", arrived)
+	down := testServer
+	down.Down = true
+	g.SetServer(down)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), arrived)
+	early := arrived.Add(withDrift(c.Hold) - time.Millisecond)
+	g.DueCalls(early)
+	require.Empty(t, g.Released(early))
+	g.DueCalls(arrived.Add(withDrift(c.Hold)))
+	require.Len(t, g.Released(arrived.Add(withDrift(c.Hold))), 1)
+}
+
+// A short grant is still in flight when its hold would have ended. It may arrive any moment.
+func TestKeysDoNotExpireWithAGrantInFlight(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	g := newTestGranter(now)
+	g.SetLease(now.Add(minHold * 11 / 10))
+	g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+	c := g.DueCalls(now)[0]
+	now = now.Add(withDrift(c.Hold) + time.Millisecond)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
+	g.DueCalls(now)
+	require.Empty(t, g.Released(now))
+}
+
+// A node restarts with settings that allow a shorter hold only. The process before may have
+// granted longer ones, which are still in doubt after a hold of the new settings.
+func TestShorterHoldLimitKeepsPriorGrants(t *testing.T) {
+	started := timer.Instant(time.Hour)
+	g := NewGranter("node-1", time.Second, started)
+	g.SetServer(testServer)
+	g.SetTable(testTable(testRange(0, 99, 4, "node-2")), started)
+	now := started.Add(2 * time.Second)
+	for _, c := range g.DueCalls(now) {
+		g.HandleResult(c, Done, "", now)
+	}
+	require.Empty(t, g.Released(now))
+	now = started.Add(withDrift(maxUsefulHold))
+	require.False(t, g.GrantInDoubt(now))
+}
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -338,7 +338,10 @@
 }
 
 func (p *Participant) sendKeyRequest(ctx context.Context, call granter.Call) {
-	result, handover := p.client.UpdateGrant(ctx, call)
+	result, handover := granter.NotDelivered, ""
+	if due, ok := call.At(p.timers.Now()); ok {
+		result, handover = p.client.UpdateGrant(ctx, due)
+	}
 	if err := validator.Handover(handover); err != nil {
 		p.logger.Warn().Err(err).Uint16("first", call.First).Uint16("last", call.Last).Msg("handover value dropped, the keys start cold")
 		handover = ""
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -355,14 +355,16 @@
 	require.Equal(t, uint64(2), p.Status().Epoch)
 }
 
-// grantClient answers each key request with a handover value.
+// grantClient records each key request and answers it with a handover value.
 type grantClient struct {
 	Client
 
 	handover string
+	sent     []granter.Call
 }
 
-func (c grantClient) UpdateGrant(context.Context, granter.Call) (granter.Result, string) {
+func (c *grantClient) UpdateGrant(_ context.Context, call granter.Call) (granter.Result, string) {
+	c.sent = append(c.sent, call)
 	return granter.Done, c.handover
 }
 
@@ -370,7 +372,7 @@
 func TestLargeHandoverIsDropped(t *testing.T) {
 	for handover, want := range map[string]string{"5c0e7a21d94b36f8": "5c0e7a21d94b36f8", strings.Repeat("h", 60<<10): ""} {
 		p, clock := newTestParticipant(t, &fakeStore{})
-		p.client = grantClient{handover: handover}
+		p.client = &grantClient{handover: handover}
 		table := testTable(8, "node-1")
 		table.Divisions[0].Ranges[0].NextOwner = "node-2"
 		p.applyTable(table)
@@ -380,3 +382,19 @@
 		require.Equal(t, want, released[0].Handover)
 	}
 }
+
+// A busy node sends a grant long after it has planned it. The hold counts from the arrival, so it
+// must end with the lease from which it was planned (two owners).
+func TestGrantThatWaitedEndsWithItsLease(t *testing.T) {
+	p, clock := newTestParticipant(t, &fakeStore{})
+	c := &grantClient{}
+	p.client = c
+	call := granter.Call{Service: "permits", Last: 99, Token: 4, Hold: 2 * time.Second, Sent: clock.Now()}
+	clock.Advance(500 * time.Millisecond)
+	p.sendKeyRequest(context.Background(), call)
+	require.Len(t, c.sent, 1)
+	require.Equal(t, 1500*time.Millisecond, c.sent[0].Hold)
+	clock.Advance(1450 * time.Millisecond)
+	p.sendKeyRequest(context.Background(), call)
+	require.Len(t, c.sent, 1, "too little is left of the hold")
+}
