Show that a backend server takes old tokens before its first heartbeat

The test fails: a backend server starts again at its address, and renewals for its former start reach it before its first heartbeat reaches the node. It holds the keys under the old tokens. With the heartbeat the node forgets these grants, and the coordinator frees the keys at once (cause "backend server restarted"): two owners.

No fix yet: the node would have to release these keys at the new start before it names the start to the coordinator, or count its grants as in doubt across the start.

--- a/papayapass/internal/overseer/rolling_test.go
+++ b/papayapass/internal/overseer/rolling_test.go
@@ -108,3 +108,17 @@
 		})
 	}
 }
+
+// A backend server starts again, and renewals for its former start reach it before its first
+// heartbeat reaches the node. Its keys are given away while it holds them under the old tokens.
+func TestServerThatRegistersLateKeepsOneOwner(t *testing.T) {
+	for seed := uint64(90030); seed < 90040; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 3+int(seed%5), descriptor.GrantByCall)
+			w.hasHotKeys, w.registersLate = true, true
+			w.runFaults()
+			require.Empty(t, w.violation)
+		})
+	}
+}
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -107,6 +107,7 @@
 	partitionedUntil  time.Duration // from all other nodes
 	noStoreUntil      time.Duration
 	server            *server
+	registerAt        time.Duration // when the node hears of its backend server's next start
 	lastWrite         timer.Instant
 	nextPlan          time.Duration
 }
@@ -135,6 +136,9 @@
 	hasHotKeys bool
 	// alwaysLoses is set while grants and heartbeats are lost or late all the time.
 	alwaysLoses bool
+	// registersLate is set if grants may reach a backend server before its first heartbeat
+	// has reached the node.
+	registersLate bool
 	// violation describes the first broken rule.
 	violation string
 }
@@ -278,6 +282,10 @@
 }
 
 func (w *world) run(m *member) {
+	if m.registerAt > 0 && w.now >= m.registerAt {
+		m.registerAt = 0
+		w.registerServer(m)
+	}
 	if w.now >= m.nextHeartbeat {
 		m.nextHeartbeat = w.now + 240*time.Millisecond
 		w.sendHeartbeat(m)
@@ -530,7 +538,10 @@
 		w.lossUntil = w.now + d
 	default: // the backend server restarts without its state
 		m.server = w.newServer(m.server.starts + 1)
-		w.registerServer(m)
+		m.registerAt = w.now
+		if w.registersLate {
+			m.registerAt += time.Duration(20+w.r.IntN(480)) * time.Millisecond
+		}
 	}
 }
 
