Name no start of a backend server that may hold keys of the former one

Grants go to a fixed address. Renewals meant for the former start reach the next one before its first heartbeat reaches the node. The node then counted the start as holding nothing, named it to the coordinator, and the keys were given away at once.

Change: unless a failed connect lies between the last grant and the next start, the node keeps these grants in doubt and names the former start, as down, until they have ended. An ordinary crash, in which connects are refused while the server is away, costs nothing more.

--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -254,9 +254,19 @@
 	return s
 }
 
+// namedServer returns the backend server as the coordinator may know it: the former start, which is
+// down, while the present one may hold keys by grants for it.
+func (f *Forwarder) namedServer() partitioner.Server {
+	s := f.Server()
+	if former, ok := f.granter.FormerStart(f.clock.Now()); ok {
+		s.ID, s.StartedAtMillis, s.Down = former.ID, former.StartedAtMillis, true
+	}
+	return s
+}
+
 // FillHeartbeat fills in the backend server's part of a heartbeat to the coordinator.
 func (f *Forwarder) FillHeartbeat(h *overseer.Heartbeat) {
-	h.Member.Server = f.Server()
+	h.Member.Server = f.namedServer()
 	if s := &h.Member.Server; h.Stopping && !s.Divided && !s.Leaving {
 		s.Leaving, s.NodeStopping = true, true
 	}
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -139,6 +139,10 @@
 	// heartbeat. A grant before that could reach a later start of it, which counts as holding
 	// nothing until it is heard.
 	ended bool
+	// startInDoubtUntil is when grants for an earlier start that may have reached the present
+	// one have ended; former is that start as the coordinator knows it.
+	startInDoubtUntil timer.Instant
+	former            partitioner.Server
 	// priorGrantsUntil is when grants from before the node's start have ended at the
 	// latest.
 	priorGrantsUntil timer.Instant
@@ -184,16 +188,28 @@
 	g.changed = make(chan struct{})
 }
 
-// SetServer sets the backend server. After a restart it holds no keys of this process. A process
-// before may have granted keys to it, if the start before it is known by a late heartbeat only.
+// SetServer sets the backend server. After a restart it holds no keys of this process, unless
+// grants for the start before reached it before it was heard. A process before may have granted
+// keys to it, if the start before it is known by a late heartbeat only.
 func (g *Granter) SetServer(s partitioner.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s.ID != "" && g.server.ID != "" && !s.SameStart(g.server.ID, g.server.StartedAtMillis) {
+		mayHoldKeys := g.mayHaveReachedNextStart()
+		if mayHoldKeys && g.former.ID == "" {
+			g.former = g.server
+		}
 		for _, h := range g.holdings {
-			h.heldUntil, h.mayHoldUntil, h.offeredAt, h.rejected = 0, g.priorGrantsUntil, 0, false
+			h.heldUntil, h.offeredAt, h.rejected = 0, 0, false
+			if mayHoldKeys {
+				g.startInDoubtUntil = max(g.startInDoubtUntil, h.mayHoldUntil)
+			} else {
+				h.mayHoldUntil = g.priorGrantsUntil
+			}
+		}
+		if !mayHoldKeys {
+			g.pendingGrants = nil
 		}
-		g.pendingGrants = nil
 		g.ended = false
 		if m, ok := g.method.(*byHeartbeat); ok {
 			*m = byHeartbeat{}
--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -198,6 +198,39 @@
 	require.False(t, ok)
 }
 
+// A backend server starts again without a failed connect in between, so a renewal for its former
+// start may have reached the next one. The coordinator must not learn of that one before the hold
+// has ended, since it would give the keys away (two owners).
+func TestStartThatGrantsMayHaveReachedIsNotNamed(t *testing.T) {
+	restarted := testServer
+	restarted.StartedAtMillis = 8
+	for name, failed := range map[string]bool{"no failed connect": false, "a failed connect": true} {
+		t.Run(name, func(t *testing.T) {
+			now := timer.Instant(time.Hour)
+			g := newTestGranter(now)
+			g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+			renewal := g.DueCalls(now)[0]
+			g.HandleResult(renewal, Done, "", now)
+			if failed {
+				next := now.Add(renewalInterval)
+				g.HandleResult(g.DueCalls(next)[0], Unreachable, "", next)
+			}
+			g.SetServer(restarted)
+			former, inDoubt := g.FormerStart(now)
+			require.Equal(t, !failed, inDoubt)
+			if failed {
+				return
+			}
+			require.True(t, former.SameStart(testServer.ID, testServer.StartedAtMillis))
+			g.SetTable(testTable(testRange(0, 99, 4, "node-2")), now)
+			g.DueCalls(now)
+			require.Empty(t, g.Released(now), "the next start may hold the keys")
+			_, inDoubt = g.FormerStart(now.Add(withDrift(maxUsefulHold) + GrantTimeout))
+			require.False(t, inDoubt)
+		})
+	}
+}
+
 func TestRestartedServerHoldsNothing(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newTestGranter(now)
--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -54,4 +54,7 @@
 	// TrustRestartedMembers extends a coordinator's authority by echoes of members that have
 	// restarted since the store last confirmed it.
 	TrustRestartedMembers
+	// NameStartAtOnce names a new start of a backend server to the coordinator although it may
+	// hold keys by grants for the start before.
+	NameStartAtOnce
 )
