Count no connect that a customer gave up as a failed one

Cause: a connect that is given up, since its customer has left, ends with the same error as one that failed, and two of them in a row mark the server as down.

Change: connects count only while the request is still wanted. TestResetOfConnectionsIsNoEnd also asserts that the server is not down; this failed before.

--- a/papayapass/internal/forwarder/ending_test.go
+++ b/papayapass/internal/forwarder/ending_test.go
@@ -170,6 +170,7 @@
 	}
 	f.reportEnd(f.clock.Now().Add(endSettleTime))
 	require.Zero(t, f.Ends())
+	require.False(t, f.Server().Down)
 }
 
 // Incident 0016: no line told that backend servers ended one after the other, and under which
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -197,7 +197,9 @@
 	timedOut := float64(took) >= timedOutShare*float64(left)
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
-		f.connectFailed(err)
+		if ctx.Err() == nil { // otherwise the customer gave up, which says nothing of the server
+			f.connectFailed(err)
+		}
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonUnreachable}, false
 	case err != nil:
 		f.logger.Info().Str("request", c.ID).Err(err).Dur("elapsed", f.clock.Now().Sub(sent)).Msg("backend server gave no whole answer")
