Balance beside a member whose grants are in doubt

Change: the planner takes the busiest member from which keys can move. TestGrantsInDoubtDoNotStopBalancing failed before; the tests of the planner and the model pass.

--- a/papayapass/internal/partitioner/balance.go
+++ b/papayapass/internal/partitioner/balance.go
@@ -40,11 +40,12 @@
 	return s
 }
 
-// busiest returns the busiest member to which no range is moving. Hot keys that are
-// moving to a member cannot move again yet; only its cold keys could.
-func (s *balanceRound) busiest() (Member, bool) {
+// busiest returns the busiest member from which keys can move. Hot keys that are moving to a
+// member cannot move again yet; only its cold keys could. Keys of a member with a grant in doubt
+// would be unserved for a whole hold.
+func (p *Plan) busiest(s *balanceRound) (Member, bool) {
 	for _, m := range slices.Backward(s.members) {
-		if !s.receiving[m.ID] {
+		if !s.receiving[m.ID] && !p.states[m.ID].GrantInDoubt {
 			return m, true
 		}
 	}
@@ -58,12 +59,12 @@
 	u := s.usage
 	slices.SortStableFunc(s.members, func(a, b Member) int { return cmp.Compare(u.utilization(a), u.utilization(b)) })
 	idle := s.members[0]
-	full, ok := s.busiest()
+	full, ok := p.busiest(s)
 	if !ok {
 		return false
 	}
 	gap := u.utilization(full) - u.utilization(idle)
-	if p.states[full.ID].GrantInDoubt || gap < minGap || u.utilization(full) < minBusy {
+	if gap < minGap || u.utilization(full) < minBusy {
 		return false
 	}
 	// The idle member is filled only up to the mean, so that a run with the work of many
--- a/papayapass/internal/partitioner/planner_test.go
+++ b/papayapass/internal/partitioner/planner_test.go
@@ -308,3 +308,27 @@
 		})
 	}
 }
+
+// Two backend servers are overloaded, and the node beside the busier one has just restarted, so its
+// grants are in doubt. Keys still move away from the other one.
+func TestGrantsInDoubtDoNotStopBalancing(t *testing.T) {
+	table, states, loads := testPool(t, 6)
+	l := loads[permits]
+	for i, id := range []NodeID{"node-0", "node-1"} {
+		r := table.Owned(id)[0]
+		for k := range 200 {
+			l.Add(r.First+uint16(k), 0.15-0.05*float64(i))
+		}
+	}
+	states["node-0"] = MemberState{GrantInDoubt: true}
+	p := NewPlan(table, states, loads)
+	p.Balance()
+	moving := make(map[NodeID]int)
+	for _, r := range p.Table().Divisions[0].Ranges {
+		if r.NextOwner != "" {
+			moving[r.Owner]++
+		}
+	}
+	require.Zero(t, moving["node-0"], "its keys would be unserved for a whole hold")
+	require.Positive(t, moving["node-1"])
+}
