--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -135,6 +135,9 @@
 	for _, m := range list {
 		given += m.Server.Slots
 		end := KeyCount*given/slots - 1
+		if end < first {
+			continue // the member's share is less than a key
+		}
 		r := Range{First: uint16(first), Last: uint16(end)}
 		p.setOwner(&r, m)
 		d.Ranges = append(d.Ranges, r)
--- a/papayapass/internal/partitioner/planner_test.go
+++ b/papayapass/internal/partitioner/planner_test.go
@@ -282,3 +282,29 @@
 	}
 	require.Equal(t, 40/membersPerMove, moving)
 }
+
+// A backend server with a small share of all slots was given all keys, beside their owners.
+func TestFirstDivisionGivesEachKeyOneOwner(t *testing.T) {
+	for name, slots := range map[string][]int{
+		"smallest first": {1, 1 << 16}, "smallest last": {1 << 16, 1}, "small ones in between": {1, 1, 1 << 16, 1, 1 << 16, 1}, "even": {10, 10, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Epoch: 1, Version: 1}
+			states := make(map[NodeID]MemberState)
+			for i, n := range slots {
+				id := NodeID(fmt.Sprintf("node-%d", i))
+				table.SetMember(Member{ID: id, Server: Server{ID: "s-" + string(id), Service: permits, Slots: n, Divided: true}})
+				states[id] = MemberState{}
+			}
+			p := NewPlan(table, states, map[string]*Loads{permits: NewLoads()})
+			p.Divide(permits)
+			next := 0
+			for _, r := range p.Table().Divisions[0].Ranges {
+				require.Equal(t, next, int(r.First))
+				require.LessOrEqual(t, r.First, r.Last)
+				next = int(r.Last) + 1
+			}
+			require.Equal(t, KeyCount, next)
+		})
+	}
+}
