Keep the notice of a backend server that leaves before it is heard

Callers saw requests lost: a backend server got them long after its acknowledged leaving (DRAIN) and exited under some of them.

Cause: a node that has just started acknowledged the notice, which names an id and no start, and applied it only to a server that it had heard. A heartbeat that was held up then brought the server back into use, at all nodes.

Change: notices are kept with their time of day; a start that began before one has left, whenever it is heard. The server that the table names stands for one that has not been heard, so that the table, and by it the next process, knows that it left. A start that only seems to have left, since a clock stepped, is used again when it goes on sending for 30 s.

Why this works: the decision no longer depends on whether the heartbeat came before the notice or after it. Ruled out: refusing the acknowledgement, since the server then exits without one.

--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -83,16 +83,16 @@
 	tracer            *tracer.Tracer
 	logger            zerolog.Logger
 	started           timer.Instant
+	// timeOfDay returns the Unix time in milliseconds.
+	timeOfDay func() int64
 
 	mu              sync.Mutex
 	lastHeartbeat   descriptor.Heartbeat
 	lastHeartbeatAt timer.Instant
 	late            lateHeartbeats
-	leaving         bool
-	// left is the backend server that had left before the node started.
-	left           partitioner.Server
-	down           bool
-	failedConnects int
+	leaving         leaving
+	down            bool
+	failedConnects  int
 	// warmUpUntil is when the backend server's warm-up ends by its own account.
 	warmUpUntil timer.Instant
 	// stoppingSince is when the node started to stop.
@@ -119,7 +119,7 @@
 		admitter:  admitter.NewAdmitter(),
 		exchanger: exchanger.NewExchanger(address, connectTimeout, maxIdle, maxResponseBytes, matches),
 		node:      node, tracer: t, logger: logger, started: clock.Now(), workByKey: make(map[uint16]float32),
-		quarantine: quarantiner.NewQuarantine(clock),
+		quarantine: quarantiner.NewQuarantine(clock), timeOfDay: func() int64 { return time.Now().UnixMilli() },
 	}
 }
 
@@ -138,13 +138,13 @@
 	}
 	if newStart {
 		f.ending.confirm(f.lastHeartbeat, "next start", now, maxMissedHeartbeats*f.heartbeatInterval)
-		f.leaving = f.left.SameStart(h.ID, h.StartedAtMillis)
+		f.leaving.start(h)
 		f.notice = serverNotice{}
 		f.applyRateLimit(now)
 	}
-	changed := newStart || f.down || (h.Draining && !f.leaving)
+	changed := newStart || f.down || (h.Draining && !f.leaving.now) || f.leaving.goOn(h, now)
 	f.lastHeartbeat, f.lastHeartbeatAt, f.down, f.failedConnects = h, now, false, 0
-	f.leaving = f.leaving || h.Draining
+	f.leaving.now = f.leaving.now || h.Draining
 	f.mu.Unlock()
 	f.setWarmUp(now, h.WarmUpRemaining)
 	f.admitter.SetSlots(h.Slots)
@@ -208,46 +208,15 @@
 	f.granter.SetServer(f.Server())
 }
 
-// RecallLeft sets the backend server that had left before the node started, as the table
-// says. A heartbeat of it that was held up must not bring it back into use.
-func (f *Forwarder) RecallLeft(s partitioner.Server) {
-	f.mu.Lock()
-	f.left = s
-	isLeft := s.SameStart(f.lastHeartbeat.ID, f.lastHeartbeat.StartedAtMillis)
-	f.leaving = f.leaving || isLeft
-	f.mu.Unlock()
-	if isLeft {
-		f.granter.SetServer(f.Server())
-		f.node.TriggerHeartbeat()
-	}
-}
-
-// Leave handles the backend server's notice that it accepts no more requests.
-func (f *Forwarder) Leave(id string) {
-	if s := f.Server(); s.ID == id {
-		f.markLeaving(s)
-	}
-}
-
-// markLeaving takes the backend server s out of use, unless it has restarted since.
-func (f *Forwarder) markLeaving(s partitioner.Server) {
-	f.mu.Lock()
-	changed := !f.leaving && f.lastHeartbeat.SameStart(s.ID, s.StartedAtMillis)
-	f.leaving = f.leaving || changed
-	f.mu.Unlock()
-	if changed {
-		f.logger.Info().Str("server", s.ID).Msg("backend server leaves")
-		f.granter.SetServer(f.Server())
-		f.node.TriggerHeartbeat()
-	}
-}
-
 // Server returns what is known of the backend server.
 func (f *Forwarder) Server() partitioner.Server {
 	cfg := f.node.Configuration()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := partitioner.Server{ID: f.lastHeartbeat.ID, StartedAtMillis: f.lastHeartbeat.StartedAtMillis, Service: f.service, Slots: f.lastHeartbeat.Slots, Leaving: f.leaving, Down: f.down}
+	s := partitioner.Server{ID: f.lastHeartbeat.ID, StartedAtMillis: f.lastHeartbeat.StartedAtMillis, Service: f.service, Slots: f.lastHeartbeat.Slots, Leaving: f.leaving.now, Down: f.down}
+	if left := f.leaving.left; s.ID == "" && left.ID != "" {
+		s.ID, s.StartedAtMillis, s.Slots, s.Leaving = left.ID, left.StartedAtMillis, left.Slots, true
+	}
 	if cfg != nil {
 		s.Divided = cfg.Services[f.service].Divided
 	}
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -236,8 +236,8 @@
 	if !t.Newer(old) {
 		return
 	}
-	if m, ok := t.Member(p.self.ID); ok && old == nil && m.Server.Leaving && !m.Server.NodeStopping {
-		p.forwarder.RecallLeft(m.Server)
+	if m, ok := t.Member(p.self.ID); ok {
+		p.forwarder.RecallServer(m.Server, old == nil)
 	}
 	p.table.Store(t)
 	p.granter.SetTable(t, p.timers.Now())
