Check a call right before it starts, whatever it waited for

Callers saw 502 for lookups that a node had accepted: they reached a backend server 2.4 s after its acknowledged drain (DRAIN), which then exited as announced.

Cause: drain, zone out and stop were checked before the wait for the verdict on an equal, suspected request, which can last until the deadline, and not after it. Only the wait for a slot had a check of its own.

Change: one check right before the exchange, for all calls; the check after admission is that one now. Other waits on this path: for the key (checked by the same call now), for a connection (300 ms at most, left as it is, within the bound of a drain).

The field zoneOut of the tests' node is atomic now, since a test changes it during a call.

--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -48,12 +48,12 @@
 // fakeNode is the rest of a node.
 type fakeNode struct {
 	cfg      *descriptor.Configuration
-	zoneOut  bool
+	zoneOut  atomic.Bool
 	triggers atomic.Int32
 }
 
 func (n *fakeNode) Configuration() *descriptor.Configuration { return n.cfg }
-func (n *fakeNode) ZoneOut(bool) bool                        { return n.zoneOut }
+func (n *fakeNode) ZoneOut(bool) bool                        { return n.zoneOut.Load() }
 func (n *fakeNode) TriggerHeartbeat()                        { n.triggers.Add(1) }
 
 // testForwarder is a forwarder with a real backend server on loopback.
@@ -219,7 +219,7 @@
 			f.Heartbeat(h)
 		}, dispatcher.ReasonNoServer},
 		"after a leave":       {func(f *testForwarder) { f.Leave("server-1") }, dispatcher.ReasonNoServer},
-		"in a zone taken out": {func(f *testForwarder) { f.node.zoneOut = true }, dispatcher.ReasonZoneOut},
+		"in a zone taken out": {func(f *testForwarder) { f.node.zoneOut.Store(true) }, dispatcher.ReasonZoneOut},
 		"at a stopping node": {func(f *testForwarder) {
 			f.Stop()
 			f.mu.Lock()
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -36,33 +36,46 @@
 	if reason != dispatcher.ReasonNone {
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: reason}
 	}
-	res := f.admitAndExchange(ctx, c)
+	ticket, res, ok := f.admit(ctx, c)
+	if ok {
+		res = f.start(ctx, c, ticket)
+	}
 	f.recordRun(c, observed, res)
 	return res
 }
 
-// admitAndExchange waits for admission and sends a call to the backend server.
-func (f *Forwarder) admitAndExchange(ctx context.Context, c *dispatcher.Call) dispatcher.Result {
+// admit waits for admission. Without it, the result says why.
+func (f *Forwarder) admit(ctx context.Context, c *dispatcher.Call) (*admitter.Ticket, dispatcher.Result, bool) {
 	r := admitter.Request{Kind: c.Route, Priority: c.Priority, Objective: c.Objective, Deadline: c.Deadline}
 	ticket, decision, retry := f.admitter.Offer(r, f.clock.Now(), !c.NoQueue)
 	switch decision {
 	case admitter.Start:
 	case admitter.Busy:
-		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonBusy, Retry: retry}
+		return nil, dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonBusy, Retry: retry}, false
 	case admitter.Reject:
 		f.addRejectedWork(c)
-		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonFull, Retry: retry}
+		return nil, dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonFull, Retry: retry}, false
 	case admitter.Wait:
 		_, span, _ := f.tracer.Start(ctx, "queue", c.Trace, trace.SpanKindInternal)
-		r, ok := f.awaitAdmission(ctx, c, ticket)
+		r := f.awaitAdmission(ctx, ticket)
 		span.End()
-		if !ok {
-			return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: r}
+		if r != dispatcher.ReasonNone {
+			return nil, dispatcher.Result{Outcome: dispatcher.NotRun, Reason: r}, false
 		}
 	}
-	res, ran := f.exchange(ctx, c)
-	now := f.clock.Now()
-	f.admitter.Done(ticket, ran, now)
+	return ticket, dispatcher.Result{}, true
+}
+
+// start sends an admitted call to the backend server. What held before the waits of the call must
+// still hold.
+func (f *Forwarder) start(ctx context.Context, c *dispatcher.Call, ticket *admitter.Ticket) dispatcher.Result {
+	res, ran := dispatcher.Result{Outcome: dispatcher.NotRun}, false
+	if r, ok := f.mayStart(c); ok {
+		res, ran = f.exchange(ctx, c)
+	} else {
+		res.Reason = r
+	}
+	f.admitter.Done(ticket, ran, f.clock.Now())
 	return res
 }
 
@@ -81,7 +94,7 @@
 	}
 }
 
-// mayStart reports whether a call that waited may still run, or the reason why not.
+// mayStart reports whether a call may run now, or the reason why not.
 func (f *Forwarder) mayStart(c *dispatcher.Call) (dispatcher.Reason, bool) {
 	if r, ok := f.mayServe(c); !ok || !c.Divided {
 		return r, ok
@@ -137,26 +150,21 @@
 	}
 }
 
-// awaitAdmission waits for admission and checks again whether the call may run.
-func (f *Forwarder) awaitAdmission(ctx context.Context, c *dispatcher.Call, t *admitter.Ticket) (dispatcher.Reason, bool) {
+// awaitAdmission waits for admission, or returns why there was none.
+func (f *Forwarder) awaitAdmission(ctx context.Context, t *admitter.Ticket) dispatcher.Reason {
 	admitted := false
 	select {
 	case admitted = <-t.Admitted():
 	case <-ctx.Done():
-		if f.admitter.Cancel(t) {
-			return dispatcher.ReasonCanceled, false
+		if !f.admitter.Cancel(t) {
+			f.admitter.Done(t, false, f.clock.Now())
 		}
-		f.admitter.Done(t, false, f.clock.Now())
-		return dispatcher.ReasonCanceled, false
+		return dispatcher.ReasonCanceled
 	}
 	if !admitted {
-		return dispatcher.ReasonDeadline, false
-	}
-	r, ok := f.mayStart(c)
-	if !ok {
-		f.admitter.Done(t, false, f.clock.Now())
+		return dispatcher.ReasonDeadline
 	}
-	return r, ok
+	return dispatcher.ReasonNone
 }
 
 // exchange sends a call to the backend server. The second result reports whether the
