Judge a call again that waited for a slot

Change: a call without suspicion that got its slot and is watched by now gives the slot back and is judged again. Test TestCallThatWaitedForASlotIsJudgedAgain: without the change both cases fail; with it 20 runs with the race detector pass.

--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -32,16 +32,22 @@
 			return res
 		}
 	}
-	observed, reason := f.awaitVerdict(ctx, c)
-	if reason != dispatcher.ReasonNone {
-		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: reason}
-	}
-	ticket, res, ok := f.admit(ctx, c)
-	if ok {
-		res = f.start(ctx, c, ticket)
+	for {
+		observed, reason := f.awaitVerdict(ctx, c)
+		if reason != dispatcher.ReasonNone {
+			return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: reason}
+		}
+		ticket, res, ok := f.admit(ctx, c)
+		if ok && !observed && f.isWatched(c) {
+			f.admitter.Done(ticket, false, f.clock.Now())
+			continue // it became suspected while it waited
+		}
+		if ok {
+			res = f.start(ctx, c, ticket)
+		}
+		f.recordRun(c, observed, res)
+		return res
 	}
-	f.recordRun(c, observed, res)
-	return res
 }
 
 // admit waits for admission. Without it, the result says why.
--- a/papayapass/internal/forwarder/suspects.go
+++ b/papayapass/internal/forwarder/suspects.go
@@ -46,6 +46,11 @@
 	}
 }
 
+// isWatched reports whether a call is suspected or quarantined by now.
+func (f *Forwarder) isWatched(c *dispatcher.Call) bool {
+	return f.quarantine.IsActive() && f.quarantine.Watches(uint64(c.Fingerprint()))
+}
+
 // recordRun records what the result of a call tells about requests like it.
 func (f *Forwarder) recordRun(c *dispatcher.Call, observed bool, res dispatcher.Result) {
 	succeeded := res.Outcome == dispatcher.Answered && res.Response.Status < http.StatusInternalServerError
--- a/papayapass/internal/forwarder/suspects_test.go
+++ b/papayapass/internal/forwarder/suspects_test.go
@@ -78,3 +78,49 @@
 	require.Equal(t, dispatcher.NotRun, res.Outcome)
 	require.Equal(t, dispatcher.ReasonDeadline, res.Reason)
 }
+
+// A request became suspected or quarantined while an equal one waited for a slot, and that one
+// started unobserved.
+func TestCallThatWaitedForASlotIsJudgedAgain(t *testing.T) {
+	for name, tt := range map[string]struct {
+		change func(*testForwarder, uint64)
+		want   dispatcher.Reason
+	}{
+		"quarantined": {func(f *testForwarder, fingerprint uint64) {
+			f.quarantine.Merge([]partitioner.Suspect{{Fingerprint: fingerprint, State: partitioner.Quarantined}})
+		}, dispatcher.ReasonQuarantined},
+		"suspected, and an equal one runs": {func(f *testForwarder, fingerprint uint64) { f.quarantine.Admit(fingerprint, true) }, dispatcher.ReasonCanceled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			started, goOn := make(chan struct{}, 2), make(chan struct{})
+			f := newTestForwarder(t, func(w http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-goOn
+				respond(http.StatusOK, map[string]string{"Seal": "s"})(w, r)
+			})
+			h := f.heartbeat()
+			h.Sequence, h.Slots = 6, 1
+			f.Heartbeat(h)
+			other, c := f.call(true), f.call(true)
+			other.URI = "/other"
+			first, second := make(chan dispatcher.Result, 1), make(chan dispatcher.Result, 1)
+			go func() { first <- f.Serve(context.Background(), other) }()
+			<-started
+			canceled, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			ctx := waitingContext{canceled, make(chan struct{}, 1)}
+			go func() { second <- f.Serve(ctx, c) }()
+			<-ctx.waits
+			tt.change(f, uint64(c.Fingerprint()))
+			close(goOn)
+			require.Equal(t, dispatcher.Answered, (<-first).Outcome)
+			if tt.want == dispatcher.ReasonCanceled {
+				<-ctx.waits // it waits for the equal one now
+				cancel()
+			}
+			res := <-second
+			require.Equal(t, tt.want, res.Reason)
+			require.False(t, res.Sent)
+		})
+	}
+}
--- a/papayapass/internal/quarantiner/quarantine.go
+++ b/papayapass/internal/quarantiner/quarantine.go
@@ -59,6 +59,14 @@
 	return ok && r.state == partitioner.Quarantined
 }
 
+// Watches reports whether requests with a fingerprint are suspected or quarantined.
+func (q *Quarantine) Watches(fingerprint uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r, ok := q.records[fingerprint]
+	return ok && r.state != partitioner.Cleared
+}
+
 // Verdict is how a request may run.
 type Verdict int
 
