Let a draining heartbeat count in any order

Change: a late heartbeat of the present start that says draining takes it out of use. A start never comes back from that, so the order does not matter.

Check changed: TestHeartbeats/late expected that a late draining heartbeat changes nothing, which is this fault. The late case has another number of slots now, and all cases check that the slots stay; "late, draining" (acknowledged, out of use) and "earlier, draining" (neither) are new. "late, draining" failed before.

--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -134,6 +134,9 @@
 	newStart := !f.lastHeartbeat.SameStart(h.ID, h.StartedAtMillis)
 	if f.isLate(h, now) {
 		f.mu.Unlock()
+		if h.Draining {
+			f.markLeaving(partitioner.Server{ID: h.ID, StartedAtMillis: h.StartedAtMillis})
+		}
 		return descriptor.HeartbeatReply{}, !newStart // what it lists may have changed
 	}
 	if newStart {
