Give no lease to a process that started after the newest write

Cause: a member that followed the next coordinator released keys in its term and restarted while the store was away. Its new process knows neither the term nor the release. It followed the former coordinator, which was still within its authority, and got a lease by a table in which it owned the keys. A process that was heard after the newest acknowledged write could not extend the authority, but it could get a lease.

Change: a lease needs a process that started before the newest acknowledged write; the one before it can then have followed no later term. Heartbeats carry the time since the start of the process (less 2 % for its clock), so members of long standing get leases from a new coordinator at once, where "first heard" counted before, also for echoes.

Ruled out: trusting echoes of all other members after the restart. The next coordinator may write to a store that only the former one cannot reach, and its members need not be in the former one's table.

TestRestartedMemberGetsNoLeaseBeforeTheNextWrite is new. TestKeysOfUnheardMembersWaitForTheirLeases names an uptime now: its members run since before the term; its checks stand.

--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -54,6 +54,9 @@
 	// TrustRestartedMembers extends a coordinator's authority by echoes of members that have
 	// restarted since the store last confirmed it.
 	TrustRestartedMembers
+	// LeaseToRestartedMembers gives leases to members that have restarted since the store last
+	// confirmed the coordinator's role.
+	LeaseToRestartedMembers
 	// NameStartAtOnce names a new start of a backend server to the coordinator although it may
 	// hold keys by grants for the start before.
 	NameStartAtOnce
--- a/papayapass/internal/overseer/lease_test.go
+++ b/papayapass/internal/overseer/lease_test.go
@@ -149,3 +149,38 @@
 	m, _ := next.Member("node-2")
 	require.Equal(t, former, m)
 }
+
+// A member that followed the next coordinator and released keys restarts without the store. It
+// follows the former coordinator, in whose table it still owns them, and got a lease (incident
+// 0022).
+func TestRestartedMemberGetsNoLeaseBeforeTheNextWrite(t *testing.T) {
+	const written = leaseTestStart + timer.Instant(10*time.Second)
+	cases := map[string]struct {
+		id           partitioner.NodeID
+		uptime, sent time.Duration
+		want         bool
+	}{
+		"runs since before the write":          {"node-2", 2 * time.Second, time.Second, true},
+		"started after the write":              {"node-2", 500 * time.Millisecond, time.Second, false},
+		"started before it by a fast clock":    {"node-2", 1010 * time.Millisecond, time.Second, false},
+		"of an earlier version, heard first":   {"node-2", 0, time.Second, false},
+		"the coordinator's own node":           {"node-1", 0, time.Second, true},
+		"runs since before the write, silence": {"node-2", 20 * time.Second, 3 * time.Second, true},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := leaseTestTable()
+			o := overseer.NewOverseer("node-1", table, time.Second, leaseTestStart, leaseTestStart)
+			o.WriteConfirmed(nil, written)
+			m, _ := table.Member(tt.id)
+			now := written.Add(tt.sent)
+			beat := overseer.Heartbeat{Member: m, Incarnation: 8, Uptime: tt.uptime, Epoch: table.Epoch, Version: table.Version}
+			require.Equal(t, tt.want, o.HandleHeartbeat(beat, now).Lease > 0)
+			require.Equal(t, !tt.want, o.RenewalDue(), "a write is due at once")
+			o.WriteConfirmed(nil, now.Add(10*time.Millisecond))
+			beat.Uptime += 20 * time.Millisecond
+			require.Positive(t, o.HandleHeartbeat(beat, now.Add(20*time.Millisecond)).Lease)
+			require.False(t, o.RenewalDue())
+		})
+	}
+}
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -21,8 +21,10 @@
 type Heartbeat struct {
 	Member      partitioner.Member `json:"member"`
 	Incarnation uint64             `json:"incarnation"`
-	Epoch       uint64             `json:"epoch"`
-	Version     uint64             `json:"version"`
+	// Uptime is the time since the start of the process.
+	Uptime  time.Duration `json:"uptime,omitempty"`
+	Epoch   uint64        `json:"epoch"`
+	Version uint64        `json:"version"`
 	// Echo is the newest stamp that the node received from the coordinator of Epoch.
 	Echo timer.Instant `json:"echo"`
 	// Stopping is set when the node shuts down; its backend server keeps running.
@@ -51,6 +53,11 @@
 	Wait time.Duration `json:"wait,omitempty"`
 }
 
+// startedBy returns when the sender's process started at the latest, at the arrival of a heartbeat.
+func (h Heartbeat) startedBy(now timer.Instant) timer.Instant {
+	return now.Add(-h.Uptime * (100 - clockDriftPercent) / 100)
+}
+
 // ServerLoad returns the load of the sender's backend server.
 func (h Heartbeat) ServerLoad() ServerLoad {
 	return ServerLoad{
--- a/papayapass/internal/overseer/mutation_test.go
+++ b/papayapass/internal/overseer/mutation_test.go
@@ -43,6 +43,7 @@
 		"recover the restored table":             {mutator.RecoverStoredTable, descriptor.GrantByCall, 1000, restores},
 		"name a start at once":                   {mutator.NameStartAtOnce, descriptor.GrantByCall, 90030, lateRegistrations},
 		"trust members across their restart":     {mutator.TrustRestartedMembers, descriptor.GrantByCall, 4000, restartsAfterTakeovers},
+		"give leases across a restart":           {mutator.LeaseToRestartedMembers, descriptor.GrantByCall, 4124, restartsAfterTakeovers},
 		"forget members that were not heard":     {mutator.ForgetUnheard, descriptor.GrantByCall, 1220, restores},
 	}
 	for name, tt := range faults {
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -59,7 +59,7 @@
 	lastHeartbeatAt timer.Instant
 	leaseUntil      timer.Instant
 	echoedStamp     timer.Instant
-	// startedAt is when the present process of the node was first heard in this term.
+	// startedAt is when the present process of the node started at the latest.
 	startedAt timer.Instant
 	// namedServer is the newest start of its backend server that the process has named.
 	namedServer partitioner.Server
@@ -201,13 +201,12 @@
 }
 
 // majorityEcho returns the newest stamp that more than half of the members have echoed.
-// The coordinator counts as one of them. A process that was first heard after the newest
-// acknowledged write does not count: the one before it may have followed a later term.
+// The coordinator counts as one of them, and processes that are not current do not count.
 func (o *Overseer) majorityEcho() (timer.Instant, bool) {
 	members := len(o.table.Members)
 	var list []timer.Instant
 	for _, m := range o.table.Members {
-		if n, ok := o.nodes[m.ID]; ok && m.ID != o.self && n.echoedStamp > 0 && o.isEchoValid(n) {
+		if n, ok := o.nodes[m.ID]; ok && m.ID != o.self && n.echoedStamp > 0 && (o.isCurrent(n) || mutator.Active(mutator.TrustRestartedMembers)) {
 			list = append(list, n.echoedStamp)
 		}
 	}
@@ -219,8 +218,20 @@
 	return list[need-1], true
 }
 
-func (o *Overseer) isEchoValid(n *node) bool {
-	return n.startedAt.Before(o.confirmedAt) || mutator.Active(mutator.TrustRestartedMembers)
+// isCurrent reports whether the process of a node started before the newest acknowledged write.
+// The one before a later process may have followed a later term, and may have released keys in it
+// that the node's table still names as its own.
+func (o *Overseer) isCurrent(n *node) bool { return n.startedAt.Before(o.confirmedAt) }
+
+// RenewalDue reports whether a member waits for a write, since its process started after the
+// newest one.
+func (o *Overseer) RenewalDue() bool {
+	for _, n := range o.nodes {
+		if n.lastHeartbeat.Member.ID != o.self && !o.isCurrent(n) {
+			return true
+		}
+	}
+	return false
 }
 
 // StoreDown reports whether the newest acknowledged write, or read of this term's table,
@@ -238,7 +249,7 @@
 		o.nodes[id] = n
 	}
 	if n.startedAt == 0 || n.lastHeartbeat.Incarnation != b.Incarnation {
-		n.startedAt, n.echoedStamp, n.namedServer = now, 0, partitioner.Server{}
+		n.startedAt, n.echoedStamp, n.namedServer = b.startedBy(now), 0, partitioner.Server{}
 	}
 	if n.namedServer.StartedAfter(b.Member.Server) {
 		b.Member = n.lastHeartbeat.Member // the heartbeat was overtaken
@@ -326,7 +337,8 @@
 	if b.Member.ID == o.self {
 		left -= AuthorityDuration - OwnLeaseDuration
 	}
-	if left > 0 && !o.mayLoseKeys(b.Member.ID) && !slices.Contains(o.table.Unheard, b.Member.ID) {
+	mayHaveLease := b.Member.ID == o.self || o.isCurrent(n) || mutator.Active(mutator.LeaseToRestartedMembers)
+	if left > 0 && mayHaveLease && !o.mayLoseKeys(b.Member.ID) && !slices.Contains(o.table.Unheard, b.Member.ID) {
 		r.Lease = left - left*clockDriftPercent/100
 		if end := now.Add(left); n.leaseUntil.Before(end) {
 			n.leaseUntil = end
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -109,6 +109,7 @@
 	server            *server
 	registerAt        time.Duration // when the node hears of its backend server's next start
 	lastWrite         timer.Instant
+	startedAt         timer.Instant
 	nextPlan          time.Duration
 }
 
@@ -197,7 +198,8 @@
 	m.overseer, m.table, m.joinedEpoch, m.echo, m.echoEpoch = nil, nil, 0, 0, 0
 	m.granter = granter.NewGranter(m.self.ID, 10*time.Second, w.clock(m))
 	m.granter.SetMethod(w.method)
-	m.lastContact = w.clock(m).Add(-time.Second)
+	m.startedAt = w.clock(m)
+	m.lastContact = m.startedAt.Add(-time.Second)
 	w.registerServer(m)
 }
 
@@ -319,7 +321,7 @@
 func (w *world) sendHeartbeat(m *member) {
 	now := w.clock(m)
 	if m.table != nil {
-		b := overseer.Heartbeat{Member: m.named(now), Incarnation: m.incarnation, Epoch: m.table.Epoch, Version: m.table.Version, Released: m.granter.Released(now)}
+		b := overseer.Heartbeat{Member: m.named(now), Incarnation: m.incarnation, Uptime: now.Sub(m.startedAt), Epoch: m.table.Epoch, Version: m.table.Version, Released: m.granter.Released(now)}
 		if m.echoEpoch == m.table.Epoch {
 			b.Echo = m.echo
 		}
@@ -497,7 +499,7 @@
 		}
 	}
 	next := m.overseer.Plan(now)
-	if next == nil && now.Sub(m.lastWrite) < overseer.RenewalInterval {
+	if next == nil && now.Sub(m.lastWrite) < overseer.RenewalInterval && !m.overseer.RenewalDue() {
 		return
 	}
 	m.lastWrite = now
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -160,7 +160,7 @@
 
 // coordinate plans and writes the table while this node is the coordinator.
 func (p *Participant) coordinate(ctx context.Context) {
-	next, object, ok := p.plan()
+	next, object, renewalDue, ok := p.plan()
 	if !ok {
 		return
 	}
@@ -170,7 +170,7 @@
 	switch {
 	case next != nil:
 		state, err = p.writeTable(ctx, next, object)
-	case sent.Sub(p.lastWriteSent) >= overseer.RenewalInterval:
+	case renewalDue || sent.Sub(p.lastWriteSent) >= overseer.RenewalInterval:
 		p.renewals++
 		state, err = p.writeStatus(ctx, p.renewals, object)
 	default:
@@ -183,8 +183,9 @@
 	p.handleWriteResult(ctx, next, state, sent, err)
 }
 
-// plan returns the table to write next, or nil, and the name and revision of the object.
-func (p *Participant) plan() (*partitioner.Table, descriptor.Object, bool) {
+// plan returns the table to write next, or nil, the name and revision of the object, and whether a
+// renewal is due at once.
+func (p *Participant) plan() (next *partitioner.Table, o descriptor.Object, renewalDue, ok bool) {
 	zones := *p.zonesOut.Load()
 	list := make([]string, 0, len(zones))
 	for z := range zones {
@@ -193,15 +194,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.overseer == nil {
-		return nil, descriptor.Object{}, false
+		return nil, descriptor.Object{}, false, false
 	}
 	p.overseer.SetZonesOut(list)
-	next := p.overseer.Plan(p.timers.Now())
+	next = p.overseer.Plan(p.timers.Now())
 	if next != nil {
 		p.overseer.WriteStarted(next)
 		p.logFreed(next, p.overseer.Freed())
 	}
-	return next, descriptor.Object{Name: p.tableName, Revision: p.revision, Era: p.tableEra}, true
+	return next, descriptor.Object{Name: p.tableName, Revision: p.revision, Era: p.tableEra}, p.overseer.RenewalDue(), true
 }
 
 // logFreed logs the ranges that lose their owner in a table to be written.
--- a/papayapass/internal/participant/era_test.go
+++ b/papayapass/internal/participant/era_test.go
@@ -149,7 +149,7 @@
 	beat := func(id partitioner.NodeID) overseer.HeartbeatReply {
 		m, _ := table.Member(id)
 		m.Server = partitioner.Server{ID: "s-" + string(id), Service: "permits", Slots: 4, Divided: true}
-		return o.HandleHeartbeat(overseer.Heartbeat{Member: m, Epoch: 4, Version: 8}, now)
+		return o.HandleHeartbeat(overseer.Heartbeat{Member: m, Uptime: time.Minute, Epoch: 4, Version: 8}, now)
 	}
 	for range 35 {
 		require.Positive(t, beat("node-2").Lease)
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -97,7 +97,7 @@
 	if t == nil {
 		return overseer.HeartbeatReply{}, errNoCoordinator
 	}
-	h := overseer.Heartbeat{Incarnation: p.incarnation, Member: p.self, Wait: wait, Epoch: t.Epoch, Version: t.Version, Stopping: p.stopping.Load()}
+	h := overseer.Heartbeat{Incarnation: p.incarnation, Uptime: p.timers.Now().Sub(p.started), Member: p.self, Wait: wait, Epoch: t.Epoch, Version: t.Version, Stopping: p.stopping.Load()}
 	if cfg := p.Configuration(); cfg != nil {
 		h.ConfigurationVersion = cfg.Version
 	}
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -128,6 +128,7 @@
 	revision       uint64
 	tableEra       uint64
 	changed        chan struct{}
+	started        timer.Instant
 	lastContact    timer.Instant // time of the last reply from a coordinator
 	lastStamp      timer.Instant
 	lastStampEpoch uint64
@@ -146,7 +147,7 @@
 		self: self, incarnation: incarnation, store: store, layout: layout, timers: timers,
 		granter: g, newPeer: newPeer, logger: logger, heartbeatNow: make(chan struct{}, 1), changed: make(chan struct{}),
 		grantsDue: make(chan struct{}, 1), staleReply: make(chan struct{}, 1), termStarted: make(chan struct{}),
-		lastContact: timers.Now(), retryBudget: newRetryBudget(bounds, timers),
+		started: timers.Now(), lastContact: timers.Now(), retryBudget: newRetryBudget(bounds, timers),
 	}
 	p.bounds.Store(&bounds)
 	empty := make(map[string]bool)
