Wait for the holds of a lost table before keys are divided anew

Cause: the store came back from before the first table. A process that had just started and knew no table took this for the first start of the deployment, created a table, and divided the keys 1.3 s later, while six nodes still held them by the lost one and forgot it when they read the new epoch.

Change: the settings tell the first start (node.firstStart, from the platform's bootstrap). Otherwise such a table is blank: no leases, no division of keys until no lease of a lost table can be valid; members join and shared pools are served. A blank table supersedes none that knows owners, its coordinator's replies are no contact for a node that knows one, and such a node replaces it at once. A table of the first seconds, which may not name all members, is marked, and recovering it without anybody who has a lease waits as well.

Ruled out: waiting for one lease only, since a majority that is cut off from the store may extend its leases for 20 s.

The mutation "forget members that were not heard" is found by schedule 1293 now instead of 1220 (1000 to 1499 searched in part): members that restart no longer get the leases that made 1220 break.

--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -57,6 +57,9 @@
 	// LeaseToRestartedMembers gives leases to members that have restarted since the store last
 	// confirmed the coordinator's role.
 	LeaseToRestartedMembers
+	// FoundAtOnce divides keys at once under a table that was created after a restore of the
+	// store had lost all earlier ones.
+	FoundAtOnce
 	// NameStartAtOnce names a new start of a backend server to the coordinator although it may
 	// hold keys by grants for the start before.
 	NameStartAtOnce
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -87,10 +87,13 @@
 // HeartbeatReply is the coordinator's reply to a heartbeat.
 type HeartbeatReply struct {
 	// IsCoordinator is false in the reply of a node that is not the coordinator.
-	IsCoordinator bool          `json:"coordinates"`
-	Epoch         uint64        `json:"epoch"`
-	Stamp         timer.Instant `json:"stamp"`
-	Lease         time.Duration `json:"lease"`
+	IsCoordinator bool `json:"coordinates"`
+	// IsBlank is set while the coordinator's table is blank. A node that knows owners does not
+	// follow it.
+	IsBlank bool          `json:"blank,omitempty"`
+	Epoch   uint64        `json:"epoch"`
+	Stamp   timer.Instant `json:"stamp"`
+	Lease   time.Duration `json:"lease"`
 	// Table is the newest table, set when the node's is older and no Delta applies to it.
 	Table *partitioner.Table `json:"table,omitempty"`
 	Delta *partitioner.Delta `json:"delta,omitempty"`
--- a/papayapass/internal/overseer/mutation_test.go
+++ b/papayapass/internal/overseer/mutation_test.go
@@ -25,6 +25,7 @@
 	rollingRestarts
 	restartsAfterTakeovers
 	lateRegistrations
+	lostTables
 )
 
 // TestMutationsAreDetected injects one fault of the ownership protocol at a time and
@@ -44,7 +45,8 @@
 		"name a start at once":                   {mutator.NameStartAtOnce, descriptor.GrantByCall, 90030, lateRegistrations},
 		"trust members across their restart":     {mutator.TrustRestartedMembers, descriptor.GrantByCall, 4000, restartsAfterTakeovers},
 		"give leases across a restart":           {mutator.LeaseToRestartedMembers, descriptor.GrantByCall, 4124, restartsAfterTakeovers},
-		"forget members that were not heard":     {mutator.ForgetUnheard, descriptor.GrantByCall, 1220, restores},
+		"found a table at once":                  {mutator.FoundAtOnce, descriptor.GrantByCall, 7000, lostTables},
+		"forget members that were not heard":     {mutator.ForgetUnheard, descriptor.GrantByCall, 1293, restores},
 	}
 	for name, tt := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -76,6 +78,9 @@
 	case restartsAfterTakeovers:
 		w = newWorld(t, seed, 3+int(seed%4), method)
 		w.runRestartsAfterTakeovers()
+	case lostTables:
+		w = newWorld(t, seed, 3+int(seed%5), method)
+		w.runLostTables()
 	default:
 		w = newWorld(t, seed, 3+int(seed%5), method)
 		w.hasHotKeys, w.registersLate = true, s == lateRegistrations
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -332,13 +332,13 @@
 }
 
 func (o *Overseer) reply(n *node, b Heartbeat, now timer.Instant) HeartbeatReply {
-	r := HeartbeatReply{IsCoordinator: true, Epoch: o.table.Epoch, Stamp: now, StoreDown: o.StoreDown(now)}
+	r := HeartbeatReply{IsCoordinator: true, IsBlank: o.table.IsBlank(), Epoch: o.table.Epoch, Stamp: now, StoreDown: o.StoreDown(now)}
 	left := o.AuthorityUntil().Sub(now) - leaseSlack
 	if b.Member.ID == o.self {
 		left -= AuthorityDuration - OwnLeaseDuration
 	}
 	mayHaveLease := b.Member.ID == o.self || o.isCurrent(n) || mutator.Active(mutator.LeaseToRestartedMembers)
-	if left > 0 && mayHaveLease && !o.mayLoseKeys(b.Member.ID) && !slices.Contains(o.table.Unheard, b.Member.ID) {
+	if left > 0 && mayHaveLease && !o.table.HidesHolders() && !o.mayLoseKeys(b.Member.ID) && !slices.Contains(o.table.Unheard, b.Member.ID) {
 		r.Lease = left - left*clockDriftPercent/100
 		if end := now.Add(left); n.leaseUntil.Before(end) {
 			n.leaseUntil = end
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -14,6 +14,10 @@
 func (o *Overseer) Plan(now timer.Instant) *partitioner.Table {
 	o.decay(now)
 	o.freed = nil
+	founding := o.founding(now)
+	if founding != "" && o.table.HidesHolders() {
+		return o.planMembers(now)
+	}
 	if o.isRecovering(now) {
 		return nil
 	}
@@ -35,8 +39,19 @@
 	next := p.Table()
 	membersChanged := o.removeExpired(next, now)
 	next.HasOwnLease = o.termStart.Add(AuthorityDuration+leaseDrift).Before(now) || mutator.Active(mutator.ShortLeaseAtOnce)
-	next.Unheard, next.Suspects = nil, o.suspects.list(now)
-	if len(o.table.Unheard) == 0 && slices.Equal(next.Suspects, o.table.Suspects) && !p.Changed() && !membersChanged && membersEqual(next, o.table) && next.HasOwnLease == o.table.HasOwnLease {
+	next.Unheard, next.Suspects, next.Founding = nil, o.suspects.list(now), founding
+	if len(o.table.Unheard) == 0 && slices.Equal(next.Suspects, o.table.Suspects) && !p.Changed() && !membersChanged && membersEqual(next, o.table) && next.HasOwnLease == o.table.HasOwnLease && founding == o.table.Founding {
+		return nil
+	}
+	next.Version = o.table.Version + 1
+	return next
+}
+
+// planMembers returns the table with its present members and the same owners, or nil if it is the
+// current one.
+func (o *Overseer) planMembers(now timer.Instant) *partitioner.Table {
+	next := o.withMembers(now)
+	if membersEqual(next, o.table) {
 		return nil
 	}
 	next.Version = o.table.Version + 1
--- a/papayapass/internal/overseer/recovery.go
+++ b/papayapass/internal/overseer/recovery.go
@@ -21,6 +21,8 @@
 type Recovery struct {
 	newest *partitioner.Table
 	heard  map[partitioner.NodeID]bool
+	// replaced is the blank table that the recovered one replaces, or nil.
+	replaced *partitioner.Table
 }
 
 // NewRecovery returns a recovery that starts with the stored table and the one that this
@@ -33,6 +35,9 @@
 	return r
 }
 
+// Replace sets the blank table that the recovered one replaces.
+func (r *Recovery) Replace(blank *partitioner.Table) { r.replaced = blank }
+
 // Newest returns the newest table found so far.
 func (r *Recovery) Newest() *partitioner.Table { return r.newest }
 
@@ -65,7 +70,13 @@
 	next.Era = era
 	next.Epoch = max(next.Epoch+lost*epochsPerEra, minEras*epochsPerEra+1)
 	next.LastToken = max(next.LastToken+lost*tokensPerEra, minEras*tokensPerEra)
+	if r.replaced != nil {
+		next.Epoch, next.LastToken = max(next.Epoch, r.replaced.Epoch+1), max(next.LastToken, r.replaced.LastToken)
+	}
 	next.FormerCoordinator = ""
+	if next.Founding == partitioner.FoundedFirst && !r.isInformed() {
+		next.Founding = partitioner.FoundedUncertain
+	}
 	for _, m := range next.Members {
 		if !r.heard[m.ID] && !mutator.Active(mutator.ForgetUnheard) && !slices.Contains(next.Unheard, m.ID) {
 			next.Unheard = append(next.Unheard, m.ID)
@@ -74,6 +85,43 @@
 	return next
 }
 
+// isInformed reports whether a member with a lease has answered. It knows all members that may
+// hold keys, or those that do.
+func (r *Recovery) isInformed() bool {
+	for _, hasLease := range r.heard {
+		if hasLease {
+			return true
+		}
+	}
+	return false
+}
+
+// FirstTable returns the table that a node creates if the store has none and it knows none. Unless
+// the whole deployment starts for the first time, a restore of the store may have lost a table.
+// The epoch and tokens are above those of earlier eras.
+func FirstTable(self partitioner.Member, incarnation, era, minEras uint64, isFirst bool) *partitioner.Table {
+	first := &partitioner.Table{Coordinator: self.ID, Founding: partitioner.FoundedBlank}
+	if isFirst || mutator.Active(mutator.FoundAtOnce) {
+		first.Founding = partitioner.FoundedFirst
+	}
+	first.SetMember(self)
+	return NewRecovery(self.ID, true, first, nil).Table(self, incarnation, era, minEras)
+}
+
+// founding returns how the table counts as created from now on: members of a first one have all
+// been heard after a lease, and holds of members that another does not name have ended when no
+// coordinator of an earlier term can have authority.
+func (o *Overseer) founding(now timer.Instant) partitioner.Founding {
+	wait := AuthorityDuration + leaseDrift
+	if o.table.HidesHolders() {
+		wait += MaxStoreOutage
+	}
+	if o.termStart.Add(wait).Before(now) {
+		return ""
+	}
+	return o.table.Founding
+}
+
 // isRecovering reports whether members that were not heard after a restore of the store may
 // still hold keys by a table that was lost.
 func (o *Overseer) isRecovering(now timer.Instant) bool {
--- a/papayapass/internal/overseer/succession.go
+++ b/papayapass/internal/overseer/succession.go
@@ -17,6 +17,8 @@
 	Incarnation uint64
 	// Stored is the table in the store; Known is the table that the node had before.
 	Stored, Known *partitioner.Table
+	// StoredIsBlank is set if the table in the store knows no owners, while this node does.
+	StoredIsBlank bool
 	// CannotWrite is set when the coordinator reported an outage of its store.
 	CannotWrite bool
 	// Silent is the time since the coordinator's last reply.
@@ -56,7 +58,7 @@
 		return StepClaim
 	case v.Known == nil || v.Stored.Epoch > v.Known.Epoch:
 		return StepFollow
-	case v.CannotWrite:
+	case v.CannotWrite || v.StoredIsBlank:
 		return StepClaim
 	case !v.Probed:
 		return StepProbe
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -128,6 +128,8 @@
 	restoreAt time.Duration
 	// era rises with each restore.
 	era uint64
+	// losesTables is set if restores bring back a state from before the first table.
+	losesTables bool
 	// isOverwritten is set while another writer has made the stored table unusable.
 	isOverwritten bool
 	method        descriptor.GrantMethod
@@ -173,6 +175,12 @@
 
 // restore brings back an earlier state of the store. Revisions are given out again.
 func (w *world) restore() {
+	if w.losesTables {
+		w.t.Logf("store restored at %s from a copy without a table", w.now)
+		w.table, w.revision, w.copies = nil, 0, w.copies[:0]
+		w.era++
+		return
+	}
 	c := w.copies[w.r.IntN(len(w.copies))]
 	w.t.Logf("store restored at %s from a copy of %s", w.now, c.at)
 	w.table, w.revision, w.copies = c.table, c.revision, w.copies[:0]
@@ -218,12 +226,12 @@
 // write replaces the table of an era if the revision matches. The reply may be lost, and the
 // write may be delayed.
 func (w *world) write(m *member, t *partitioner.Table, era, revision uint64) (ok, known bool) {
-	return w.tryWrite(m, t, func() bool { return w.table.Era == era && w.revision == revision })
+	return w.tryWrite(m, t, func() bool { return w.table != nil && w.table.Era == era && w.revision == revision })
 }
 
 // create stores the first table of an era.
 func (w *world) create(m *member, t *partitioner.Table) (ok, known bool) {
-	return w.tryWrite(m, t, func() bool { return w.era == t.Era && w.table.Era < t.Era })
+	return w.tryWrite(m, t, func() bool { return w.era == t.Era && (w.table == nil || w.table.Era < t.Era) })
 }
 
 func (w *world) tryWrite(m *member, t *partitioner.Table, allowed func() bool) (ok, known bool) {
@@ -357,7 +365,7 @@
 }
 
 func (w *world) handleReply(m *member, r overseer.HeartbeatReply, sent timer.Instant) {
-	if r.Epoch < m.joinedEpoch {
+	if r.Epoch < m.joinedEpoch || (r.IsBlank && !m.table.IsBlank()) {
 		return
 	}
 	m.joinedEpoch, m.lastContact, m.echo, m.echoEpoch = r.Epoch, w.clock(m), r.Stamp, r.Epoch
@@ -389,10 +397,8 @@
 
 func (w *world) findCoordinator(m *member, storeDown bool) {
 	now := w.clock(m)
-	if w.table == nil {
-		t := &partitioner.Table{Era: w.era, Epoch: 1, Version: 1, Coordinator: m.self.ID, Incarnation: m.incarnation}
-		t.SetMember(m.self)
-		w.table, w.revision = t, 1
+	if w.table == nil && m.table == nil {
+		w.table, w.revision = overseer.FirstTable(m.self, m.incarnation, w.era, 0, w.era == 1), w.revision+1
 	}
 	stored, revision := w.table, w.revision
 	if w.isOverwritten {
@@ -401,11 +407,12 @@
 		}
 		stored = m.table
 	}
-	if stored.Era < w.era && m.table != nil && m.table.Newer(stored) {
+	isBlank := w.supersedesBlank(m)
+	if isBlank || stored == nil || (stored.Era < w.era && m.table != nil && m.table.Newer(stored)) {
 		stored = m.table
 	}
 	view := overseer.ElectionView{
-		Self: m.self.ID, Incarnation: m.incarnation, Stored: stored, Known: m.table, CannotWrite: storeDown, Silent: now.Sub(m.lastContact),
+		Self: m.self.ID, Incarnation: m.incarnation, Stored: stored, Known: m.table, CannotWrite: storeDown, Silent: now.Sub(m.lastContact), StoredIsBlank: isBlank,
 	}
 	w.applyTable(m, stored)
 	step := view.NextStep()
@@ -427,7 +434,7 @@
 	}
 	switch step {
 	case overseer.StepAdopt, overseer.StepClaim:
-		if stored.Era < w.era || w.isOverwritten {
+		if stored.Era < w.era || w.isOverwritten || isBlank {
 			w.recover(m)
 			return
 		}
@@ -444,6 +451,11 @@
 	}
 }
 
+// supersedesBlank reports whether the stored table knows no owners while a member does.
+func (w *world) supersedesBlank(m *member) bool {
+	return w.table != nil && w.table.IsBlank() && m.table != nil && !m.table.IsBlank()
+}
+
 // recover takes the role with the newest table that reachable members know.
 func (w *world) recover(m *member) {
 	now := w.clock(m)
@@ -451,10 +463,14 @@
 	if m.overseer != nil && m.overseer.Table().Newer(known) {
 		known = m.overseer.Table()
 	}
-	if w.isOverwritten {
+	isBlank := w.supersedesBlank(m)
+	if w.isOverwritten || isBlank || stored == nil {
 		stored = known
 	}
 	recovery := overseer.NewRecovery(m.self.ID, m.granter.LeaseLeft(now) > 0, stored, known)
+	if isBlank {
+		recovery.Replace(w.table)
+	}
 	for range 2 {
 		for _, missing := range recovery.Missing() {
 			for _, o := range w.members {
@@ -464,9 +480,14 @@
 			}
 		}
 	}
-	if w.isOverwritten {
-		next := recovery.Table(m.self, m.incarnation, w.era, w.era+revision)
-		if ok, _ := w.tryWrite(m, next, func() bool { return w.isOverwritten && w.revision == revision }); ok {
+	if w.isOverwritten || (isBlank && w.table.Era >= w.era) {
+		minEras := w.era + revision
+		if isBlank && recovery.Newest().Era < w.era {
+			minEras = 0
+		}
+		next := recovery.Table(m.self, m.incarnation, w.era, minEras)
+		isLost := func() bool { return (w.isOverwritten || w.supersedesBlank(m)) && w.revision == revision }
+		if ok, _ := w.tryWrite(m, next, isLost); ok {
 			w.applyTable(m, next)
 			w.startTerm(m, next, w.revision, now)
 		}
@@ -513,7 +534,7 @@
 		m.overseer.WriteConfirmed(next, now)
 	case known && !w.storeUp(m):
 		m.overseer.WriteFailed(next)
-	case w.storeUp(m) && (w.table.Era < w.era || w.isOverwritten):
+	case w.storeUp(m) && (w.table == nil || w.table.Era < w.era || w.isOverwritten || w.supersedesBlank(m)):
 		w.recover(m)
 	case w.storeUp(m):
 		if w.table.Coordinator == m.self.ID && w.table.Incarnation == m.incarnation {
--- a/papayapass/internal/participant/era.go
+++ b/papayapass/internal/participant/era.go
@@ -52,11 +52,16 @@
 	defer cancel()
 	stored, err := readStoredTable(ctx, p.store)
 	p.observeEra(stored.era)
-	if isMissing := errors.Is(err, descriptor.ErrNotFound); isMissing || stored.isLost {
+	isBlank := stored.table != nil && stored.table.IsBlank()
+	if isMissing := errors.Is(err, descriptor.ErrNotFound); isMissing || stored.isLost || isBlank {
 		p.mu.Lock()
-		if t := p.newestTable(); t != nil && t.Newer(stored.table) {
-			stored.table, err = t, nil
+		if t := p.newestTable(); t != nil && t.Newer(stored.table) && (!isBlank || !t.IsBlank()) {
+			if isBlank {
+				stored.blank = stored.table
+				stored.isLost = stored.table.Era >= stored.era
+			}
 			stored.isLost = stored.isLost || t.Era >= stored.era
+			stored.table, err = t, nil
 		}
 		p.mu.Unlock()
 	}
@@ -72,6 +77,7 @@
 	p.mu.Lock()
 	recovery := overseer.NewRecovery(p.self.ID, p.granter.LeaseLeft(p.timers.Now()) > 0, stored.table, p.newestTable())
 	p.mu.Unlock()
+	recovery.Replace(stored.blank)
 	for range recoveryRounds {
 		p.askForTables(ctx, recovery)
 	}
--- a/papayapass/internal/participant/era_test.go
+++ b/papayapass/internal/participant/era_test.go
@@ -240,3 +240,46 @@
 		})
 	}
 }
+
+// A new process found no table in a restored store and created one whose keys it divided at once,
+// while others held them by the lost one (incident 0023).
+func TestTableOfANewProcessInARestoredStoreIsBlank(t *testing.T) {
+	for name, want := range map[string]partitioner.Founding{"first start": partitioner.FoundedFirst, "later start": partitioner.FoundedBlank} {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{version: 1, revision: 10, era: 3}
+			p, _ := newTestParticipant(t, s)
+			p.firstStart = name == "first start"
+			p.findCoordinator(context.Background(), false)
+			require.True(t, p.Status().IsCoordinator)
+			require.Equal(t, want, s.storedTable(t).Founding)
+		})
+	}
+}
+
+// A node that knows the lost table takes the role with it in place of a blank one, in the same era
+// of the store and in a later one.
+func TestBlankTableIsReplacedByOneThatKnowsOwners(t *testing.T) {
+	for name, era := range map[string]uint64{"in the same era": 3, "in a later era": 4} {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{version: 1, revision: 10, era: 3}
+			blank := overseer.FirstTable(partitioner.Member{ID: "node-3", Address: "127.0.0.1:3"}, 5, 3, 0, false)
+			s.setTable(t, "main-3", blank)
+			s.era = era
+			p, _ := newTestParticipant(t, s)
+			known := testTable(8, "node-2")
+			known.Era = 1
+			require.NoError(t, p.applyReply(overseer.HeartbeatReply{IsCoordinator: true, Epoch: 4, Lease: time.Second, Table: known}, p.timers.Now()))
+			p.client = probeClient{replies: map[string]overseer.ProbeReply{"node-2": {Epoch: 4, HasLease: true}, "node-3": {Epoch: blank.Epoch, Table: blank}}}
+			p.findCoordinator(context.Background(), false)
+			require.True(t, p.Status().IsCoordinator)
+			table := s.storedTable(t)
+			require.Equal(t, partitioner.NodeID("node-2"), table.Divisions[0].Ranges[0].Owner)
+			require.Equal(t, []partitioner.NodeID{"node-3"}, table.Unheard, "its former process may hold keys")
+			require.Equal(t, era, table.Era)
+			require.Greater(t, table.Epoch, blank.Epoch)
+			require.GreaterOrEqual(t, table.LastToken, blank.LastToken)
+			require.Less(t, table.LastToken, (era+1)<<20, "the next era begins above it")
+			require.Empty(t, table.Founding)
+		})
+	}
+}
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -134,6 +134,9 @@
 		}
 		return errors.Wrap(errNoCoordinator, "the node is not the coordinator")
 	}
+	if r.IsBlank && !p.table.Load().IsBlank() {
+		return errors.Wrap(errNoCoordinator, "the coordinator knows no owners")
+	}
 	p.mu.Lock()
 	if r.Epoch < p.highestEpoch {
 		p.mu.Unlock()
@@ -226,6 +229,7 @@
 	}
 	view := overseer.ElectionView{
 		Self: p.self.ID, Incarnation: p.incarnation, Stored: t, Known: known, CannotWrite: cannotWrite, Silent: p.coordinatorSilence(),
+		StoredIsBlank: stored.blank != nil,
 	}
 	p.applyTable(t)
 	step := view.NextStep()
@@ -234,7 +238,7 @@
 		step = view.NextStep()
 	}
 	p.logger.Info().Str("step", string(step)).Uint64("epoch", t.Epoch).Str("coordinator", string(t.Coordinator)).
-		Bool("cannotWrite", cannotWrite).Bool("restored", stored.mustRecover()).Dur("silent", view.Silent).Int("others", view.Others).
+		Bool("cannotWrite", cannotWrite).Bool("restored", stored.mustRecover()).Bool("blank", stored.blank != nil).Dur("silent", view.Silent).Int("others", view.Others).
 		Int("answered", view.Answered).Int("hear", view.InContact).Msg("coordinator looked for")
 	switch {
 	case step == overseer.StepFollow || step == overseer.StepProbe:
@@ -295,11 +299,11 @@
 // those of earlier eras, whose tables a restore of the store may have lost, and of a table
 // that is unusable.
 func (p *Participant) createTable(ctx context.Context, stored storedTable) {
-	first := &partitioner.Table{Coordinator: p.self.ID}
-	first.SetMember(p.self)
-	t := overseer.NewRecovery(p.self.ID, true, first, nil).Table(p.self, p.incarnation, stored.era, stored.minEras())
+	// Nobody can hold keys by a lost table any more once no lease of its time can be valid.
+	isFirst := p.firstStart || stored.isLost
+	t := overseer.FirstTable(p.self, p.incarnation, stored.era, stored.minEras(), isFirst)
 	if p.storeNewTable(ctx, t, stored) {
-		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("era", stored.era).Msg("first table created")
+		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("era", stored.era).Str("founding", string(t.Founding)).Msg("first table created")
 	}
 }
 
--- a/papayapass/internal/participant/storedtable.go
+++ b/papayapass/internal/participant/storedtable.go
@@ -43,6 +43,8 @@
 	// isLost is set if the object of the era is missing or was made unusable by another
 	// writer, so that nobody knows what it held last.
 	isLost bool
+	// blank is the table in the object if it knows no owners while this node does, otherwise nil.
+	blank *partitioner.Table
 	// rejected says why objects of the kind were not used.
 	rejected []error
 }
@@ -57,8 +59,8 @@
 // minEras returns how many eras' worth of epochs and tokens may have been used by tables that
 // are lost, zero if none are: each revision has used less than an era skips.
 func (s storedTable) minEras() uint64 {
-	if !s.isLost {
-		return 0
+	if !s.isLost || (s.blank != nil && s.table.Era < s.era) {
+		return 0 // a blank table uses no tokens, and its epochs are known
 	}
 	return s.era + s.storeRevision
 }
--- a/papayapass/internal/partitioner/delta.go
+++ b/papayapass/internal/partitioner/delta.go
@@ -9,6 +9,7 @@
 	Version   uint64     `json:"version"`
 	LastToken uint64     `json:"lastToken"`
 	OwnLease  bool       `json:"ownLease,omitempty"`
+	Founding  Founding   `json:"founding,omitempty"`
 	Unheard   []NodeID   `json:"unheard,omitempty"`
 	Suspects  []Suspect  `json:"suspects,omitempty"` // all of them
 	Members   []Member   `json:"members,omitempty"`
@@ -20,7 +21,7 @@
 func Diff(from, to *Table) *Delta {
 	d := &Delta{
 		Epoch: to.Epoch, From: from.Version, Version: to.Version, LastToken: to.LastToken, OwnLease: to.HasOwnLease,
-		Unheard: to.Unheard, Suspects: to.Suspects,
+		Founding: to.Founding, Unheard: to.Unheard, Suspects: to.Suspects,
 	}
 	for _, m := range to.Members {
 		if old, ok := from.Member(m.ID); !ok || old != m {
@@ -55,7 +56,7 @@
 	}
 	next := t.Clone()
 	next.Version, next.LastToken, next.HasOwnLease = d.Version, d.LastToken, d.OwnLease
-	next.Unheard, next.Suspects = d.Unheard, d.Suspects
+	next.Founding, next.Unheard, next.Suspects = d.Founding, d.Unheard, d.Suspects
 	for _, id := range d.Removed {
 		next.RemoveMember(id)
 	}
--- a/papayapass/internal/partitioner/table.go
+++ b/papayapass/internal/partitioner/table.go
@@ -95,6 +95,8 @@
 	FormerCoordinator NodeID `json:"former,omitempty"`
 	// Era is the store's era in which the epoch began; zero if the store has none.
 	Era uint64 `json:"era,omitempty"`
+	// Founding says how the table was created, until it is certain that it names all members.
+	Founding Founding `json:"founding,omitempty"`
 	// Unheard are the members that could not be asked when the table was recovered after a
 	// restore of the store. Until their leases have ended, no keys change hands.
 	Unheard []NodeID `json:"unheard,omitempty"`
@@ -105,11 +107,15 @@
 	Divisions []Division `json:"divisions"`
 }
 
-// Newer reports whether the table supersedes another.
+// Newer reports whether the table supersedes another. A blank table supersedes none that knows
+// owners.
 func (t *Table) Newer(other *Table) bool {
 	if other == nil {
 		return true
 	}
+	if t.IsBlank() != other.IsBlank() {
+		return other.IsBlank()
+	}
 	if t.Epoch != other.Epoch {
 		return t.Epoch > other.Epoch
 	}
