Limit what the store and other nodes send, all messages together

Report of other operators: bytes without end from an upstream ended the machine that had called it. Looked for from the other sources: the store could list pages without end, all of which were kept until the call timed out (about 125 MB in 1 s on the sites' links); heads of the store had the library's 10 MiB each; replies to control calls had 4 MiB each and no common limit, while a node asks all members at once after a restore.

--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/exchanger"
@@ -52,7 +53,9 @@
 	witness *exchanger.Witness
 	host    string
 	peers   sync.Map // address to *exchanger.Exchanger
-	logger  zerolog.Logger
+	// memory limits the replies of other nodes that are read at the same time; nil does not.
+	memory *budgeter.Budget
+	logger zerolog.Logger
 }
 
 var _ participant.Client = (*client)(nil)
@@ -77,8 +80,13 @@
 	if err != nil {
 		return errors.Wrap(err, "encode a call")
 	}
+	var lease *budgeter.Lease
+	if c.memory != nil {
+		lease = c.memory.Lease()
+		defer lease.Close()
+	}
 	response, err := c.peer(address).Do(ctx, exchanger.Request{
-		Method: http.MethodPost, URI: path, Host: address, Header: http.Header{}, Body: body, MaxIdle: controlMaxIdle,
+		Method: http.MethodPost, URI: path, Host: address, Header: http.Header{}, Body: body, MaxIdle: controlMaxIdle, Memory: lease,
 	})
 	if err != nil {
 		return err
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -141,10 +141,7 @@
 	g := granter.NewGranter(self.ID, time.Duration(s.Bounds.HoldMax), n.timers.Now())
 	g.SetMethod(s.Node.Grants)
 	g.SetReplyLimit(granter.ReplyLimit{Bytes: a.MaxHeartbeatReplyBytes - heartbeatReplyReserve, RangeBytes: a.GrantBytes})
-	dialer := exchanger.NewDialer(controlConnectTimeout)
-	store := a.Store(s.Store.Address, &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: controlMaxIdle, DisableCompression: true,
-	})
+	store := a.Store(s.Store.Address, newStoreTransport())
 	n.enveloper = enveloper.NewEnveloper(dictionary(a.SampleHeaders))
 	n.memory = budgeter.NewBudget(s.bodyMemory())
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, n.timers, n.enveloper) }
@@ -152,6 +149,7 @@
 	n.participant = participant.NewParticipant(self, incarnation, store, a.StoreLayout, s.bounds(), n.timers, g, newPeer, s.Node.FirstStart, logger)
 	n.forwarder = forwarder.NewForwarder(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.HeaderCodec, n.timers, g, n.participant, t, logger)
 	c := newClient(a.GrantAPI, s.Node.Server, n.enveloper)
+	c.memory = budgeter.NewBudget(s.controlMemory())
 	c.witness, c.logger = exchanger.NewWitness(s.Node.Server, controlConnectTimeout), logger
 	n.forwarder.SetWitness(c)
 	n.participant.Attach(n.forwarder, c)
@@ -159,6 +157,15 @@
 	return n
 }
 
+// newStoreTransport returns the transport of calls to the store.
+func newStoreTransport() *http.Transport {
+	dialer := exchanger.NewDialer(controlConnectTimeout)
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: controlMaxIdle, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // addGauges adds the node's status to its metrics.
 func (n *node) addGauges() {
 	gauge := func(name string, read func(participant.Status) float64) {
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -151,6 +151,14 @@
 	return int64(bodyMemoryShare * float64(s.Node.MemoryMB) * (1 << 20))
 }
 
+// controlMemoryShare is the fraction of the memory for replies of other nodes to control calls.
+const controlMemoryShare = 0.06
+
+// controlMemory returns the memory for replies to control calls, in bytes.
+func (s *Settings) controlMemory() int64 {
+	return int64(controlMemoryShare * float64(s.Node.MemoryMB) * (1 << 20))
+}
+
 // metricsAddress returns the address of the metrics page.
 func (s *Settings) metricsAddress() string {
 	return net.JoinHostPort(s.Node.Address, strconv.Itoa(s.Listen.Metrics))
