Answer every request before a stopping node ends

Report of other operators: late requests in a planned stop were passed on and cut off without an answer at the end of the grace period (LOST). It can happen here: not with the time-outs of the sites (2.5 s of taking and 3 s of running in 6 s), but with longer ones, which a configuration may bring.

Cause: nothing compared a request's deadline with the end of the process, and requests that waited for a key, a verdict or a slot did not learn of the end.

Change: while a node stops, deadlines end 0.5 s before the grace period does, and a request that would have less than its objective is refused at once as not run. At that instant the contexts of all requests end, so that those that wait get 503 and those of unknown outcome 502 instead of a closed connection.

--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -81,6 +82,8 @@
 	memory  *budgeter.Budget
 	tracer  *tracer.Tracer
 	logger  zerolog.Logger
+	// stopAt is when a stopping node gives up what is still in flight; zero while it runs.
+	stopAt atomic.Int64
 }
 
 // NewDispatcher returns a dispatcher; caller is the service of this instance.
@@ -90,6 +93,20 @@
 	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger}
 }
 
+// Stop makes the dispatcher accept only requests that can be answered before an instant.
+func (d *Dispatcher) Stop(at timer.Instant) { d.stopAt.Store(int64(at)) }
+
+// limitToStop limits the deadline of a call to the end of a stopping node. The result is false if that
+// leaves less time than the call's objective: it would be cut off while the backend server runs it.
+func (d *Dispatcher) limitToStop(c *Call) bool {
+	end := timer.Instant(d.stopAt.Load())
+	if end == 0 || c.Deadline <= end {
+		return true
+	}
+	c.Deadline = end
+	return end.Sub(d.clock.Now()) >= c.Objective
+}
+
 // ServeHTTP serves one request of a customer.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := d.clock.Now()
@@ -122,6 +139,10 @@
 		}
 	}
 	d.cluster.CountRequest(c.Service)
+	if !d.limitToStop(c) {
+		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonStopping}, arrived, &attemptLog{start: arrived})
+		return
+	}
 	if d.cluster.IsQuarantined(c) {
 		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonQuarantined}, arrived, &attemptLog{start: arrived})
 		return
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -81,6 +81,8 @@
 	lameDuckDuration = 2500 * time.Millisecond
 	// stopReserve is the part of the grace period that is kept for the end of the process.
 	stopReserve = 300 * time.Millisecond
+	// answerReserve is the part before it in which requests that are still in flight are answered.
+	answerReserve = 200 * time.Millisecond
 )
 
 // Run runs a node until ctx is done, then stops it gracefully.
@@ -131,6 +133,7 @@
 	meter       *meter.Meter
 	enveloper   *enveloper.Enveloper
 	memory      *budgeter.Budget
+	dispatcher  *dispatcher.Dispatcher
 	drainers    []*drainer.Drainer
 	tracer      *tracer.Tracer
 }
@@ -200,17 +203,20 @@
 	runCtx, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, runCtx := errgroup.WithContext(runCtx)
+	// requests ends shortly before the process does, so that what is still in flight gets an answer.
+	requests, endRequests := context.WithCancel(context.WithoutCancel(ctx))
+	defer endRequests()
 	summaries := summarizer.NewSummarizer(meter.NewRouteMeter(n.meter), n.logger)
-	customers := dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.memory, n.tracer, n.logger)
+	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.memory, n.tracer, n.logger)
 	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
 	for address, h := range map[string]http.Handler{
-		n.settings.Listen.Customers:  customers,
+		n.settings.Listen.Customers:  n.dispatcher,
 		n.settings.Listen.Ready:      http.HandlerFunc(n.ready),
 		n.settings.Listen.Heartbeats: http.HandlerFunc(n.heartbeat),
 		n.settings.metricsAddress():  http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) }),
 		n.settings.peersAddress():    newPeerHandler(n.participant, peers, n.enveloper),
 	} {
-		if err := n.listen(g, address, h); err != nil {
+		if err := n.listen(requests, g, address, h); err != nil {
 			return err
 		}
 	}
@@ -222,7 +228,7 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			n.stop(runCtx)
+			n.stop(runCtx, endRequests)
 		case <-runCtx.Done():
 		}
 		end()
@@ -234,14 +240,14 @@
 	return g.Wait()
 }
 
-func (n *node) listen(g *errgroup.Group, address string, h http.Handler) error {
+func (n *node) listen(requests context.Context, g *errgroup.Group, address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", address)
 	}
 	d := drainer.NewDrainer(&http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
+		ErrorLog: nil, BaseContext: func(net.Listener) context.Context { return requests },
 	}, l)
 	n.drainers = append(n.drainers, d)
 	g.Go(func() error { return errors.Wrapf(d.Serve(), "serve at %s", address) })
@@ -312,14 +318,19 @@
 	w.WriteHeader(status)
 }
 
-// stop lets customers move to other nodes and waits for the requests in flight.
-func (n *node) stop(ctx context.Context) {
+// stop lets customers move to other nodes and waits for the requests in flight. What is left shortly
+// before the end is answered as it stands.
+func (n *node) stop(ctx context.Context, endRequests func()) {
 	n.logger.Info().Msg("node stops")
 	n.participant.Stop()
 	n.forwarder.Stop()
 	for _, d := range n.drainers {
 		d.DisableKeepAlives()
 	}
+	left := time.Duration(n.settings.Bounds.Grace) - stopReserve - answerReserve
+	n.dispatcher.Stop(n.timers.Now().Add(left))
+	answer := time.AfterFunc(left, endRequests)
+	defer answer.Stop()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Bounds.Grace)-stopReserve)
 	defer cancel()
 	select {
