Dial the witness without its lock, and renew no faster in an outage

Found by reading the diff. A connect of the witness that hangs held its lock for up to 300 ms, and grants waited for it without regard to their time-out, so that a hold could begin late. The connect runs without the lock now, gives way to a later message, and a grant whose time-out has passed at the guard is not sent. A coordinator whose store is down wrote at each tick, every 100 ms, once a process had started since; a renewal is due at once only while the store answers.

--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	if req.Guard != nil && !req.Guard() {
+	if req.Guard != nil && (!req.Guard() || ctx.Err() != nil) {
 		_ = c.Close() // nothing was sent
 		return nil, errors.Mark(ErrUnguarded, ErrNotSent)
 	}
--- a/papayapass/internal/exchanger/witness.go
+++ b/papayapass/internal/exchanger/witness.go
@@ -37,21 +37,20 @@
 // Heard records that a start of the server has just been heard, and opens a connection if there is
 // none to it.
 func (w *Witness) Heard(ctx context.Context, start string) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.isOpen() && (w.start == start || w.start == "") {
-		w.start = start // it has been heard since the connection was opened
-		if time.Since(w.openedAt) <= w.maxAge {
-			return nil
-		}
-	} else {
-		w.close()
+	former, ok := w.keep(start)
+	if ok {
+		return nil
 	}
 	began := time.Now()
 	conn, err := w.dialer.DialContext(ctx, "tcp", w.address)
 	if err != nil {
 		return err
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn != former { // another message came meanwhile
+		return conn.Close()
+	}
 	isSame := w.isOpen() || time.Since(began) <= w.minRestartTime
 	w.close()
 	w.conn, w.openedAt = conn, began
@@ -61,6 +60,19 @@
 	return nil
 }
 
+// keep reports whether the connection is one to a start that has just been heard, and young enough.
+// Otherwise it returns the connection to replace, or nil.
+func (w *Witness) keep(start string) (former net.Conn, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.isOpen() || (w.start != start && w.start != "") {
+		w.close()
+		return nil, false
+	}
+	w.start = start // it has been heard since the connection was opened
+	return w.conn, time.Since(w.openedAt) <= w.maxAge
+}
+
 // Vouches reports whether connections that are open now lead to a start of the server.
 func (w *Witness) Vouches(start string) bool {
 	w.mu.Lock()
--- a/papayapass/internal/overseer/lease_test.go
+++ b/papayapass/internal/overseer/lease_test.go
@@ -176,11 +176,12 @@
 			now := written.Add(tt.sent)
 			beat := overseer.Heartbeat{Member: m, Incarnation: 8, Uptime: tt.uptime, Epoch: table.Epoch, Version: table.Version}
 			require.Equal(t, tt.want, o.HandleHeartbeat(beat, now).Lease > 0)
-			require.Equal(t, !tt.want, o.RenewalDue(), "a write is due at once")
+			require.Equal(t, !tt.want, o.RenewalDue(now), "a write is due at once")
+			require.False(t, o.RenewalDue(now.Add(overseer.AuthorityDuration)), "not while the store is down")
 			o.WriteConfirmed(nil, now.Add(10*time.Millisecond))
 			beat.Uptime += 20 * time.Millisecond
 			require.Positive(t, o.HandleHeartbeat(beat, now.Add(20*time.Millisecond)).Lease)
-			require.False(t, o.RenewalDue())
+			require.False(t, o.RenewalDue(now.Add(20*time.Millisecond)))
 		})
 	}
 }
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -224,8 +224,11 @@
 func (o *Overseer) isCurrent(n *node) bool { return n.startedAt.Before(o.confirmedAt) }
 
 // RenewalDue reports whether a member waits for a write, since its process started after the
-// newest one.
-func (o *Overseer) RenewalDue() bool {
+// newest one. A store that is down is not asked more often.
+func (o *Overseer) RenewalDue(now timer.Instant) bool {
+	if o.StoreDown(now) {
+		return false
+	}
 	for _, n := range o.nodes {
 		if n.lastHeartbeat.Member.ID != o.self && !o.isCurrent(n) {
 			return true
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -526,7 +526,7 @@
 		}
 	}
 	next := m.overseer.Plan(now)
-	if next == nil && now.Sub(m.lastWrite) < overseer.RenewalInterval && !m.overseer.RenewalDue() {
+	if next == nil && now.Sub(m.lastWrite) < overseer.RenewalInterval && !m.overseer.RenewalDue(now) {
 		return
 	}
 	m.lastWrite = now
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -197,12 +197,13 @@
 		return nil, descriptor.Object{}, false, false
 	}
 	p.overseer.SetZonesOut(list)
-	next = p.overseer.Plan(p.timers.Now())
+	now := p.timers.Now()
+	next = p.overseer.Plan(now)
 	if next != nil {
 		p.overseer.WriteStarted(next)
 		p.logFreed(next, p.overseer.Freed())
 	}
-	return next, descriptor.Object{Name: p.tableName, Revision: p.revision, Era: p.tableEra}, p.overseer.RenewalDue(), true
+	return next, descriptor.Object{Name: p.tableName, Revision: p.revision, Era: p.tableEra}, p.overseer.RenewalDue(now), true
 }
 
 // logFreed logs the ranges that lose their owner in a table to be written.
