--- a/papayapass/internal/dispatcher/cut_test.go
+++ b/papayapass/internal/dispatcher/cut_test.go
@@ -109,9 +109,11 @@
 			address := strings.TrimPrefix(node.URL, "http://")
 			link := newCutLink(t)
 			link.part.Store(&[]byte{})
-			cluster := peerCluster{&fakeCluster{cfg: testConfiguration()}, NewPeer(link.address, timer.BootClock{}, testEnveloper)}
+			clock := &timer.ManualClock{} // on a busy machine, an exchange may take longer than the time-out
+			clock.Advance(time.Hour)
+			cluster := peerCluster{&fakeCluster{cfg: testConfiguration()}, NewPeer(link.address, clock, testEnveloper)}
 			defer cluster.peer.Close()
-			d := NewDispatcher(cluster, fakeCodec{}, timer.BootClock{}, "own-service", fakeCounter{}, budgeter.NewBudget(1<<20), &tracer.Tracer{}, zerolog.Nop())
+			d := NewDispatcher(cluster, fakeCodec{}, clock, "own-service", fakeCounter{}, budgeter.NewBudget(1<<20), &tracer.Tracer{}, zerolog.Nop())
 			customers := httptest.NewServer(d)
 			defer customers.Close()
 
