Divide the keys of a lost table after one lease

The wait covered a majority that is cut off from the store and from all new processes, the only ones whose coordinator can extend its authority for 20 s. Any other survivor replaces the blank table: it reads the store, or its coordinator announces its table to members without heartbeats. So the wait is one lease now, which covers all holds of processes that were killed and of a coordinator without a majority.

--- a/papayapass/internal/overseer/recovery.go
+++ b/papayapass/internal/overseer/recovery.go
@@ -108,15 +108,12 @@
 	return NewRecovery(self.ID, true, first, nil).Table(self, incarnation, era, minEras)
 }
 
-// founding returns how the table counts as created from now on: members of a first one have all
-// been heard after a lease, and holds of members that another does not name have ended when no
-// coordinator of an earlier term can have authority.
+// founding returns how the table counts as created from now on. After a lease, all members of a
+// first one have been heard, and holds of members that another does not name have ended: their
+// coordinator cannot have written since, and echoes of a majority cannot have extended its authority
+// unless that majority reaches neither the store nor any member of this term.
 func (o *Overseer) founding(now timer.Instant) partitioner.Founding {
-	wait := AuthorityDuration + leaseDrift
-	if o.table.HidesHolders() {
-		wait += MaxStoreOutage
-	}
-	if o.termStart.Add(wait).Before(now) {
+	if o.termStart.Add(AuthorityDuration + leaseDrift).Before(now) {
 		return ""
 	}
 	return o.table.Founding
