Start nothing at a cold backend server in the first second of a process

Change: while a backend server warms up, a process starts no request there until a whole window after its own start; the former process was gone before that. A warm server is used at once. The expected wait says so, so that requests go elsewhere.

Test TestWarmUpRateHoldsAcrossARestart fails without the change. Tests of the admitter start their processes a window earlier, so that they see what they saw.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -87,13 +87,16 @@
 	warmUpUntil timer.Instant
 	warmUpRate  float64
 	starts      startLog
+	// startsUnknownUntil is until when a warm-up window may hold starts of a former process.
+	startsUnknownUntil timer.Instant
 	// limit is the rate that the backend server accepts.
 	limit rateLimit
 }
 
-// NewAdmitter returns an admitter that admits nothing until its slots are set.
-func NewAdmitter() *Admitter {
-	return &Admitter{means: make(map[string]time.Duration)}
+// NewAdmitter returns an admitter of a process that started at an instant. It admits nothing until its
+// slots are set.
+func NewAdmitter(started timer.Instant) *Admitter {
+	return &Admitter{means: make(map[string]time.Duration), startsUnknownUntil: started.Add(warmUpWindow)}
 }
 
 // SetSlots sets how many requests the backend server may run at once.
@@ -220,7 +223,7 @@
 	wait := time.Duration(float64(a.mean) * float64(before) / float64(max(a.slots, 1)))
 	if now < a.warmUpUntil {
 		warmUpWait := time.Duration(float64(before) / max(a.warmUpRate, 1) * float64(time.Second))
-		wait = max(wait, min(warmUpWait, a.warmUpUntil.Sub(now)))
+		wait = max(wait, min(max(warmUpWait, a.startsUnknownUntil.Sub(now)), a.warmUpUntil.Sub(now)))
 	}
 	return max(wait, a.limit.wait(before, &a.starts, now))
 }
@@ -233,7 +236,7 @@
 	if now >= a.warmUpUntil {
 		return true
 	}
-	return float64(a.starts.within(warmUpWindow, now)) < a.warmUpRate*(1-warmUpReserve)
+	return now >= a.startsUnknownUntil && float64(a.starts.within(warmUpWindow, now)) < a.warmUpRate*(1-warmUpReserve)
 }
 
 func (a *Admitter) start(t *Ticket, now timer.Instant) {
--- a/papayapass/internal/admitter/admitter_test.go
+++ b/papayapass/internal/admitter/admitter_test.go
@@ -13,7 +13,7 @@
 const far = timer.Instant(time.Hour)
 
 func newTestAdmitter(slots int) *Admitter {
-	a := NewAdmitter()
+	a := NewAdmitter(-timer.Instant(warmUpWindow))
 	a.SetSlots(slots)
 	return a
 }
@@ -309,11 +309,46 @@
 func TestOverloadIsAnsweredInTime(t *testing.T) {
 	const slots, work, objective, deadline = 18, 220 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond
 	capacity := slots / work.Seconds()
-	offered, inTime, served := simulateSteadyLoad(NewAdmitter(), slots, work, objective, deadline, 1.5*capacity, 20*time.Second)
+	offered, inTime, served := simulateSteadyLoad(NewAdmitter(-timer.Instant(warmUpWindow)), slots, work, objective, deadline, 1.5*capacity, 20*time.Second)
 	require.InDelta(t, 1.5*capacity*20, float64(offered), 2)
 	require.Greater(t, float64(inTime), 0.9*capacity*20)
 
-	_, longInTime, longServed := simulateSteadyLoad(NewAdmitter(), slots, work, deadline, deadline, 1.5*capacity, 20*time.Second)
+	_, longInTime, longServed := simulateSteadyLoad(NewAdmitter(-timer.Instant(warmUpWindow)), slots, work, deadline, deadline, 1.5*capacity, 20*time.Second)
 	require.LessOrEqual(t, float64(longServed), 1.02*float64(served))
 	require.LessOrEqual(t, longInTime, longServed)
 }
+
+// A node started a whole second's worth of requests at a cold backend server and was killed; its next
+// process started as many again in the same second (FAILBACK).
+func TestWarmUpRateHoldsAcrossARestart(t *testing.T) {
+	const rate = 15.0
+	const killed, restarted = timer.Instant(900 * time.Millisecond), timer.Instant(950 * time.Millisecond)
+	var starts []timer.Instant
+	run := func(a *Admitter, from, to timer.Instant) {
+		a.SetSlots(100)
+		a.SetWarmUp(timer.Instant(4*time.Second), rate)
+		for now := from; now < to; now = now.Add(5 * time.Millisecond) {
+			ticket, d, _ := a.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: now.Add(time.Millisecond)}, now, false)
+			if d == Start {
+				starts = append(starts, now)
+				a.Done(ticket, false, now)
+			}
+		}
+	}
+	run(NewAdmitter(-timer.Instant(warmUpWindow)), killed-timer.Instant(200*time.Millisecond), killed)
+	run(NewAdmitter(restarted), restarted, timer.Instant(4*time.Second))
+	for i, from := range starts {
+		n := 0
+		for _, s := range starts[i:] {
+			if s.Sub(from) < time.Second {
+				n++
+			}
+		}
+		require.LessOrEqual(t, float64(n), rate)
+	}
+	require.Greater(t, float64(len(starts)), 2*rate, "the rate is used")
+	later := NewAdmitter(restarted)
+	later.SetSlots(1)
+	_, d, _ := later.Offer(Request{Kind: "route", Objective: time.Minute, Deadline: far}, restarted, false)
+	require.Equal(t, Start, d, "a warm backend server is used at once")
+}
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -123,7 +123,7 @@
 	}
 	return &Forwarder{
 		address: address, service: service, heartbeatInterval: heartbeatInterval, codec: codec, clock: clock, granter: g,
-		admitter:  admitter.NewAdmitter(),
+		admitter:  admitter.NewAdmitter(clock.Now()),
 		exchanger: exchanger.NewExchanger(address, connectTimeout, maxIdle, maxResponseBytes, matches),
 		node:      node, tracer: t, logger: logger, started: clock.Now(), workByKey: make(map[uint16]float32),
 		quarantine: quarantiner.NewQuarantine(clock), timeOfDay: func() int64 { return time.Now().UnixMilli() },
