--- a/papayapass/internal/exchanger/witness_test.go
+++ b/papayapass/internal/exchanger/startmonitor_test.go
@@ -39,67 +39,67 @@
 	return s
 }
 
-// end ends the server and waits until the witness sees it.
-func (s *startedServer) end(t *testing.T, w *Witness) {
+// end ends the server and waits until the monitor sees it.
+func (s *startedServer) end(t *testing.T, m *StartMonitor) {
 	t.Helper()
 	require.NoError(t, s.Close())
 	for c := range s.accepted {
 		require.NoError(t, c.Close())
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	_, err := w.conn.Read(make([]byte, 1))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, err := m.conn.Read(make([]byte, 1))
 	require.Error(t, err)
 }
 
 // A server that started again at once was taken for the start before, since its address accepts
 // connections (incident 0024).
-func TestWitnessVouchesForNoNextStart(t *testing.T) {
+func TestMonitorConfirmsNoNextStart(t *testing.T) {
 	s := startServer(t, "127.0.0.1:0")
 	address := s.Addr().String()
-	w := NewWitness(address, time.Second)
-	defer w.Close()
-	w.minRestartTime = time.Hour
-	require.False(t, w.Vouches("first"), "nothing heard")
-	require.NoError(t, w.Heard(context.Background(), "first"))
-	require.True(t, w.Vouches("first"))
-	require.False(t, w.Vouches("next"))
-	s.end(t, w)
+	m := NewStartMonitor(address, time.Second)
+	defer m.Close()
+	m.minRestartTime = time.Hour
+	require.False(t, m.Confirms("first"), "nothing heard")
+	require.NoError(t, m.Observe(context.Background(), "first"))
+	require.True(t, m.Confirms("first"))
+	require.False(t, m.Confirms("next"))
+	s.end(t, m)
 	startServer(t, address)
-	require.False(t, w.Vouches("first"))
-	require.NoError(t, w.Heard(context.Background(), "next"))
-	require.True(t, w.Vouches("next"))
-	require.False(t, w.Vouches("first"))
+	require.False(t, m.Confirms("first"))
+	require.NoError(t, m.Observe(context.Background(), "next"))
+	require.True(t, m.Confirms("next"))
+	require.False(t, m.Confirms("first"))
 }
 
 // A connection that took long to open may lead to a next start until the server is heard again.
-func TestWitnessOfASlowConnectWaitsForTheNextMessage(t *testing.T) {
+func TestMonitorWithASlowConnectWaitsForTheNextMessage(t *testing.T) {
 	s := startServer(t, "127.0.0.1:0")
-	w := NewWitness(s.Addr().String(), time.Second)
-	defer w.Close()
-	w.minRestartTime = -1
-	require.NoError(t, w.Heard(context.Background(), "first"))
-	require.False(t, w.Vouches("first"))
-	require.NoError(t, w.Heard(context.Background(), "first"))
-	require.True(t, w.Vouches("first"))
+	m := NewStartMonitor(s.Addr().String(), time.Second)
+	defer m.Close()
+	m.minRestartTime = -1
+	require.NoError(t, m.Observe(context.Background(), "first"))
+	require.False(t, m.Confirms("first"))
+	require.NoError(t, m.Observe(context.Background(), "first"))
+	require.True(t, m.Confirms("first"))
 }
 
-// Servers close idle connections. The witness is replaced in time, and the next one leads to the same
+// Servers close idle connections. The monitoring connection is replaced in time, and the next one leads to the same
 // start as long as the former is open.
-func TestWitnessIsReplacedInTime(t *testing.T) {
+func TestMonitoringConnectionIsReplacedInTime(t *testing.T) {
 	s := startServer(t, "127.0.0.1:0")
-	w := NewWitness(s.Addr().String(), time.Second)
-	defer w.Close()
-	w.minRestartTime, w.maxAge = -1, -1
-	require.NoError(t, w.Heard(context.Background(), "first"))
-	require.False(t, w.Vouches("first"))
-	former := w.conn
-	require.NoError(t, w.Heard(context.Background(), "first"))
-	require.True(t, w.Vouches("first"))
-	require.NotSame(t, former, w.conn)
-	s.end(t, w)
-	require.False(t, w.Vouches("first"))
-	require.Error(t, w.Heard(context.Background(), "first"))
+	m := NewStartMonitor(s.Addr().String(), time.Second)
+	defer m.Close()
+	m.minRestartTime, m.maxAge = -1, -1
+	require.NoError(t, m.Observe(context.Background(), "first"))
+	require.False(t, m.Confirms("first"))
+	former := m.conn
+	require.NoError(t, m.Observe(context.Background(), "first"))
+	require.True(t, m.Confirms("first"))
+	require.NotSame(t, former, m.conn)
+	s.end(t, m)
+	require.False(t, m.Confirms("first"))
+	require.Error(t, m.Observe(context.Background(), "first"))
 }
 
 // A request whose guard fails is not sent, also over a connection that is kept.
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -69,10 +69,10 @@
 	TriggerHeartbeat()
 }
 
-// Witness tells starts of the backend server apart.
-type Witness interface {
-	// Heard records that a start has just been heard.
-	Heard(id string, startedAtMillis int64)
+// StartMonitor tells starts of the backend server apart.
+type StartMonitor interface {
+	// Observe records that a start has just been heard.
+	Observe(id string, startedAtMillis int64)
 }
 
 // Forwarder forwards requests to one backend server.
@@ -86,7 +86,7 @@
 	admitter          *admitter.Admitter
 	exchanger         *exchanger.Exchanger
 	node              Node
-	witness           Witness
+	monitor           StartMonitor
 	tracer            *tracer.Tracer
 	logger            zerolog.Logger
 	started           timer.Instant
@@ -156,8 +156,8 @@
 	f.lastHeartbeat, f.lastHeartbeatAt, f.down, f.failedConnects = h, now, false, 0
 	f.leaving.now = f.leaving.now || h.Draining
 	f.mu.Unlock()
-	if f.witness != nil && f.mayGrantByCall() {
-		f.witness.Heard(h.ID, h.StartedAtMillis)
+	if f.monitor != nil && f.mayGrantByCall() {
+		f.monitor.Observe(h.ID, h.StartedAtMillis)
 	}
 	f.setWarmUp(now, h.WarmUpRemaining)
 	f.admitter.SetSlots(h.Slots)
@@ -170,9 +170,9 @@
 	return f.grantKeys(h, now), true
 }
 
-// SetWitness sets what tells starts of the backend server apart; it must be called before the first
+// SetStartMonitor sets what tells starts of the backend server apart; it must be called before the first
 // heartbeat.
-func (f *Forwarder) SetWitness(w Witness) { f.witness = w }
+func (f *Forwarder) SetStartMonitor(m StartMonitor) { f.monitor = m }
 
 // mayGrantByCall reports whether keys may be granted with calls to the backend server.
 func (f *Forwarder) mayGrantByCall() bool {
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -49,8 +49,8 @@
 	grantAPI  GrantAPI
 	enveloper *enveloper.Enveloper
 	server    *exchanger.Exchanger
-	// witness tells whether grants reach the start that they are meant for; nil accepts all.
-	witness *exchanger.Witness
+	// monitor tells whether grants reach the start that they are meant for; nil accepts all.
+	monitor *exchanger.StartMonitor
 	host    string
 	peers   sync.Map // address to *exchanger.Exchanger
 	// memory limits the replies of other nodes that are read at the same time; nil does not.
@@ -123,12 +123,12 @@
 	return strconv.FormatInt(startedAtMillis, 10) + " " + id
 }
 
-// Heard records that a start of the backend server has just been heard, so that grants for it are
+// Observe records that a start of the backend server has just been heard, so that grants for it are
 // not sent to another one.
-func (c *client) Heard(id string, startedAtMillis int64) {
+func (c *client) Observe(id string, startedAtMillis int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), controlConnectTimeout)
 	defer cancel()
-	if err := c.witness.Heard(ctx, startName(id, startedAtMillis)); err != nil {
+	if err := c.monitor.Observe(ctx, startName(id, startedAtMillis)); err != nil {
 		c.logger.Info().Err(err).Str("server", id).Msg("no connection to the backend server, it gets no grants until its next heartbeat")
 	}
 }
@@ -153,8 +153,8 @@
 	}
 	if call.Release {
 		request.Matches = c.mayAnswerRelease
-	} else if c.witness != nil {
-		request.Guard = func() bool { return c.witness.Vouches(startName(call.Server, call.ServerStartedAtMillis)) }
+	} else if c.monitor != nil {
+		request.Guard = func() bool { return c.monitor.Confirms(startName(call.Server, call.ServerStartedAtMillis)) }
 	}
 	response, err := c.server.Do(ctx, request)
 	switch {
--- a/papayapass/internal/launcher/calls_test.go
+++ b/papayapass/internal/launcher/calls_test.go
@@ -156,16 +156,16 @@
 	address := server.Listener.Addr().String()
 	c := newClient(fakeAdapter(&memoryStore{}).GrantAPI, address, enveloper.NewEnveloper(`{"id":""}`))
 	defer c.server.Close()
-	c.witness = exchanger.NewWitness(address, time.Second)
-	defer c.witness.Close()
+	c.monitor = exchanger.NewStartMonitor(address, time.Second)
+	defer c.monitor.Close()
 	send := func(call granter.Call) granter.Result {
 		call.Server, call.ServerStartedAtMillis, call.Hold = "server-1", 7, time.Second
 		result, _ := c.UpdateGrant(context.Background(), call)
 		return result
 	}
 	hear := func() { // twice, since the connect may take long
-		c.Heard("server-1", 7)
-		c.Heard("server-1", 7)
+		c.Observe("server-1", 7)
+		c.Observe("server-1", 7)
 	}
 	require.Equal(t, granter.Unreachable, send(granter.Call{Token: 1}), "nothing heard")
 	hear()
@@ -184,6 +184,6 @@
 	}
 	require.Equal(t, int32(2), requests.Load())
 	require.Equal(t, granter.Done, send(granter.Call{Token: 1, Release: true}))
-	c.Heard("server-2", 8)
+	c.Observe("server-2", 8)
 	require.Equal(t, granter.Unreachable, send(granter.Call{Token: 1, Renewal: true}))
 }
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -153,8 +153,8 @@
 	n.forwarder = forwarder.NewForwarder(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.HeaderCodec, n.timers, g, n.participant, t, logger)
 	c := newClient(a.GrantAPI, s.Node.Server, n.enveloper)
 	c.memory = budgeter.NewBudget(s.controlMemory())
-	c.witness, c.logger = exchanger.NewWitness(s.Node.Server, controlConnectTimeout), logger
-	n.forwarder.SetWitness(c)
+	c.monitor, c.logger = exchanger.NewStartMonitor(s.Node.Server, controlConnectTimeout), logger
+	n.forwarder.SetStartMonitor(c)
 	n.participant.Attach(n.forwarder, c)
 	n.addGauges()
 	return n
