Name the backend server that a grant is meant for

Cause: a grant named no addressee, so that only the monitor kept it from the next start. Change: each grant by call names its backend server in the header in which requests name it. Another one answers 421 and does not execute it; to the granter the named one has ended. Releases name nobody, since they are never refused. Ruled out by a trial: that backend servers ignore the header here. Evidence: TestGrantsNameTheirBackendServer has both former starts and held-up heartbeats; without the change 4 key requests are executed instead of 0. Conclusion: two starts with different ids cannot share a token, whatever the monitor says. Starts with one id are still told apart by the monitor alone.

--- a/papayapass/internal/commander/node.go
+++ b/papayapass/internal/commander/node.go
@@ -38,7 +38,7 @@
 			ZonesOutKind: platform.ZonesOutKind(), Decode: platform.DecodeConfiguration,
 		},
 		GrantAPI: launcher.GrantAPI{
-			GrantPath: platform.GrantPath, ReleasePath: platform.ReleasePath, HandoverHeader: platform.HeaderHandover,
+			GrantPath: platform.GrantPath, ReleasePath: platform.ReleasePath, HandoverHeader: platform.HeaderHandover, InstanceHeader: platform.HeaderInstance,
 			EncodeGrant: platform.EncodeGrant, EncodeRelease: platform.EncodeRelease,
 		},
 		ReadyPath: platform.ReadyPath, HeartbeatPath: platform.HeartbeatPath,
--- a/papayapass/internal/granter/call.go
+++ b/papayapass/internal/granter/call.go
@@ -47,6 +47,6 @@
 	// NotDelivered means that the call did not reach the backend server.
 	NotDelivered
 	// Unreachable means the same, and that the backend server may have ended: nothing
-	// accepts connections.
+	// accepts connections, or another backend server does.
 	Unreachable
 )
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -40,6 +40,9 @@
 	GrantPath      string
 	ReleasePath    string
 	HandoverHeader string
+	// InstanceHeader names the backend server that a grant is meant for; any other one answers
+	// 421 and does not execute it.
+	InstanceHeader string
 	EncodeGrant    func(first, last uint16, token uint64, hold time.Duration, handover string) []byte
 	EncodeRelease  func(first, last uint16, token uint64) []byte
 }
@@ -153,8 +156,11 @@
 	}
 	if call.Release {
 		request.Matches = c.mayAnswerRelease
-	} else if c.monitor != nil {
-		request.Guard = func() bool { return c.monitor.Confirms(startName(call.Server, call.ServerStartedAtMillis)) }
+	} else {
+		request.Header.Set(c.grantAPI.InstanceHeader, call.Server)
+		if c.monitor != nil { // a backend server may start again under its id
+			request.Guard = func() bool { return c.monitor.Confirms(startName(call.Server, call.ServerStartedAtMillis)) }
+		}
 	}
 	response, err := c.server.Do(ctx, request)
 	switch {
@@ -168,6 +174,8 @@
 		return granter.Done, response.Header.Get(c.grantAPI.HandoverHeader)
 	case response.Status == http.StatusConflict:
 		return granter.Refused, ""
+	case response.Status == http.StatusMisdirectedRequest && !call.Release:
+		return granter.Unreachable, ""
 	default:
 		return granter.Unknown, ""
 	}
--- a/papayapass/internal/launcher/calls_test.go
+++ b/papayapass/internal/launcher/calls_test.go
@@ -187,3 +187,38 @@
 	c.Observe("server-2", 8)
 	require.Equal(t, granter.Unreachable, send(granter.Call{Token: 1, Renewal: true}))
 }
+
+// A backend server that had started again under another id took the renewals for the start before,
+// with its fencing tokens, when the monitor took the one for the other (incident 0027).
+func TestGrantsNameTheirBackendServer(t *testing.T) {
+	var executed atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if named := r.Header.Get("Instance"); named != "" && named != "server-2" {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		executed.Add(1)
+		w.Header().Set("Handover", "data")
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	c := newClient(fakeAdapter(&memoryStore{}).GrantAPI, address, enveloper.NewEnveloper(`{"id":""}`))
+	defer c.server.Close()
+	c.monitor = exchanger.NewStartMonitor(address, time.Second)
+	defer c.monitor.Close()
+	for range 2 { // a heartbeat of the former start that was held up, twice since the connect may take long
+		c.Observe("server-1", 7)
+	}
+	for _, call := range []granter.Call{{Token: 1}, {Token: 1, Renewal: true}} {
+		call.Server, call.ServerStartedAtMillis, call.Hold = "server-1", 7, time.Second
+		result, _ := c.UpdateGrant(context.Background(), call)
+		require.Equal(t, granter.Unreachable, result)
+	}
+	require.Zero(t, executed.Load())
+	result, _ := c.UpdateGrant(context.Background(), granter.Call{Release: true, Token: 1, Server: "server-1"})
+	require.Equal(t, granter.Done, result, "a release is never refused")
+	c.Observe("server-2", 8)
+	c.Observe("server-2", 8)
+	result, _ = c.UpdateGrant(context.Background(), granter.Call{Token: 2, Hold: time.Second, Server: "server-2", ServerStartedAtMillis: 8})
+	require.Equal(t, granter.Done, result)
+}
--- a/papayapass/internal/launcher/fakes_test.go
+++ b/papayapass/internal/launcher/fakes_test.go
@@ -120,7 +120,7 @@
 			},
 		},
 		GrantAPI: GrantAPI{
-			GrantPath: "/grant", ReleasePath: "/release", HandoverHeader: "Handover",
+			GrantPath: "/grant", ReleasePath: "/release", HandoverHeader: "Handover", InstanceHeader: "Instance",
 			EncodeGrant: func(first, last uint16, token uint64, _ time.Duration, _ string) []byte {
 				return encode(first, last, token)
 			},
