Leave the keys of a former start with the next one while a former process may have granted them

Callers: two backend servers hold the same keys (OWNER) after a backend server started again at once, took grants for its former start, and its node was killed before these had ended. That the next start may hold the keys was known to one process of the node. The next process named the next start, and the coordinator freed the keys of the former one at once on the word of a process that cannot know. Change: while leases of an earlier process of the node may be in force, the keys of a former start go only to the next one, under new tokens. If it may own none, they wait. The wait ends with the lease that the coordinator itself gave to the earlier process, at most 3.6 s after the loss, or a lease after the start of the present process. Nothing rests on what the node says of its holds. Conclusion: who holds the keys of a former start no longer depends on a process that may have restarted.

--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -63,4 +63,7 @@
 	// NameStartAtOnce names a new start of a backend server to the coordinator although it may
 	// hold keys by grants for the start before.
 	NameStartAtOnce
+	// FreeBesidePriorGrants frees the keys of a former start of a backend server although its
+	// next start may hold them by grants of an earlier process of the node.
+	FreeBesidePriorGrants
 )
--- a/papayapass/internal/overseer/lease.go
+++ b/papayapass/internal/overseer/lease.go
@@ -37,3 +37,13 @@
 	}
 	return end
 }
+
+// formerLeaseEnd returns when the leases of the processes before the present one of a member
+// have ended.
+func (o *Overseer) formerLeaseEnd(id partitioner.NodeID, n *node) timer.Instant {
+	end := n.startedAt.Add(AuthorityDuration + leaseDrift)
+	if n.formerLeaseUntil > 0 {
+		end = min(end, max(n.formerLeaseUntil.Add(leaseDrift), o.earlierLeaseEnd(id)))
+	}
+	return end
+}
--- a/papayapass/internal/overseer/lease_test.go
+++ b/papayapass/internal/overseer/lease_test.go
@@ -185,3 +185,66 @@
 		})
 	}
 }
+
+// restartsBesidePriorGrants lets the node of node-2's backend server restart together with it after a
+// lease that began at leaseTestStart. It returns the coordinator and the heartbeat of the next process,
+// which names the next start of the backend server.
+func restartsBesidePriorGrants(t *testing.T, downtime time.Duration) (*overseer.Overseer, overseer.Heartbeat) {
+	t.Helper()
+	table := leaseTestTable()
+	o := overseer.NewOverseer("node-1", table, time.Second, leaseTestStart, leaseTestStart)
+	m, _ := table.Member("node-2")
+	h := overseer.Heartbeat{Member: m, Incarnation: 7, Uptime: time.Hour, Epoch: table.Epoch, Version: table.Version}
+	require.Positive(t, o.HandleHeartbeat(h, leaseTestStart).Lease)
+	h.Incarnation, h.Uptime, h.Member.Server.StartedAtMillis = 8, 10*time.Millisecond, 2
+	o.HandleHeartbeat(h, leaseTestStart.Add(downtime))
+	return o, h
+}
+
+// The next start of a backend server held keys by grants for the one before. The process of its node
+// that knew restarted, and the next one named the next start at once: the keys got a second owner
+// (schedule 90038, incident 0024). Until the grants have ended, only the next start may get them.
+func TestKeysOfAFormerStartStayBesideGrantsOfAFormerProcess(t *testing.T) {
+	for name, downtime := range map[string]time.Duration{"back at once": 200 * time.Millisecond, "later": 2 * time.Second} {
+		for state, isUp := range map[string]bool{"up": true, "leaving": false} {
+			t.Run(name+", "+state, func(t *testing.T) {
+				o, h := restartsBesidePriorGrants(t, downtime)
+				h.Member.Server.Leaving = !isUp
+				plan := func(after time.Duration) (partitioner.Range, []partitioner.FreedRange) {
+					now := leaseTestStart.Add(after)
+					h.Uptime = after - downtime
+					o.HandleHeartbeat(h, now)
+					next := o.Plan(now)
+					require.NotNil(t, next)
+					return next.Divisions[0].Ranges[0], o.Freed()
+				}
+				for _, after := range []time.Duration{downtime + 10*time.Millisecond, overseer.AuthorityDuration} {
+					r, freed := plan(after)
+					require.Equal(t, partitioner.NodeID("node-2"), r.Owner)
+					if !isUp {
+						require.Empty(t, freed)
+						continue
+					}
+					require.Equal(t, int64(2), r.ServerStartedAtMillis)
+					require.Greater(t, r.Token, uint64(1))
+					require.Equal(t, partitioner.KeptByNextStart, freed[0].Cause)
+				}
+				_, freed := plan(overseer.AuthorityDuration * 103 / 100)
+				require.Equal(t, partitioner.FreeServerRestart, freed[0].Cause, "in time to be served again within 4 s")
+			})
+		}
+	}
+}
+
+// A process that is older than a lease has seen both starts of its backend server itself.
+func TestKeysOfAFormerStartAreFreeAtOnceUnderTheSameProcess(t *testing.T) {
+	table := leaseTestTable()
+	o := overseer.NewOverseer("node-1", table, time.Second, leaseTestStart, leaseTestStart)
+	m, _ := table.Member("node-2")
+	h := overseer.Heartbeat{Member: m, Incarnation: 7, Uptime: time.Hour, Epoch: table.Epoch, Version: table.Version}
+	o.HandleHeartbeat(h, leaseTestStart)
+	h.Member.Server.StartedAtMillis = 2
+	o.HandleHeartbeat(h, leaseTestStart.Add(10*time.Millisecond))
+	require.NotNil(t, o.Plan(leaseTestStart.Add(20*time.Millisecond)))
+	require.NotEmpty(t, o.Freed())
+}
--- a/papayapass/internal/overseer/mutation_test.go
+++ b/papayapass/internal/overseer/mutation_test.go
@@ -43,6 +43,7 @@
 		"release keys that a heartbeat lists":    {mutator.HoldIgnoresListing, descriptor.GrantByHeartbeat, 0, faultsAndHotKeys},
 		"recover the restored table":             {mutator.RecoverStoredTable, descriptor.GrantByCall, 1000, restores},
 		"name a start at once":                   {mutator.NameStartAtOnce, descriptor.GrantByCall, 90030, lateRegistrations},
+		"free keys beside prior grants":          {mutator.FreeBesidePriorGrants, descriptor.GrantByCall, 90038, lateRegistrations},
 		"trust members across their restart":     {mutator.TrustRestartedMembers, descriptor.GrantByCall, 4000, restartsAfterTakeovers},
 		"give leases across a restart":           {mutator.LeaseToRestartedMembers, descriptor.GrantByCall, 4124, restartsAfterTakeovers},
 		"found a table at once":                  {mutator.FoundAtOnce, descriptor.GrantByCall, 7000, lostTables},
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -61,6 +61,9 @@
 	echoedStamp     timer.Instant
 	// startedAt is when the present process of the node started at the latest.
 	startedAt timer.Instant
+	// formerLeaseUntil is when the leases that this term gave to the process before end, or zero
+	// if it gave none.
+	formerLeaseUntil timer.Instant
 	// namedServer is the newest start of its backend server that the process has named.
 	namedServer partitioner.Server
 	// meanSeconds is the smoothed mean duration of requests at the backend server.
@@ -252,7 +255,7 @@
 		o.nodes[id] = n
 	}
 	if n.startedAt == 0 || n.lastHeartbeat.Incarnation != b.Incarnation {
-		n.startedAt, n.echoedStamp, n.namedServer = b.startedBy(now), 0, partitioner.Server{}
+		n.startedAt, n.formerLeaseUntil, n.echoedStamp, n.namedServer = b.startedBy(now), n.leaseUntil, 0, partitioner.Server{}
 	}
 	if n.namedServer.StartedAfter(b.Member.Server) {
 		b.Member = n.lastHeartbeat.Member // the heartbeat was overtaken
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -123,6 +123,7 @@
 			Speed: speeds[id], Capacity: capacity,
 			LeaseExpired: o.leaseExpired(id, now), Silent: now.Sub(n.lastHeartbeatAt) > heartbeatTimeout,
 			Excluded: o.zonesOut[n.lastHeartbeat.Member.Zone], WarmingUp: n.lastHeartbeat.WarmingUp, GrantInDoubt: n.lastHeartbeat.GrantInDoubt,
+			PriorGrants: now <= o.formerLeaseEnd(id, n) && !mutator.Active(mutator.FreeBesidePriorGrants),
 		}
 	}
 	return out
--- a/papayapass/internal/partitioner/freedrange.go
+++ b/papayapass/internal/partitioner/freedrange.go
@@ -9,6 +9,9 @@
 	FreeLeaseExpired  FreeCause = "lease expired"
 	FreeServerRestart FreeCause = "backend server restarted"
 	FreeUnheard       FreeCause = "unheard after a restore of the store"
+	// KeptByNextStart is no loss for the member: the next start of its backend server gets the
+	// range, since it may hold the keys already.
+	KeptByNextStart FreeCause = "backend server restarted, kept by its next start"
 )
 
 // FreedRange is a range that lost its owner in a round of planning.
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -52,6 +52,9 @@
 	Capacity float64
 	// GrantInDoubt is set while keys would leave the node only after a whole hold.
 	GrantInDoubt bool
+	// PriorGrants is set while the backend server may hold keys by grants of an earlier process
+	// of the node.
+	PriorGrants bool
 }
 
 // Release is a range that its owner has released.
@@ -155,7 +158,9 @@
 }
 
 // FreeLost clears the owner of ranges whose owner can no longer hold them: its lease has
-// expired or its backend server has restarted.
+// expired or its backend server has restarted. Nobody can tell whether the next start got keys
+// that an earlier process of the node meant for the former one, so that it keeps those, under
+// new tokens, while grants of that process may be in force.
 func (p *Plan) FreeLost() {
 	for _, d := range p.table.Divisions {
 		for i := range d.Ranges {
@@ -164,11 +169,15 @@
 				continue
 			}
 			m, ok := p.table.Member(r.Owner)
+			hasRestarted := ok && m.Server.ID != "" && !m.Server.SameStart(r.Server, r.ServerStartedAtMillis) && !p.states[r.Owner].Silent
 			switch {
 			case !ok || p.states[r.Owner].LeaseExpired:
 				p.clearOwner(d.Service, r, "", FreeLeaseExpired)
-			case m.Server.ID != "" && !m.Server.SameStart(r.Server, r.ServerStartedAtMillis) && !p.states[r.Owner].Silent:
+			case hasRestarted && !p.states[r.Owner].PriorGrants:
 				p.clearOwner(d.Service, r, "", FreeServerRestart)
+			case hasRestarted && p.eligible(m, d.Service):
+				p.clearOwner(d.Service, r, "", KeptByNextStart)
+				p.setOwner(r, m)
 			}
 		}
 	}
