Check uptimes in heartbeats by what the coordinator has heard

Cause: leases and echoes of a member count if its process started before the newest acknowledged write, and that start came from the uptime in its heartbeat alone. A heartbeat of the former process that came after the first one of the present (the coordinator handles one that waits a second time, up to 0.25 s later) took the node's state back: its start counted, its echo extended the authority and its releases were applied. Negative uptimes gave a start in the future; those above three years overflowed.

Callers would see: two owners of a key after a restart beside a former coordinator, or keys that are freed by a release of a process that is gone while its successor holds them. With a negative or overflowing uptime a node got no lease at all.

Change: no process counts as started before its predecessor was heard last. A heartbeat that contradicts the present process counts for nothing while that one is heard; 0.9 s after, its sender replaces it and waits for a write, so that a wrong uptime costs time only. Negative uptimes count as none.

Evidence: without the change to message.go and overseer.go all four new tests fail (a lease of 3.3 s instead of none; no lease after a write with -1 h; a lease for the late heartbeat; four years: no lease). Without the bound alone the first fails, without the contradiction alone the last two.

Remains: a process whose predecessor was not heard in this term is believed.

--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -53,9 +53,10 @@
 	Wait time.Duration `json:"wait,omitempty"`
 }
 
-// startedBy returns when the sender's process started at the latest, at the arrival of a heartbeat.
+// startedBy returns when the sender's process says that it started at the latest, at the arrival of
+// a heartbeat. A negative uptime counts as none.
 func (h Heartbeat) startedBy(now timer.Instant) timer.Instant {
-	return now.Add(-h.Uptime * (100 - clockDriftPercent) / 100)
+	return now.Add(-(max(0, h.Uptime) / 100 * (100 - clockDriftPercent)))
 }
 
 // ServerLoad returns the load of the sender's backend server.
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -59,7 +59,8 @@
 	lastHeartbeatAt timer.Instant
 	leaseUntil      timer.Instant
 	echoedStamp     timer.Instant
-	// startedAt is when the present process of the node started at the latest.
+	// startedAt is when the present process of the node started at the latest, and not before the
+	// newest heartbeat of the one before.
 	startedAt timer.Instant
 	// namedServer is the newest start of its backend server that the process has named.
 	namedServer partitioner.Server
@@ -251,8 +252,11 @@
 		n = &node{}
 		o.nodes[id] = n
 	}
-	if n.startedAt == 0 || n.lastHeartbeat.Incarnation != b.Incarnation {
-		n.startedAt, n.echoedStamp, n.namedServer = b.startedBy(now), 0, partitioner.Server{}
+	if ok && n.contradicts(b, now) {
+		return o.reply(&node{startedAt: now}, b, now)
+	}
+	if !ok || n.lastHeartbeat.Incarnation != b.Incarnation {
+		n.startedAt, n.echoedStamp, n.namedServer = max(b.startedBy(now), n.lastHeartbeatAt), 0, partitioner.Server{}
 	}
 	if n.namedServer.StartedAfter(b.Member.Server) {
 		b.Member = n.lastHeartbeat.Member // the heartbeat was overtaken
@@ -277,6 +281,14 @@
 	return o.reply(n, b, now)
 }
 
+// contradicts reports whether a heartbeat of another process of the node names a start before the
+// newest heartbeat of the present one. It is late, or its uptime is wrong, and counts for nothing
+// while the present process is heard.
+func (n *node) contradicts(b Heartbeat, now timer.Instant) bool {
+	return n.lastHeartbeat.Incarnation != b.Incarnation && b.startedBy(now).Before(n.lastHeartbeatAt) &&
+		now.Sub(n.lastHeartbeatAt) <= heartbeatTimeout
+}
+
 // smoothMean updates the smoothed mean duration from a heartbeat.
 func (n *node) smoothMean(b Heartbeat, now timer.Instant) {
 	switch {
