--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -59,7 +59,8 @@
 	lastHeartbeatAt timer.Instant
 	leaseUntil      timer.Instant
 	echoedStamp     timer.Instant
-	// startedAt is when the present process of the node started at the latest.
+	// startedAt is when the present process of the node started at the latest, and not before the
+	// newest heartbeat of the one before.
 	startedAt timer.Instant
 	// formerLeaseUntil is when the leases that this term gave to the process before end, or zero
 	// if it gave none.
@@ -254,8 +255,12 @@
 		n = &node{}
 		o.nodes[id] = n
 	}
-	if n.startedAt == 0 || n.lastHeartbeat.Incarnation != b.Incarnation {
-		n.startedAt, n.formerLeaseUntil, n.echoedStamp, n.namedServer = b.startedBy(now), n.leaseUntil, 0, partitioner.Server{}
+	if ok && n.contradicts(b, now) {
+		return o.reply(&node{startedAt: now}, b, now)
+	}
+	if !ok || n.lastHeartbeat.Incarnation != b.Incarnation {
+		n.startedAt, n.formerLeaseUntil = max(b.startedBy(now), n.lastHeartbeatAt), n.leaseUntil
+		n.echoedStamp, n.namedServer = 0, partitioner.Server{}
 	}
 	if n.namedServer.StartedAfter(b.Member.Server) {
 		b.Member = n.lastHeartbeat.Member // the heartbeat was overtaken
@@ -280,6 +285,14 @@
 	return o.reply(n, b, now)
 }
 
+// contradicts reports whether a heartbeat of another process of the node names a start before the
+// newest heartbeat of the present one. It is late, or its uptime is wrong, and counts for nothing
+// while the present process is heard.
+func (n *node) contradicts(b Heartbeat, now timer.Instant) bool {
+	return n.lastHeartbeat.Incarnation != b.Incarnation && b.startedBy(now).Before(n.lastHeartbeatAt) &&
+		now.Sub(n.lastHeartbeatAt) <= heartbeatTimeout
+}
+
 // smoothMean updates the smoothed mean duration from a heartbeat.
 func (n *node) smoothMean(b Heartbeat, now timer.Instant) {
 	switch {
