Log which backend server a key request was meant for

Change: fields server and startedAtMillis, and a line for an answer by another backend server; one such line until the next heartbeat, since no grants are sent meanwhile.

--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -175,6 +175,7 @@
 	case response.Status == http.StatusConflict:
 		return granter.Refused, ""
 	case response.Status == http.StatusMisdirectedRequest && !call.Release:
+		c.logger.Info().Str("server", call.Server).Uint64("token", call.Token).Msg("another backend server answered a grant, none are sent until the next heartbeat")
 		return granter.Unreachable, ""
 	default:
 		return granter.Unknown, ""
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -352,7 +352,7 @@
 	wake(p.grantsDue)
 	if call.Release || result != granter.Done {
 		p.logger.Info().Bool("release", call.Release).Uint16("first", call.First).Uint16("last", call.Last).
-			Uint64("token", call.Token).Int("result", int(result)).Dur("hold", call.Hold).
+			Uint64("token", call.Token).Str("server", call.Server).Int64("startedAtMillis", call.ServerStartedAtMillis).Int("result", int(result)).Dur("hold", call.Hold).
 			Bool("handover", handover != "").Dur("inDoubtFor", p.granter.DoubtLeft(call, p.timers.Now())).Msg("order about keys")
 		p.TriggerHeartbeat()
 	}
