Check fencing tokens over all starts in the model

Change: each time a start takes a sample key, by call (late ones too) or by heartbeat, its token is compared with the highest that another start took the key with. All schedules assert it through violation. Every second restart of a backend server has a new id. checksInstance, off, makes servers refuse grants that name another id. No random draw is added or moved.

It has a test of its own, so that the faults of TestMutationsAreDetected must go on to give a key two owners: "name a start at once" would pass by its token otherwise.

--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -16,6 +16,9 @@
 	AcceptEqualEpoch
 	// SkipQuietPeriod lets a restarted voter confirm a coordinator at once.
 	SkipQuietPeriod
+	// KeepTokenAcrossStart gives the next start of a backend server its keys back with the
+	// fencing tokens of the start before.
+	KeepTokenAcrossStart
 	// TrustLostWrite treats a write without a response as done.
 	TrustLostWrite
 	// SuspendedClock uses a clock that stops while the machine is suspended.
--- a/papayapass/internal/overseer/beats_test.go
+++ b/papayapass/internal/overseer/beats_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/shared/descriptor"
 )
 
@@ -53,8 +54,10 @@
 	grants   *descriptor.KeyGrants
 }
 
-func (w *world) newServer(starts int64) *server {
-	s := &server{starts: starts}
+// newServer returns the next start of the backend server beside a node. Every second one has a
+// new id.
+func (w *world) newServer(node partitioner.NodeID, starts int64) *server {
+	s := &server{id: fmt.Sprintf("%s-s%d", node, starts/2), starts: starts}
 	if w.method == descriptor.GrantByHeartbeat {
 		s.beats = &beatServer{nextBeat: w.now + time.Duration(w.r.Int64N(int64(beatInterval)))}
 	}
@@ -107,7 +110,7 @@
 		case w.now < b.arrives:
 			later = append(later, b)
 		case b.answered:
-			s.apply(b, w.now)
+			s.apply(w, m.server, b)
 		case w.now < m.pausedUntil:
 			later = append(later, b)
 		default:
@@ -149,8 +152,8 @@
 }
 
 // apply applies a response unless it is late or older than another one.
-func (s *beatServer) apply(b *beat, now time.Duration) {
-	if now-b.sent > acceptWindow || b.sequence < s.lastApplied {
+func (s *beatServer) apply(w *world, start *server, b *beat) {
+	if w.now-b.sent > acceptWindow || b.sequence < s.lastApplied {
 		return
 	}
 	s.lastApplied = b.sequence
@@ -173,6 +176,7 @@
 		}
 		for i := range sampleCount {
 			if k := sampleKey(i); r.First <= k && k <= r.Last {
+				w.checkToken(start, i, s.tokens[i], r.Token)
 				s.tokens[i] = r.Token
 			}
 		}
--- a/papayapass/internal/overseer/mutation_test.go
+++ b/papayapass/internal/overseer/mutation_test.go
@@ -29,8 +29,8 @@
 )
 
 // TestMutationsAreDetected injects one fault of the ownership protocol at a time and
-// asserts that a random schedule detects it. firstSeed skips schedules that are known not
-// to. The faults of single heartbeats are in package granter.
+// asserts that a key has two owners in a random schedule. firstSeed skips schedules that
+// are known not to detect the fault. The faults of single heartbeats are in package granter.
 func TestMutationsAreDetected(t *testing.T) {
 	faults := map[string]struct {
 		fault     mutator.Fault
@@ -53,10 +53,31 @@
 			mutator.Activate(tt.fault)
 			defer mutator.Activate(mutator.None)
 			for seed := tt.firstSeed; seed < tt.firstSeed+maxMutationSeeds; seed++ {
-				if w := runSchedule(t, tt.schedule, tt.method, seed); w.violation != "" {
+				if w := runSchedule(t, tt.schedule, tt.method, seed); w.twoOwners != "" {
+					t.Logf("detected by seed %d: %s", seed, w.twoOwners)
+					mutator.Activate(mutator.None)
+					require.Empty(t, runSchedule(t, tt.schedule, tt.method, seed).twoOwners, "without the fault")
+					return
+				}
+			}
+			require.Fail(t, "no schedule detected the injected fault")
+		})
+	}
+}
+
+// The check of tokens detects a fault that gives no key two owners.
+func TestMutationOfTokensIsDetected(t *testing.T) {
+	for _, method := range methods {
+		t.Run(string(method), func(t *testing.T) {
+			mutator.Activate(mutator.KeepTokenAcrossStart)
+			defer mutator.Activate(mutator.None)
+			for seed := range uint64(maxMutationSeeds) {
+				w := runSchedule(t, faultsAndHotKeys, method, seed)
+				require.Empty(t, w.twoOwners)
+				if w.violation != "" {
 					t.Logf("detected by seed %d: %s", seed, w.violation)
 					mutator.Activate(mutator.None)
-					require.Empty(t, runSchedule(t, tt.schedule, tt.method, seed).violation, "without the fault")
+					require.Empty(t, runSchedule(t, faultsAndHotKeys, method, seed).violation, "without the fault")
 					return
 				}
 			}
--- a/papayapass/internal/overseer/rolling_test.go
+++ b/papayapass/internal/overseer/rolling_test.go
@@ -135,7 +135,8 @@
 			w := newWorld(t, seed, 3+int(seed%5), descriptor.GrantByCall)
 			w.hasHotKeys, w.registersLate, w.reachesNextStart = true, true, true
 			w.runFaults()
-			require.Empty(t, w.violation)
+			t.Run("owners", func(t *testing.T) { require.Empty(t, w.twoOwners) })
+			t.Run("tokens", func(t *testing.T) { require.Empty(t, w.violation) })
 		})
 	}
 }
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -1,6 +1,7 @@
 package overseer_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -28,8 +29,9 @@
 	until       time.Duration
 }
 
-// server simulates a backend server that checks fencing tokens.
+// server simulates one start of a backend server that checks fencing tokens.
 type server struct {
+	id      string
 	starts  int64
 	tokens  [sampleCount]uint64
 	holds   []heldRange
@@ -45,7 +47,13 @@
 
 func sampleKey(i int) uint16 { return uint16(i*partitioner.KeyCount/sampleCount + 7) }
 
-func (s *server) apply(c granter.Call, arrived time.Duration) granter.Result {
+// grant is a grant of a key that a start of a backend server has taken.
+type grant struct {
+	server *server
+	token  uint64
+}
+
+func (s *server) apply(w *world, c granter.Call, arrived time.Duration) granter.Result {
 	for i := range sampleCount {
 		if k := sampleKey(i); c.First <= k && k <= c.Last && s.tokens[i] > c.Token {
 			return granter.Refused
@@ -70,6 +78,7 @@
 	}
 	for i := range sampleCount {
 		if k := sampleKey(i); c.First <= k && k <= c.Last {
+			w.checkToken(s, i, s.tokens[i], c.Token)
 			s.tokens[i] = c.Token
 		}
 	}
@@ -146,8 +155,14 @@
 	registersLate bool
 	// reachesNextStart is set if grants for one start of a backend server may reach its next one.
 	reachesNextStart bool
+	// checksInstance is set if backend servers refuse grants that name another id.
+	checksInstance bool
+	// newest are the grants with the highest token of each sample key.
+	newest [sampleCount]grant
 	// violation describes the first broken rule.
 	violation string
+	// twoOwners describes the first time when a key had two owners.
+	twoOwners string
 }
 
 // storeCopy is a state of the store that a restore may bring back.
@@ -192,8 +207,9 @@
 func newWorld(t *testing.T, seed uint64, n int, method descriptor.GrantMethod) *world {
 	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 77)), now: time.Hour, method: method, era: 1}
 	for i := range n {
-		m := &member{server: w.newServer(0), rate: 1 + (w.r.Float64()-0.5)*0.018}
-		m.self = partitioner.Member{ID: partitioner.NodeID(fmt.Sprintf("node-%d", i)), Zone: fmt.Sprintf("zone-%d", i%3)}
+		id := partitioner.NodeID(fmt.Sprintf("node-%d", i))
+		m := &member{server: w.newServer(id, 0), rate: 1 + (w.r.Float64()-0.5)*0.018}
+		m.self = partitioner.Member{ID: id, Zone: fmt.Sprintf("zone-%d", i%3)}
 		w.members = append(w.members, m)
 		w.restart(m)
 	}
@@ -215,7 +231,7 @@
 
 // registerServer sets the node's backend server.
 func (w *world) registerServer(m *member) {
-	m.self.Server = partitioner.Server{ID: string(m.self.ID) + "-s", StartedAtMillis: m.server.starts, Service: service, Slots: 10, Divided: true}
+	m.self.Server = partitioner.Server{ID: m.server.id, StartedAtMillis: m.server.starts, Service: service, Slots: 10, Divided: true}
 	m.granter.SetServer(m.self.Server)
 }
 
@@ -282,7 +298,7 @@
 				later = append(later, l)
 				continue
 			}
-			m.server.apply(l.call, l.arrived)
+			m.server.apply(w, l.call, l.arrived)
 		}
 		m.server.delayed = later
 		if m.server.beats != nil {
@@ -310,7 +326,8 @@
 	}
 	now := w.clock(m)
 	for _, c := range m.granter.DueCalls(now) {
-		if !c.Release && c.ServerStartedAtMillis != m.server.starts && !w.reachesNextStart {
+		isRefused := (c.ServerStartedAtMillis != m.server.starts && !w.reachesNextStart) || (c.Server != m.server.id && w.checksInstance)
+		if !c.Release && isRefused {
 			m.granter.HandleResult(c, granter.Unreachable, "", now)
 			continue
 		}
@@ -319,7 +336,7 @@
 			m.granter.HandleResult(c, granter.Unknown, "", now)
 			continue
 		}
-		m.granter.HandleResult(c, m.server.apply(c, w.now), "handover", now)
+		m.granter.HandleResult(c, m.server.apply(w, c, w.now), "handover", now)
 	}
 }
 
@@ -556,6 +573,19 @@
 	}
 }
 
+// checkToken checks the token with which a start of a backend server takes a sample key that it
+// last took with the former token. Repeated grants need no higher token than other starts had.
+func (w *world) checkToken(s *server, i int, former, token uint64) {
+	last := w.newest[i]
+	switch {
+	case token > last.token:
+		w.newest[i] = grant{s, token}
+	case token != former && last.server != s && w.violation == "":
+		w.violation = fmt.Sprintf("start %d (%s) took key %d with token %d at %s, after start %d (%s) had token %d",
+			s.starts, s.id, sampleKey(i), token, w.now, last.server.starts, last.server.id, last.token)
+	}
+}
+
 // check counts the owners of each sample key over all backend servers.
 func (w *world) check() {
 	for i := range sampleCount {
@@ -568,8 +598,9 @@
 				}
 			}
 		}
-		if owners > 1 && w.violation == "" { // calling require for each key and step would take most of the test's time
-			w.violation = fmt.Sprintf("two owners of key %d at %s", key, w.now)
+		if owners > 1 && w.twoOwners == "" { // calling require for each key and step would take most of the test's time
+			w.twoOwners = fmt.Sprintf("two owners of key %d at %s", key, w.now)
+			w.violation = cmp.Or(w.violation, w.twoOwners)
 		}
 		w.checkedKeys++
 		w.servedKeys += min(owners, known)
@@ -598,7 +629,7 @@
 	case 6:
 		w.lossUntil = w.now + d
 	default: // the backend server restarts without its state
-		m.server = w.newServer(m.server.starts + 1)
+		m.server = w.newServer(m.self.ID, m.server.starts+1)
 		m.registerAt = w.now
 		if w.registersLate {
 			m.registerAt += time.Duration(20+w.r.IntN(480)) * time.Millisecond
--- a/papayapass/internal/partitioner/freedrange.go
+++ b/papayapass/internal/partitioner/freedrange.go
@@ -1,5 +1,7 @@
 package partitioner
 
+import "slices"
+
 // FreeCause is why a range lost its owner.
 type FreeCause string
 
@@ -27,3 +29,8 @@
 	r.Owner, r.Server, r.ServerStartedAtMillis, r.Handover = "", "", 0, handover
 	p.changed = true
 }
+
+// hasFreed reports whether a member has lost a range with a token in the round.
+func (p *Plan) hasFreed(id NodeID, token uint64) bool {
+	return slices.ContainsFunc(p.freed, func(f FreedRange) bool { return f.Owner == id && f.Token == token })
+}
--- a/papayapass/internal/partitioner/planner.go
+++ b/papayapass/internal/partitioner/planner.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+
+	"papayapass.dev/papayapass/internal/mutator"
 )
 
 // Thresholds and limits of the planner.
@@ -150,7 +152,9 @@
 
 func (p *Plan) setOwner(r *Range, m Member) {
 	r.Owner, r.Server, r.ServerStartedAtMillis, r.NextOwner = m.ID, m.Server.ID, m.Server.StartedAtMillis, ""
-	r.Token = p.table.nextToken()
+	if !mutator.Active(mutator.KeepTokenAcrossStart) || !p.hasFreed(m.ID, r.Token) {
+		r.Token = p.table.nextToken()
+	}
 	p.changed = true
 }
 
