Let no setting say that a first table has no holders beside it

Cause: a first table divided keys at once if the settings said that the whole deployment starts for the first time (node.firstStart, the template's bootstrap). Nobody checked it.

Change: every first table in a store that has eras is blank for one lease, whatever starts; the setting is gone (old files that have it are still read). A store without eras loses no table, and its first one divides keys at once, as before. The role is not handed over while the table hides holders, since another term would wait once more.

What the setting did when it was wrong is the planted fault FoundAtOnce, which the schedules of lost tables detect. TestKeysAreHeldSoonAfterAFirstStart (keys held within 5 s without a gap, the role moves once) fails without the rule of the hand-over, for both methods.

--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -149,7 +149,7 @@
 	n.memory = budgeter.NewBudget(s.bodyMemory())
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, n.timers, n.enveloper) }
 	incarnation := uint64(time.Now().UnixNano())
-	n.participant = participant.NewParticipant(self, incarnation, store, a.StoreLayout, s.bounds(), n.timers, g, newPeer, s.Node.FirstStart, logger)
+	n.participant = participant.NewParticipant(self, incarnation, store, a.StoreLayout, s.bounds(), n.timers, g, newPeer, logger)
 	n.forwarder = forwarder.NewForwarder(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.HeaderCodec, n.timers, g, n.participant, t, logger)
 	c := newClient(a.GrantAPI, s.Node.Server, n.enveloper)
 	c.memory = budgeter.NewBudget(s.controlMemory())
@@ -224,7 +224,7 @@
 	g.Go(func() error { return n.participant.Run(runCtx) })
 	g.Go(func() error { return r.run(runCtx) })
 	g.Go(func() error { return summaries.Run(runCtx, n.timers) })
-	n.logger.Info().Str("zone", n.settings.Node.Zone).Str("service", n.settings.Node.Service).Bool("firstStart", n.settings.Node.FirstStart).Msg("node runs")
+	n.logger.Info().Str("zone", n.settings.Node.Zone).Str("service", n.settings.Node.Service).Msg("node runs")
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -29,8 +29,6 @@
 		// Cores is the processor share of the instance in cores; zero if unknown. The
 		// coordinator's role moves to a larger instance.
 		Cores number `toml:"cores"`
-		// FirstStart is set when the whole deployment starts for the first time.
-		FirstStart bool `toml:"firstStart"`
 	} `toml:"node"`
 	Listen struct {
 		Customers  string `toml:"customers"`
--- a/papayapass/internal/overseer/losttable_test.go
+++ b/papayapass/internal/overseer/losttable_test.go
@@ -102,6 +102,38 @@
 	require.Equal(t, partitioner.FoundedFirst, overseer.FirstTable(partitioner.Member{ID: "node-1"}, 1, 1, 0, true).Founding)
 }
 
+// All machines start for the first time beside a store that has eras, 8 s before requests come. The
+// blank table must not start anew with the role's move to the largest machine.
+func TestKeysAreHeldSoonAfterAFirstStart(t *testing.T) {
+	for _, method := range methods {
+		t.Run(string(method), func(t *testing.T) {
+			w := newWorld(t, 5, 8, method)
+			w.era = 3 // the model's first era divides keys at once
+			for _, m := range w.members {
+				m.self.Cores = 0.16
+			}
+			w.members[5].self.Cores = 0.8
+			run := func(d time.Duration, check bool) {
+				for end := w.now + d; w.now < end; {
+					w.servedKeys, w.checkedKeys = 0, 0
+					w.step()
+					if check {
+						require.Equal(t, w.checkedKeys, w.servedKeys, "at %s", w.now)
+					}
+				}
+				require.Empty(t, w.violation)
+			}
+			run(3500*time.Millisecond, false)
+			require.True(t, w.table.IsBlank())
+			epoch := w.table.Epoch
+			run(1500*time.Millisecond, false)
+			run(4*time.Second, true)
+			require.Equal(t, partitioner.NodeID("node-5"), w.table.Coordinator)
+			require.Equal(t, epoch+1, w.table.Epoch, "it moves once")
+		})
+	}
+}
+
 // The former coordinator restarts beside an empty store and creates a blank table. The others go on
 // sending it heartbeats, and counted its replies as contact, so that nobody replaced the table.
 func TestBlankTableIsReplacedWhileOthersReachItsCoordinator(t *testing.T) {
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -368,10 +368,11 @@
 
 // shouldHandOver reports whether the node that sent a heartbeat is to take the role. The
 // coordinator's work grows with the fleet and does not fit the smallest machines, so the
-// largest machine gets it, unless it is hardly larger.
+// largest machine gets it, unless it is hardly larger. While the table hides holders, another term
+// would have to wait for the ends of their leases once more.
 func (o *Overseer) shouldHandOver(b Heartbeat, now timer.Instant) bool {
 	own, _ := o.table.Member(o.self)
-	if own.Cores <= 0 || b.Member.Cores < handOverFactor*own.Cores || now.Sub(o.termStart) < handOverDelay {
+	if o.table.HidesHolders() || own.Cores <= 0 || b.Member.Cores < handOverFactor*own.Cores || now.Sub(o.termStart) < handOverDelay {
 		return false
 	}
 	for id, n := range o.nodes {
--- a/papayapass/internal/overseer/recovery.go
+++ b/papayapass/internal/overseer/recovery.go
@@ -96,9 +96,9 @@
 	return false
 }
 
-// FirstTable returns the table that a node creates if the store has none and it knows none. Unless
-// the whole deployment starts for the first time, a restore of the store may have lost a table.
-// The epoch and tokens are above those of earlier eras.
+// FirstTable returns the table that a node creates if the store has none and it knows none; isFirst
+// is set if nobody can hold keys by a table that the store has lost. The epoch and tokens are above
+// those of earlier eras.
 func FirstTable(self partitioner.Member, incarnation, era, minEras uint64, isFirst bool) *partitioner.Table {
 	first := &partitioner.Table{Coordinator: self.ID, Founding: partitioner.FoundedBlank}
 	if isFirst || mutator.Active(mutator.FoundAtOnce) {
--- a/papayapass/internal/participant/era_test.go
+++ b/papayapass/internal/participant/era_test.go
@@ -245,18 +245,17 @@
 // while others held them by the lost one (incident 0023).
 func TestTableOfANewProcessInARestoredStoreIsBlank(t *testing.T) {
 	for name, tt := range map[string]struct {
-		firstStart bool
-		era        uint64
-		want       partitioner.Founding
+		era  uint64
+		want partitioner.Founding
 	}{
-		"first start":                     {true, 3, partitioner.FoundedFirst},
-		"later start":                     {false, 3, partitioner.FoundedBlank},
-		"later start, store without eras": {false, 0, partitioner.FoundedFirst},
+		"first era":          {1, partitioner.FoundedBlank},
+		"after a restore":    {2, partitioner.FoundedBlank},
+		"later era":          {3, partitioner.FoundedBlank},
+		"store without eras": {0, partitioner.FoundedFirst},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &fakeStore{version: 1, revision: 10, era: tt.era}
 			p, _ := newTestParticipant(t, s)
-			p.firstStart = tt.firstStart
 			p.findCoordinator(context.Background(), false)
 			require.True(t, p.Status().IsCoordinator)
 			require.Equal(t, tt.want, s.storedTable(t).Founding)
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -300,7 +300,7 @@
 // that is unusable.
 func (p *Participant) createTable(ctx context.Context, stored storedTable) {
 	// A store without eras loses no table. By an unusable one nobody holds keys any more.
-	isFirst := p.firstStart || stored.era == 0 || stored.isLost
+	isFirst := stored.era == 0 || stored.isLost
 	t := overseer.FirstTable(p.self, p.incarnation, stored.era, stored.minEras(), isFirst)
 	if p.storeNewTable(ctx, t, stored) {
 		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("era", stored.era).Str("founding", string(t.Founding)).Msg("first table created")
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -70,7 +70,6 @@
 type Participant struct {
 	self         partitioner.Member
 	incarnation  uint64
-	firstStart   bool
 	store        Store
 	client       Client
 	layout       StoreLayout
@@ -140,14 +139,13 @@
 	freshReplyAt timer.Instant
 }
 
-// NewParticipant returns a participant for a node; firstStart is set if the whole deployment starts
-// for the first time. Attach must be called before Run.
+// NewParticipant returns a participant for a node. Attach must be called before Run.
 func NewParticipant(self partitioner.Member, incarnation uint64, store Store, layout StoreLayout, bounds Bounds,
-	timers *timer.Service, g *granter.Granter, newPeer func(address string) *dispatcher.Peer, firstStart bool, logger zerolog.Logger,
+	timers *timer.Service, g *granter.Granter, newPeer func(address string) *dispatcher.Peer, logger zerolog.Logger,
 ) *Participant {
 	p := &Participant{
 		self: self, incarnation: incarnation, store: store, layout: layout, timers: timers,
-		granter: g, newPeer: newPeer, firstStart: firstStart, logger: logger, heartbeatNow: make(chan struct{}, 1), changed: make(chan struct{}),
+		granter: g, newPeer: newPeer, logger: logger, heartbeatNow: make(chan struct{}, 1), changed: make(chan struct{}),
 		grantsDue: make(chan struct{}, 1), staleReply: make(chan struct{}, 1), termStarted: make(chan struct{}),
 		started: timers.Now(), lastContact: timers.Now(), retryBudget: newRetryBudget(bounds, timers),
 	}
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -107,7 +107,7 @@
 	g := granter.NewGranter("node-1", 10*time.Second, clock.Now())
 	self := partitioner.Member{ID: "node-1", Address: "127.0.0.1:1", Zone: "zone-1"}
 	newPeer := func(address string) *dispatcher.Peer { return dispatcher.NewPeer(address, clock, nil) }
-	p := NewParticipant(self, 1, s, StoreLayout{Decode: decodeVersion}, Bounds{RetryWindow: time.Second, ZoneOutTimeout: 5 * time.Second, ApplyTimeout: 2 * time.Second}, timers, g, newPeer, false, zerolog.Nop())
+	p := NewParticipant(self, 1, s, StoreLayout{Decode: decodeVersion}, Bounds{RetryWindow: time.Second, ZoneOutTimeout: 5 * time.Second, ApplyTimeout: 2 * time.Second}, timers, g, newPeer, zerolog.Nop())
 	p.Attach(forwarder.NewForwarder("127.0.0.1:2", "permits", time.Second, nil, clock, g, p, &tracer.Tracer{}, zerolog.Nop()), nil)
 	return p, clock
 }
--- a/papayapass/internal/partitioner/founding.go
+++ b/papayapass/internal/partitioner/founding.go
@@ -5,7 +5,8 @@
 
 // Foundings.
 const (
-	// FoundedFirst means that there was no earlier table: the whole deployment started.
+	// FoundedFirst means that nobody holds keys by an earlier table: the store has no eras and so loses
+	// none, or all leases had ended.
 	FoundedFirst Founding = "first"
 	// FoundedBlank means that a restore of the store may have lost earlier tables.
 	FoundedBlank Founding = "blank"
