Divide no keys at once by a table in place of an unusable one

Cause: a node that knows no table creates one in place of an unusable one once it has had no coordinator for longer than all leases. That time counts from the start of its process. If it reaches the store only then, another writer may have overwritten the table just before, and members hold keys by the lost one. The table was not blank, so keys were divided at once.

Callers would see: two owners of a key for up to one lease, if a process has been without a coordinator and the store for 24.5 s and is then the first one to read a table that was overwritten a moment ago. Not seen; found by reading.

Change: such a table is blank, in stores with and without eras.

Evidence: TestTableInPlaceOfAnUnusableOneIsBlank fails without the change for eras 0, 1 and 2 (founding "first").

Remains: in a store without eras, an object that another writer removes looks like a first start.

--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -299,8 +299,8 @@
 // those of earlier eras, whose tables a restore of the store may have lost, and of a table
 // that is unusable.
 func (p *Participant) createTable(ctx context.Context, stored storedTable) {
-	// A store without eras loses no table. By an unusable one nobody holds keys any more.
-	isFirst := stored.era == 0 || stored.isLost
+	// A store without eras loses no table but by another writer, who may have come just now.
+	isFirst := stored.era == 0 && !stored.isLost
 	t := overseer.FirstTable(p.self, p.incarnation, stored.era, stored.minEras(), isFirst)
 	if p.storeNewTable(ctx, t, stored) {
 		p.logger.Info().Uint64("epoch", t.Epoch).Uint64("era", stored.era).Str("founding", string(t.Founding)).Msg("first table created")
--- a/papayapass/internal/participant/storedtable_test.go
+++ b/papayapass/internal/participant/storedtable_test.go
@@ -150,6 +150,22 @@
 	require.Equal(t, p.Status().Epoch, s.storedTable(t).Epoch)
 }
 
+// A node that knows no table reaches the store long after its start, just after another writer has
+// overwritten the table. It divided keys at once beside those who held them by the lost one.
+func TestTableInPlaceOfAnUnusableOneIsBlank(t *testing.T) {
+	for _, era := range []uint64{0, 1, 2} {
+		t.Run(tableName(era), func(t *testing.T) {
+			s := &fakeStore{version: 1, revision: 10, era: era}
+			s.table = descriptor.Object{Name: tableName(era), Revision: 10, Spec: []byte("{}")}
+			p, clock := newTestParticipant(t, s)
+			clock.Advance(longestLease + time.Second)
+			p.findCoordinator(context.Background(), false)
+			require.True(t, p.Status().IsCoordinator)
+			require.Equal(t, partitioner.FoundedBlank, s.storedTable(t).Founding)
+		})
+	}
+}
+
 func TestNamesOfTables(t *testing.T) {
 	for _, era := range []uint64{0, 1, 17, math.MaxUint64} {
 		got, ok := eraOfTable(tableName(era))
--- a/papayapass/internal/partitioner/founding.go
+++ b/papayapass/internal/partitioner/founding.go
@@ -6,9 +6,9 @@
 // Foundings.
 const (
 	// FoundedFirst means that nobody holds keys by an earlier table: the store has no eras and so loses
-	// none, or all leases had ended.
+	// none.
 	FoundedFirst Founding = "first"
-	// FoundedBlank means that a restore of the store may have lost earlier tables.
+	// FoundedBlank means that a restore of the store, or another writer, may have lost earlier tables.
 	FoundedBlank Founding = "blank"
 	// FoundedUncertain means that the table is based on one that did not name all members yet,
 	// and no member with a lease could be asked.
