Count a lease only with the table that it was given for

Callers: two backend servers hold the same keys, the later one with the lower fencing token (OWNER). Cause: two heartbeats of a node may be under way at once. A reply to the second brings a delta from the table that the node had when it sent both; after the first reply that delta does not apply, but the lease of the second counted all the same, if the epoch was right. If the table had taken the node's keys meanwhile, the node granted them once more with their old token, for up to one lease. Change: a lease counts only with a table at least as new as the one that the reply brings. Evidence: TestLeaseCountsOnlyWithItsTable fails without the change (a lease of 3 s with a table in which the node still owns the keys). Conclusion: what a lease allows is read from the table that the coordinator had in mind.

--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -123,6 +123,19 @@
 	return r.Table != nil || r.Delta != nil || len(r.Configuration) > 0
 }
 
+// Version returns the version of the table that the reply brings, or zero if the node has the newest
+// one. The lease counts only with that table.
+func (r HeartbeatReply) Version() uint64 {
+	switch {
+	case r.Table != nil:
+		return r.Table.Version
+	case r.Delta != nil:
+		return r.Delta.Version
+	default:
+		return 0
+	}
+}
+
 // ProbeRequest asks a node whether it is in contact with its coordinator.
 type ProbeRequest struct {
 	// WantsTable asks for the node's table if it is newer than that of Epoch and Version.
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -159,7 +159,7 @@
 			p.applyTable(next)
 		}
 	}
-	if t := p.table.Load(); t.Epoch == r.Epoch {
+	if t := p.table.Load(); t.Epoch == r.Epoch && t.Version >= r.Version() {
 		p.granter.SetLease(sent.Add(r.Lease))
 	}
 	if !r.StoreFresh {
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -398,3 +398,22 @@
 	p.sendKeyRequest(context.Background(), call)
 	require.Len(t, c.sent, 1, "too little is left of the hold")
 }
+
+// Two heartbeats were under way at once. The reply to the second brought a delta that did not apply
+// after the first, and a lease, by which the node granted keys that the table had given away.
+func TestLeaseCountsOnlyWithItsTable(t *testing.T) {
+	p, clock := newTestParticipant(t, &fakeStore{})
+	v8, v9, v10 := testTable(8, "node-1"), testTable(9, "node-1"), testTable(10, "node-2")
+	now := clock.Now()
+	reply := overseer.HeartbeatReply{IsCoordinator: true, Epoch: v8.Epoch, Table: v8}
+	require.NoError(t, p.applyReply(reply, now))
+	reply.Table, reply.Delta = nil, partitioner.Diff(v8, v9)
+	require.NoError(t, p.applyReply(reply, now))
+	reply.Delta, reply.Lease = partitioner.Diff(v8, v10), 3*time.Second
+	require.NoError(t, p.applyReply(reply, now))
+	require.Equal(t, uint64(9), p.table.Load().Version)
+	require.Zero(t, p.granter.LeaseLeft(now))
+	reply.Delta = partitioner.Diff(v9, v10)
+	require.NoError(t, p.applyReply(reply, now))
+	require.Positive(t, p.granter.LeaseLeft(now))
+}
