Let no held-up heartbeat of a short-lived process replace a later one

Callers: a node without a lease, so that its keys are not served, until the store can be written again. Cause: the check of uptimes takes a process for a later one if its start, as of the arrival of its heartbeat, is after the last heartbeat of the present one. A first heartbeat that was held up names a short uptime, so that a process that is long gone replaced its successor. Evidence: TestHeldUpHeartbeatReplacesNoLaterProcess fails without the change.

--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -285,12 +285,12 @@
 	return o.reply(n, b, now)
 }
 
-// contradicts reports whether a heartbeat of another process of the node names a start before the
-// newest heartbeat of the present one. It is late, or its uptime is wrong, and counts for nothing
-// while the present process is heard.
+// contradicts reports whether a heartbeat of another process of the node is of an earlier
+// incarnation, which is a time of day, or names a start before the newest heartbeat of the present
+// one. It is late, or its uptime is wrong, and counts for nothing while the present process is heard.
 func (n *node) contradicts(b Heartbeat, now timer.Instant) bool {
-	return n.lastHeartbeat.Incarnation != b.Incarnation && b.startedBy(now).Before(n.lastHeartbeatAt) &&
-		now.Sub(n.lastHeartbeatAt) <= heartbeatTimeout
+	isEarlier := b.Incarnation < n.lastHeartbeat.Incarnation || b.startedBy(now).Before(n.lastHeartbeatAt)
+	return n.lastHeartbeat.Incarnation != b.Incarnation && isEarlier && now.Sub(n.lastHeartbeatAt) <= heartbeatTimeout
 }
 
 // smoothMean updates the smoothed mean duration from a heartbeat.
--- a/papayapass/internal/overseer/uptime_test.go
+++ b/papayapass/internal/overseer/uptime_test.go
@@ -113,3 +113,15 @@
 	}
 	require.Greater(t, d, 1800*time.Millisecond)
 }
+
+// The first heartbeat of a process that lived briefly was held up. It replaced the present process,
+// which got no lease until the next write.
+func TestHeldUpHeartbeatReplacesNoLaterProcess(t *testing.T) {
+	u := newUptimeTest()
+	u.HandleHeartbeat(u.beat(7, time.Hour), leaseTestStart)
+	u.HandleHeartbeat(u.beat(9, 2*time.Second), afterStart(2300*time.Millisecond))
+	u.WriteConfirmed(nil, afterStart(2400*time.Millisecond))
+	require.Positive(t, u.HandleHeartbeat(u.beat(9, 2200*time.Millisecond), afterStart(2500*time.Millisecond)).Lease)
+	require.Zero(t, u.HandleHeartbeat(u.beat(8, 10*time.Millisecond), afterStart(2600*time.Millisecond)).Lease)
+	require.Positive(t, u.HandleHeartbeat(u.beat(9, 2400*time.Millisecond), afterStart(2700*time.Millisecond)).Lease)
+}
