Take no grant that was held back for proof that a backend server has ended

Callers: two backend servers hold the same keys (OWNER) after a backend server started again at once under its id, without a restart of its node. Cause: a grant that the start monitor held back counted like a refused connect. After a refused connect no grant can have reached the next start, which is then named at once and its keys are free. But the monitor may notice late (a silent connection, a held-up heartbeat), after grants have reached that start. The same with a connect that timed out. Change: only a refused connect, or an answer by another backend server, proves the end. A grant that is held back (granter.Unconfirmed) stops grants until the next heartbeat and leaves the doubt as it is.

--- a/papayapass/internal/granter/call.go
+++ b/papayapass/internal/granter/call.go
@@ -46,7 +46,9 @@
 	Unknown
 	// NotDelivered means that the call did not reach the backend server.
 	NotDelivered
-	// Unreachable means the same, and that the backend server may have ended: nothing
-	// accepts connections, or another backend server does.
+	// Unreachable means the same, and that the backend server has ended: nothing accepts
+	// connections, or another backend server does.
 	Unreachable
+	// Unconfirmed means the same, and that the backend server may have started again.
+	Unconfirmed
 )
--- a/papayapass/internal/granter/granter.go
+++ b/papayapass/internal/granter/granter.go
@@ -83,6 +83,9 @@
 	// heartbeat. A grant before that could reach a later start of it, which counts as holding
 	// nothing until it is heard.
 	ended bool
+	// unconfirmed is set from a call that was not sent, since the backend server may have started
+	// again, until its next heartbeat. Grants before that call may have reached a later start.
+	unconfirmed bool
 	// startInDoubtUntil is when grants for an earlier start that may have reached the present
 	// one have ended; former is that start as the coordinator knows it.
 	startInDoubtUntil timer.Instant
@@ -154,7 +157,7 @@
 		if !mayHoldKeys {
 			g.pendingGrants = nil
 		}
-		g.ended = false
+		g.ended, g.unconfirmed = false, false
 		if m, ok := g.method.(*byHeartbeat); ok {
 			*m = byHeartbeat{}
 		}
@@ -328,7 +331,7 @@
 		c.Release = true
 		return c, !g.server.Down && g.server.SameStart(h.Server, h.ServerStartedAtMillis)
 	}
-	if !g.server.SameStart(h.Server, h.ServerStartedAtMillis) || g.server.Down || g.server.Leaving || g.ended {
+	if !g.server.SameStart(h.Server, h.ServerStartedAtMillis) || g.server.Down || g.server.Leaving || g.ended || g.unconfirmed {
 		return Call{}, false
 	}
 	c.Hold = g.holdFor(now)
@@ -347,7 +350,9 @@
 	defer g.mu.Unlock()
 	defer g.notify()
 	g.resolveGrant(c, result, now)
-	g.ended = g.ended || (result == Unreachable && c.Server == g.server.ID)
+	if c.Server == g.server.ID {
+		g.ended, g.unconfirmed = g.ended || result == Unreachable, g.unconfirmed || result == Unconfirmed
+	}
 	i := slices.IndexFunc(g.holdings, func(h *holding) bool {
 		return h.service == c.Service && h.First == c.First && h.Last == c.Last && h.Token == c.Token
 	})
--- a/papayapass/internal/granter/heartbeat.go
+++ b/papayapass/internal/granter/heartbeat.go
@@ -59,7 +59,7 @@
 func (g *Granter) HandleHeartbeat(sequence int64, keys *descriptor.KeyListing, now timer.Instant) HeartbeatResult {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ended = false
+	g.ended, g.unconfirmed = false, false
 	m, ok := g.method.(*byHeartbeat)
 	if !ok || keys == nil {
 		return HeartbeatResult{}
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -166,8 +166,10 @@
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent) && errors.Is(err, syscall.ECONNRESET):
 		return granter.NotDelivered, "" // the backend server has no room for the connection
-	case errors.Is(err, exchanger.ErrNotSent):
+	case errors.Is(err, exchanger.ErrRefused):
 		return granter.Unreachable, ""
+	case errors.Is(err, exchanger.ErrNotSent):
+		return granter.Unconfirmed, ""
 	case err != nil:
 		return granter.Unknown, ""
 	case response.Status == http.StatusOK:
--- a/papayapass/internal/overseer/rolling_test.go
+++ b/papayapass/internal/overseer/rolling_test.go
@@ -182,3 +182,17 @@
 		})
 	}
 }
+
+// The start monitor noticed the next start of a backend server late, after grants had reached it. The
+// grants that it held back then counted as proof that none had.
+func TestGrantsHeldBackLateKeepOneOwner(t *testing.T) {
+	for seed := uint64(90030); seed < 90050; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 3+int(seed%5), descriptor.GrantByCall)
+			w.hasHotKeys, w.registersLate, w.reachesNextStart, w.monitorNotices = true, true, true, true
+			w.runFaults()
+			require.Empty(t, w.twoOwners)
+		})
+	}
+}
