Count a grant in flight in the doubt about the next start

Callers: two holders of a key for up to 0.3 s (OWNER), after a backend server started again at once. Cause: the doubt about the next start ended with the holds known when it was heard. A grant that was under way then is answered later, and its hold counts from its arrival; the doubt was not extended. Change: the result of a grant for another start extends the doubt while there is one. Evidence: TestStartIsNotNamedBeforeAGrantInFlightHasEnded fails without the change, for an answer and for none. Conclusion: holds and the doubt end at the same instant.

--- a/papayapass/internal/granter/granter_test.go
+++ b/papayapass/internal/granter/granter_test.go
@@ -240,6 +240,29 @@
 	}
 }
 
+// A grant was under way to the next start of a backend server when that one was heard. Its hold counts
+// from the arrival, and the start was named up to a time-out too early.
+func TestStartIsNotNamedBeforeAGrantInFlightHasEnded(t *testing.T) {
+	for name, result := range map[string]Result{"done": Done, "unknown": Unknown} {
+		t.Run(name, func(t *testing.T) {
+			restarted := testServer
+			restarted.StartedAtMillis = 8
+			now := timer.Instant(time.Hour)
+			g := newTestGranter(now)
+			g.SetTable(testTable(testRange(0, 99, 4, "")), now)
+			c := g.DueCalls(now)[0]
+			g.SetServer(restarted)
+			answered := now.Add(GrantTimeout)
+			g.HandleResult(c, result, "", answered)
+			end := answered.Add(withDrift(c.Hold))
+			_, inDoubt := g.FormerStart(end.Add(-10 * time.Millisecond))
+			require.True(t, inDoubt)
+			_, inDoubt = g.FormerStart(end)
+			require.False(t, inDoubt)
+		})
+	}
+}
+
 func TestRestartedServerHoldsNothing(t *testing.T) {
 	now := timer.Instant(time.Hour)
 	g := newTestGranter(now)
--- a/papayapass/internal/granter/pendinggrant.go
+++ b/papayapass/internal/granter/pendinggrant.go
@@ -33,6 +33,9 @@
 				h.mayHoldUntil = max(h.mayHoldUntil, until)
 			}
 		}
+		if g.former.ID != "" && !g.server.SameStart(c.Server, c.ServerStartedAtMillis) {
+			g.startInDoubtUntil = max(g.startInDoubtUntil, until) // it was under way when the present start was heard
+		}
 	}
 	g.pendingGrants = slices.DeleteFunc(g.pendingGrants, func(p pendingGrant) bool { return p.call == c && result != Unknown })
 	for i := range g.pendingGrants {
