Let idle backend servers of shared pools get requests again

Cause: the choice trusts the last mean duration however old it is. A backend server of a pool that has ended no request counts as taking 100 ms, one whose first requests were slow as that slow. With others at 4 ms it gets no request, so its mean never changes, until all slots of the others are busy.

Change: without requests, a mean approaches the lowest one of the pool (half-life 5 s), and a backend server that has ended none counts like the fastest one. A backend server whose mean stays the same without running requests is idle; no new field is sent. The estimate is in a file of its own, without input and output.

--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -165,10 +165,7 @@
 	if !r.StoreFresh {
 		wake(p.staleReply)
 	}
-	loads := make(map[partitioner.NodeID]overseer.ServerLoad, len(r.Loads))
-	for _, l := range r.Loads {
-		loads[l.Node] = l
-	}
+	loads := (*p.loads.Load()).next(r.Loads, p.timers.Now())
 	p.loads.Store(&loads)
 	if len(r.Configuration) > 0 {
 		if cfg, err := p.layout.Decode(r.Configuration); err == nil {
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -95,7 +95,7 @@
 	// the zone was taken out of service.
 	keysServedUntil atomic.Int64
 	table           atomic.Pointer[partitioner.Table]
-	loads           atomic.Pointer[map[partitioner.NodeID]overseer.ServerLoad]
+	loads           atomic.Pointer[poolLoads]
 	peers           sync.Map // address to *dispatcher.Peer
 	retryBudget     *retryBudget
 
@@ -153,7 +153,7 @@
 	empty := make(map[string]bool)
 	p.zonesOut.Store(&empty)
 	p.freshReplyAt = timers.Now().Add(firstReadDelay - bounds.freshness())
-	loads := make(map[partitioner.NodeID]overseer.ServerLoad)
+	loads := make(poolLoads)
 	p.loads.Store(&loads)
 	return p
 }
--- a/papayapass/internal/participant/view.go
+++ b/papayapass/internal/participant/view.go
@@ -16,8 +16,8 @@
 	// costJitter is the random fraction of a cost, so that nodes with the same loads do
 	// not all choose the same server.
 	costJitter = 0.2
-	// defaultMeanDuration is the assumed mean duration at a backend server that has not
-	// ended any request yet.
+	// defaultMeanDuration is the assumed mean duration at a backend server without a report, or if
+	// none of its pool has ended a request.
 	defaultMeanDuration = 100 * time.Millisecond
 	// busySlowdown is the fraction by which requests take longer at a backend server with
 	// all slots busy.
@@ -53,23 +53,33 @@
 		}
 		return p.server(m), m.ID, dispatcher.ReasonNone
 	}
-	best, found, bestCost := partitioner.Member{}, false, time.Duration(0)
-	for _, m := range t.Members {
-		if m.Server.Service != call.Service || !m.Server.Up() || tried[m.ID] || (*p.zonesOut.Load())[m.Zone] {
-			continue
+	pool := p.pool(t, call.Service, tried)
+	if len(pool) == 0 {
+		return nil, "", dispatcher.ReasonNoServer
+	}
+	lowest := (*p.loads.Load()).lowestMean(pool)
+	best, bestCost := pool[0], p.cost(pool[0], call.Objective, lowest)
+	for _, m := range pool[1:] {
+		if cost := p.cost(m, call.Objective, lowest); cost < bestCost {
+			best, bestCost = m, cost
 		}
-		if m.ID != p.self.ID && !p.peer(m.Address).Reachable() {
+	}
+	return p.server(*best), best.ID, dispatcher.ReasonNone
+}
+
+// pool returns the members of a shared pool that may be asked, except those at the tried nodes.
+func (p *Participant) pool(t *partitioner.Table, service string, tried map[partitioner.NodeID]bool) []*partitioner.Member {
+	var out []*partitioner.Member
+	for i := range t.Members {
+		m := &t.Members[i]
+		if m.Server.Service != service || !m.Server.Up() || tried[m.ID] || (*p.zonesOut.Load())[m.Zone] {
 			continue
 		}
-		cost := p.cost(m, call.Objective)
-		if !found || cost < bestCost {
-			best, found, bestCost = m, true, cost
+		if m.ID == p.self.ID || p.peer(m.Address).Reachable() {
+			out = append(out, m)
 		}
 	}
-	if !found {
-		return nil, "", dispatcher.ReasonNoServer
-	}
-	return p.server(best), best.ID, dispatcher.ReasonNone
+	return out
 }
 
 // Server returns the backend server of a node, or nil if the node is not a member.
@@ -88,28 +98,21 @@
 	return p.peer(m.Address)
 }
 
-// cost estimates how long a request takes at a backend server of a shared pool.
-func (p *Participant) cost(m partitioner.Member, objective time.Duration) time.Duration {
+// cost estimates how long a request takes at a backend server of a shared pool, in which the lowest
+// known mean duration is given.
+func (p *Participant) cost(m *partitioner.Member, objective, lowest time.Duration) time.Duration {
 	load := (*p.loads.Load())[m.ID]
 	if m.ID == p.self.ID {
 		var h overseer.Heartbeat
 		p.forwarder.FillLoad(&h)
-		load = h.ServerLoad()
-	}
-	mean := load.MeanDuration
-	if mean == 0 {
-		mean = defaultMeanDuration
+		h.Member.ID = p.self.ID
+		load.ServerLoad = h.ServerLoad()
 	}
 	n := float64(load.Running + load.Waiting)
 	if m.ID != p.self.ID {
 		n = max(n, float64(p.peer(m.Address).InFlight()))
 	}
-	slots := load.Slots(max(m.Server.Slots, 1))
-	use := min(n/slots, 1)
-	expected := float64(mean) * (1 + busySlowdown*use*use + max(0, n+1-slots)/slots)
-	if load.WarmingUp {
-		expected *= 3 // a server that is warming up accepts only a low rate
-	}
+	expected := load.expectedDuration(n, load.Slots(max(m.Server.Slots, 1)), lowest)
 	expected *= 1 + costJitter*rand.Float64()
 	if m.Zone != p.self.Zone {
 		expected += crossZoneShare * float64(objective)
