Let requests of a route that was slow run again under load

What callers saw: all requests of a route refused, for as long as the load of other routes lasts, though the backend server has long been fast again.

Cause: while others wait, a request is rejected if the mean duration of its route leaves too little time. No such request runs, so the mean stays as it was while the backend server was slow.

Change: a mean loses its weight while no work of its kind runs (half-life 5 s): the expected duration approaches the mean of all work, and the next duration measured has the weight that the mean has lost. While such a request runs, the mean counts as before, so that tries come one at a time. The estimate is in the package estimator; the choice in shared pools uses it too, and smoothing moved there.

Change of a test: Expected takes an instant, TestTimedOutWorkIsMeasured passes the present one.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -5,17 +5,17 @@
 package admitter
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 	"sync"
 	"time"
 
+	"papayapass.dev/papayapass/internal/estimator"
 	"papayapass.dev/papayapass/internal/timer"
 )
 
 const (
-	// smoothing is the weight of a new duration in the mean.
-	smoothing = 0.1
 	// warmUpWindow is the sliding window to which the rate of a warm-up applies.
 	warmUpWindow = time.Second
 	// warmUpReserve is the fraction of the warm-up rate that is left unused, since
@@ -81,8 +81,8 @@
 	slots   int
 	running int
 	queue   queue
-	means   map[string]time.Duration
-	mean    time.Duration
+	means   map[string]*estimator.Mean
+	mean    estimator.Mean
 	// warmUpUntil and warmUpRate limit the starts while the backend server warms up.
 	warmUpUntil timer.Instant
 	warmUpRate  float64
@@ -96,7 +96,7 @@
 // NewAdmitter returns an admitter of a process that started at an instant. It admits nothing until its
 // slots are set.
 func NewAdmitter(started timer.Instant) *Admitter {
-	return &Admitter{means: make(map[string]time.Duration), startsUnknownUntil: started.Add(warmUpWindow)}
+	return &Admitter{means: make(map[string]*estimator.Mean), startsUnknownUntil: started.Add(warmUpWindow)}
 }
 
 // SetSlots sets how many requests the backend server may run at once.
@@ -154,17 +154,23 @@
 func (a *Admitter) Mean() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.mean
+	return a.mean.Value()
 }
 
 // Expected returns the expected duration of a request of a kind.
-func (a *Admitter) Expected(kind string) time.Duration {
+func (a *Admitter) Expected(kind string, now timer.Instant) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if mean := a.means[kind]; mean > 0 {
-		return mean
+	return cmp.Or(a.expected(kind, now), a.mean.Value())
+}
+
+// expected returns the expected duration of a request of a kind, or zero when none has ended.
+func (a *Admitter) expected(kind string, now timer.Instant) time.Duration {
+	m, ok := a.means[kind]
+	if !ok {
+		return 0
 	}
-	return a.mean
+	return m.Expected(a.mean.Value(), now)
 }
 
 // Offer asks to admit a request; queue allows it to wait. With Reject and Busy, retry is
@@ -185,7 +191,7 @@
 	if !queue {
 		return nil, Busy, wait
 	}
-	if excess := max(wait-a.maxWait(r, now), now.Add(wait+a.means[r.Kind]).Sub(r.Deadline)); excess > 0 {
+	if excess := max(wait-a.maxWait(r, now), now.Add(wait+a.expected(r.Kind, now)).Sub(r.Deadline)); excess > 0 {
 		return nil, Reject, max(excess, minRetryAfter)
 	}
 	heap.Push(&a.queue, t)
@@ -199,11 +205,11 @@
 // not from a queue of its own kind, which soon clears. Most of it are nested calls, whose
 // rejection wastes the work of the calling request.
 func (a *Admitter) maxWait(r Request, now timer.Instant) time.Duration {
-	work := a.means[r.Kind]
+	work := a.expected(r.Kind, now)
 	wait := max(waitShare*float64(r.Objective-work), minWaitShare*float64(r.Objective))
 	longest := time.Duration(0)
 	for _, mean := range a.means {
-		longest = max(longest, mean)
+		longest = max(longest, mean.Value())
 	}
 	if work > 0 && float64(work) < shortWorkShare*float64(longest) {
 		wait = max(wait, waitShare*float64(r.Deadline.Sub(now)-work))
@@ -220,7 +226,7 @@
 			before++
 		}
 	}
-	wait := time.Duration(float64(a.mean) * float64(before) / float64(max(a.slots, 1)))
+	wait := time.Duration(float64(a.mean.Value()) * float64(before) / float64(max(a.slots, 1)))
 	if now < a.warmUpUntil {
 		warmUpWait := time.Duration(float64(before) / max(a.warmUpRate, 1) * float64(time.Second))
 		wait = max(wait, min(max(warmUpWait, a.startsUnknownUntil.Sub(now)), a.warmUpUntil.Sub(now)))
@@ -242,6 +248,13 @@
 func (a *Admitter) start(t *Ticket, now timer.Instant) {
 	a.running++
 	t.started = now
+	kind, ok := a.means[t.Kind]
+	if !ok {
+		kind = &estimator.Mean{}
+		a.means[t.Kind] = kind
+	}
+	kind.Start(now)
+	a.mean.Start(now)
 	a.limit.take(now)
 	a.starts.add(now)
 }
@@ -252,21 +265,17 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.running--
-	if ran {
-		d := now.Sub(t.started)
-		a.means[t.Kind] = smooth(a.means[t.Kind], d)
-		a.mean = smooth(a.mean, d)
+	kind := a.means[t.Kind]
+	if d := now.Sub(t.started); ran {
+		kind.End(d, now)
+		a.mean.End(d, now)
+	} else {
+		kind.Stop(now)
+		a.mean.Stop(now)
 	}
 	a.admit(now)
 }
 
-func smooth(mean, d time.Duration) time.Duration {
-	if mean == 0 {
-		return d
-	}
-	return mean + time.Duration(smoothing*float64(d-mean))
-}
-
 // Cancel removes a request from the queue. It returns false when the request has already
 // started; the caller must then call Done.
 func (a *Admitter) Cancel(t *Ticket) bool {
@@ -300,7 +309,7 @@
 func (a *Admitter) rejectOverdue(now timer.Instant) {
 	waiting := len(a.queue)
 	a.queue = slices.DeleteFunc(a.queue, func(t *Ticket) bool {
-		overdue := now.Add(a.means[t.Kind]/2) > t.Deadline
+		overdue := now.Add(a.expected(t.Kind, now)/2) > t.Deadline
 		if overdue {
 			t.index = -1
 			t.admitted <- false
--- a/papayapass/internal/admitter/load_test.go
+++ b/papayapass/internal/admitter/load_test.go
@@ -128,7 +128,7 @@
 	for _, a := range s.waiting {
 		start, decided := admitted(a.ticket)
 		switch {
-		case start && s.queueToDeadline && now.Sub(a.arrived)+s.admitter.Expected(loadKind)/2 > loadDeadline:
+		case start && s.queueToDeadline && now.Sub(a.arrived)+s.admitter.Expected(loadKind, now)/2 > loadDeadline:
 			s.admitter.Done(a.ticket, false, now)
 			s.reject(a, 0, now)
 		case start:
--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -359,5 +359,5 @@
 	c := f.call(true)
 	c.Route, c.Deadline = "status", f.clock.Now().Add(timeout)
 	require.Equal(t, dispatcher.Answered, f.Serve(context.Background(), c).Outcome)
-	require.GreaterOrEqual(t, f.admitter.Expected("status"), timeout*9/10)
+	require.GreaterOrEqual(t, f.admitter.Expected("status", f.clock.Now()), timeout*9/10)
 }
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -119,7 +119,7 @@
 // with the time until the key is expected.
 func (f *Forwarder) awaitKey(ctx context.Context, c *dispatcher.Call) (dispatcher.Result, bool) {
 	rejected := dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonNotHeld}
-	latest := c.Deadline.Add(-f.admitter.Expected(c.Route))
+	latest := c.Deadline.Add(-f.admitter.Expected(c.Route, f.clock.Now()))
 	custody, expected := granter.Foreign, timer.Instant(0)
 	for {
 		changed, now := f.granter.Changed(), f.clock.Now()
@@ -264,7 +264,7 @@
 // and keys are moved by demand. Rejections during a warm-up do not count.
 func (f *Forwarder) addRejectedWork(c *dispatcher.Call) {
 	if !f.admitter.WarmingUp(f.clock.Now()) {
-		f.addWork(c, f.admitter.Expected(c.Route))
+		f.addWork(c, f.admitter.Expected(c.Route, f.clock.Now()))
 	}
 }
 
--- a/papayapass/internal/participant/poolload.go
+++ b/papayapass/internal/participant/poolload.go
@@ -1,18 +1,14 @@
 package participant
 
 import (
-	"math"
 	"time"
 
+	"papayapass.dev/papayapass/internal/estimator"
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/papayapass/internal/timer"
 )
 
-// meanHalfLife is the time in which half of what the mean duration of an idle backend server says
-// about its next request is lost.
-const meanHalfLife = 5 * time.Second
-
 // poolLoad is the load of a backend server of a shared pool, as last reported.
 type poolLoad struct {
 	overseer.ServerLoad
@@ -52,18 +48,12 @@
 	return lowest
 }
 
-// expectedMean returns the mean duration to expect of the next request. Without requests, a backend
-// server cannot show that it is fast: its mean approaches the lowest one, and so it gets requests
-// again.
+// expectedMean returns the mean duration to expect of the next request.
 func (l poolLoad) expectedMean(lowest time.Duration) time.Duration {
-	switch {
-	case l.Node == "":
+	if l.Node == "" {
 		return defaultMeanDuration
-	case l.MeanDuration <= lowest:
-		return lowest
 	}
-	weight := math.Exp2(-float64(l.reportedAt.Sub(l.usedAt)) / float64(meanHalfLife))
-	return lowest + time.Duration(weight*float64(l.MeanDuration-lowest))
+	return estimator.Expected(max(l.MeanDuration, lowest), lowest, estimator.Weight(l.reportedAt.Sub(l.usedAt)))
 }
 
 // expectedDuration returns how long a request is expected to take with n requests at the backend server.
