Confirm a start of a backend server only by a sender that is still connected

A backend server that starts again under its id took grants meant for its former start, under that one's tokens, when a heartbeat of the former start was held up until the next one accepted connections, for instance while the node stood still.

Cause: the monitor took whoever accepts connections within 10 ms of handling a heartbeat for its sender. How old the heartbeat was did not count.

Change: the monitor gets the connection of the heartbeat. If that one and the monitoring connection are open at the same time, both lead to the same process. If the sender has closed its connection, the heartbeat confirms a start only if it is already confirmed, or 1 s after the monitoring connection was opened, for servers that do not wait for responses. The 10 ms are gone. The connection is looked at by Control, since Read would wait for the server's own reader.

Evidence: TestHeldUpHeartbeatOfAFormerStartBringsNoGrants writes two heartbeats, closes their connections and lets the node handle them afterwards. Without the connection the next start executed the grant; now none is sent until a heartbeat with an open sender.

Tests changed: TestMonitorWithASlowConnectWaitsForTheNextMessage wanted a connect of more than 10 ms to wait for the next message. An open sender proves more than a quick connect did, and a closed one confirms nothing now, which TestMessageOfAClosedSenderConfirmsNoStart and TestSenderThatClosesAtOnceIsConfirmedLater check. Observe and Heartbeat take a connection; nil, as passed by the tests, counts as open.

--- a/papayapass/internal/drainer/conn.go
+++ b/papayapass/internal/drainer/conn.go
@@ -28,6 +28,9 @@
 	ended bool
 }
 
+// NetConn returns the connection that it wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read reads data and marks the connection as busy.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/papayapass/internal/exchanger/socket.go
+++ b/papayapass/internal/exchanger/socket.go
@@ -21,8 +21,11 @@
 }
 
 // IsQuiet reports whether a connection is open and has received nothing that is unread. What
-// arrives before a request is sent is no response to it.
+// arrives before a request is sent is no response to it. What is no TCP connection counts as quiet.
 func IsQuiet(c net.Conn) bool {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return true
@@ -33,10 +36,9 @@
 	}
 	quiet := false
 	var b [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) { // Read would wait for other goroutines that read
 		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(rerr, unix.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
--- a/papayapass/internal/exchanger/startmonitor.go
+++ b/papayapass/internal/exchanger/startmonitor.go
@@ -7,9 +7,8 @@
 	"time"
 )
 
-// minRestartTime is less than the time in which a server can end and start again: a connection that
-// is opened so soon after a message of a start leads to it.
-const minRestartTime = 10 * time.Millisecond
+// maxHeldUp is how late a message may be handled whose sender has closed its connection since.
+const maxHeldUp = time.Second
 
 // monitorMaxAge is the age at which the connection is replaced: servers close those that stay idle.
 const monitorMaxAge = 4 * time.Second
@@ -17,10 +16,10 @@
 // StartMonitor keeps a connection open that carries nothing. While it is open, the process that accepted
 // it runs, and new connections to the address lead to the same process.
 type StartMonitor struct {
-	address        string
-	dialer         net.Dialer
-	minRestartTime time.Duration
-	maxAge         time.Duration
+	address string
+	dialer  net.Dialer
+	maxAge  time.Duration
+	heldUp  time.Duration
 
 	mu       sync.Mutex
 	conn     net.Conn
@@ -31,13 +30,14 @@
 
 // NewStartMonitor returns a monitor without a connection to an address.
 func NewStartMonitor(address string, connectTimeout time.Duration) *StartMonitor {
-	return &StartMonitor{address: address, dialer: NewDialer(connectTimeout), minRestartTime: minRestartTime, maxAge: monitorMaxAge}
+	return &StartMonitor{address: address, dialer: NewDialer(connectTimeout), maxAge: monitorMaxAge, heldUp: maxHeldUp}
 }
 
-// Observe records that a start of the server has just been heard, and opens a connection if there is
-// none to it.
-func (m *StartMonitor) Observe(ctx context.Context, start string) error {
-	former, ok := m.keep(start)
+// Observe records that a start of the server has just been heard over a connection of its own, and opens
+// one to the server if there is none. If both are open, they lead to the same process; the message of a
+// sender that has closed its connection may have been held up while the next one started.
+func (m *StartMonitor) Observe(ctx context.Context, start string, sender net.Conn) error {
+	former, ok := m.keep(start, IsQuiet(sender))
 	if ok {
 		return nil
 	}
@@ -51,26 +51,33 @@
 	if m.conn != former { // another message came meanwhile
 		return conn.Close()
 	}
-	isSame := m.isOpen() || time.Since(began) <= m.minRestartTime
+	known := ""
+	if m.isOpen() {
+		known = m.start
+	}
 	m.close()
-	m.conn, m.openedAt = conn, began
-	if isSame {
+	m.conn, m.openedAt, m.start = conn, began, known
+	if known == "" && IsQuiet(sender) {
 		m.start = start
 	}
 	return nil
 }
 
 // keep reports whether the connection is one to a start that has just been heard, and young enough.
-// Otherwise it returns the connection to replace, or nil.
-func (m *StartMonitor) keep(start string) (former net.Conn, ok bool) {
+// Otherwise it returns the connection to replace, or nil. senderOpen reports whether the sender had not
+// closed its connection.
+func (m *StartMonitor) keep(start string, senderOpen bool) (former net.Conn, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isOpen() || (m.start != start && m.start != "") {
 		m.close()
 		return nil, false
 	}
-	m.start = start // it has been heard since the connection was opened
-	return m.conn, time.Since(m.openedAt) <= m.maxAge
+	age := time.Since(m.openedAt)
+	if senderOpen || age > m.heldUp {
+		m.start = start // it has sent this since the connection was opened
+	}
+	return m.conn, age <= m.maxAge
 }
 
 // Confirms reports whether connections that are open now lead to a start of the server.
--- a/papayapass/internal/exchanger/startmonitor_test.go
+++ b/papayapass/internal/exchanger/startmonitor_test.go
@@ -59,28 +59,65 @@
 	address := s.Addr().String()
 	m := NewStartMonitor(address, time.Second)
 	defer m.Close()
-	m.minRestartTime = time.Hour
 	require.False(t, m.Confirms("first"), "nothing heard")
-	require.NoError(t, m.Observe(context.Background(), "first"))
+	require.NoError(t, m.Observe(context.Background(), "first", nil))
 	require.True(t, m.Confirms("first"))
 	require.False(t, m.Confirms("next"))
 	s.end(t, m)
 	startServer(t, address)
 	require.False(t, m.Confirms("first"))
-	require.NoError(t, m.Observe(context.Background(), "next"))
+	require.NoError(t, m.Observe(context.Background(), "next", nil))
 	require.True(t, m.Confirms("next"))
 	require.False(t, m.Confirms("first"))
 }
 
-// A connection that took long to open may lead to a next start until the server is heard again.
-func TestMonitorWithASlowConnectWaitsForTheNextMessage(t *testing.T) {
+// closedSender returns a connection that its sender has closed.
+func closedSender(t *testing.T) net.Conn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	sender, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	c, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.True(t, IsQuiet(c))
+	require.NoError(t, sender.Close())
+	require.Eventually(t, func() bool { return !IsQuiet(c) }, 10*time.Second, time.Millisecond)
+	return c
+}
+
+// A message that was held up while the server ended and started again made the monitor take the next
+// start for the one before (incident 0024).
+func TestMessageOfAClosedSenderConfirmsNoStart(t *testing.T) {
+	s := startServer(t, "127.0.0.1:0")
+	m := NewStartMonitor(s.Addr().String(), time.Second)
+	defer m.Close()
+	sender := closedSender(t)
+	for range 2 {
+		require.NoError(t, m.Observe(context.Background(), "former", sender))
+		require.False(t, m.Confirms("former"))
+	}
+	require.NoError(t, m.Observe(context.Background(), "first", nil))
+	require.True(t, m.Confirms("first"))
+	require.NoError(t, m.Observe(context.Background(), "first", sender))
+	require.True(t, m.Confirms("first"), "it runs")
+	require.NoError(t, m.Observe(context.Background(), "former", sender))
+	require.False(t, m.Confirms("former"))
+	require.False(t, m.Confirms("first"), "until it is heard again")
+}
+
+// Servers that do not wait for the response get grants from their second message on.
+func TestSenderThatClosesAtOnceIsConfirmedLater(t *testing.T) {
 	s := startServer(t, "127.0.0.1:0")
 	m := NewStartMonitor(s.Addr().String(), time.Second)
 	defer m.Close()
-	m.minRestartTime = -1
-	require.NoError(t, m.Observe(context.Background(), "first"))
+	m.heldUp = -1
+	sender := closedSender(t)
+	require.NoError(t, m.Observe(context.Background(), "first", sender))
 	require.False(t, m.Confirms("first"))
-	require.NoError(t, m.Observe(context.Background(), "first"))
+	require.NoError(t, m.Observe(context.Background(), "first", sender))
 	require.True(t, m.Confirms("first"))
 }
 
@@ -90,16 +127,16 @@
 	s := startServer(t, "127.0.0.1:0")
 	m := NewStartMonitor(s.Addr().String(), time.Second)
 	defer m.Close()
-	m.minRestartTime, m.maxAge = -1, -1
-	require.NoError(t, m.Observe(context.Background(), "first"))
+	m.maxAge = -1
+	require.NoError(t, m.Observe(context.Background(), "first", closedSender(t)))
 	require.False(t, m.Confirms("first"))
 	former := m.conn
-	require.NoError(t, m.Observe(context.Background(), "first"))
+	require.NoError(t, m.Observe(context.Background(), "first", nil))
 	require.True(t, m.Confirms("first"))
 	require.NotSame(t, former, m.conn)
 	s.end(t, m)
 	require.False(t, m.Confirms("first"))
-	require.Error(t, m.Observe(context.Background(), "first"))
+	require.Error(t, m.Observe(context.Background(), "first", nil))
 }
 
 // A request whose guard fails is not sent, also over a connection that is kept.
--- a/papayapass/internal/forwarder/ending_test.go
+++ b/papayapass/internal/forwarder/ending_test.go
@@ -185,7 +185,7 @@
 	var log bytes.Buffer
 	f := newTestForwarderAt(t, strings.TrimPrefix(server.URL, "http://"))
 	f.logger = zerolog.New(zerolog.SyncWriter(&log))
-	_, ok := f.Heartbeat(f.heartbeat())
+	_, ok := f.Heartbeat(f.heartbeat(), nil)
 	require.True(t, ok)
 
 	results := make(chan dispatcher.Result, 2)
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 package forwarder
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -71,8 +72,8 @@
 
 // StartMonitor tells starts of the backend server apart.
 type StartMonitor interface {
-	// Observe records that a start has just been heard.
-	Observe(id string, startedAtMillis int64)
+	// Observe records that a start has just been heard over a connection.
+	Observe(id string, startedAtMillis int64, sender net.Conn)
 }
 
 // Forwarder forwards requests to one backend server.
@@ -130,9 +131,10 @@
 	}
 }
 
-// Heartbeat handles a heartbeat of the backend server. The second result reports whether
-// it is acknowledged: one from an earlier start, another service or another address is not.
-func (f *Forwarder) Heartbeat(h descriptor.Heartbeat) (descriptor.HeartbeatReply, bool) {
+// Heartbeat handles a heartbeat of the backend server that came over a connection. The second result
+// reports whether it is acknowledged: one from an earlier start, another service or another address is
+// not.
+func (f *Forwarder) Heartbeat(h descriptor.Heartbeat, sender net.Conn) (descriptor.HeartbeatReply, bool) {
 	if h.Service != f.service || h.Address != f.address {
 		return descriptor.HeartbeatReply{}, false
 	}
@@ -157,7 +159,7 @@
 	f.leaving.now = f.leaving.now || h.Draining
 	f.mu.Unlock()
 	if f.monitor != nil && f.mayGrantByCall() {
-		f.monitor.Observe(h.ID, h.StartedAtMillis)
+		f.monitor.Observe(h.ID, h.StartedAtMillis, sender)
 	}
 	f.setWarmUp(now, h.WarmUpRemaining)
 	f.admitter.SetSlots(h.Slots)
--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -70,7 +70,7 @@
 	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
 	f := newTestForwarderAt(t, strings.TrimPrefix(s.URL, "http://"))
-	_, ok := f.Heartbeat(f.heartbeat())
+	_, ok := f.Heartbeat(f.heartbeat(), nil)
 	require.True(t, ok)
 	return f
 }
@@ -204,7 +204,7 @@
 			f := newTestForwarder(t, respond(200, nil))
 			h := f.heartbeat()
 			tt.change(&h)
-			_, ok := f.Heartbeat(h)
+			_, ok := f.Heartbeat(h, nil)
 			require.Equal(t, tt.acknowledged, ok)
 			require.Equal(t, tt.server, f.Server().ID)
 			require.Equal(t, tt.up, f.Server().Up())
@@ -221,7 +221,7 @@
 		"after a drain": {func(f *testForwarder) {
 			h := f.heartbeat()
 			h.Sequence, h.Draining = 6, true
-			f.Heartbeat(h)
+			f.Heartbeat(h, nil)
 		}, dispatcher.ReasonNoServer},
 		"after a leave":       {func(f *testForwarder) { f.Leave("server-1") }, dispatcher.ReasonNoServer},
 		"in a zone taken out": {func(f *testForwarder) { f.node.zoneOut.Store(true) }, dispatcher.ReasonZoneOut},
@@ -258,7 +258,7 @@
 	f.node.cfg = nil
 	h := f.heartbeat()
 	h.Sequence, h.WarmUpRemaining = 6, 3*time.Second
-	_, ok := f.Heartbeat(h)
+	_, ok := f.Heartbeat(h, nil)
 	require.True(t, ok)
 	f.node.cfg = cfg
 	f.ApplyConfiguration()
@@ -279,7 +279,7 @@
 	require.True(t, heartbeat.WarmingUp)
 	h := f.heartbeat()
 	h.Sequence++
-	f.Heartbeat(h)
+	f.Heartbeat(h, nil)
 	f.FillLoad(&heartbeat)
 	require.False(t, heartbeat.WarmingUp, "the next heartbeat ends the assumption")
 }
@@ -313,7 +313,7 @@
 	require.Positive(t, f.node.triggers.Load())
 	h := f.heartbeat()
 	h.Sequence++
-	f.Heartbeat(h)
+	f.Heartbeat(h, nil)
 	require.True(t, f.Server().Up())
 }
 
--- a/papayapass/internal/forwarder/leaving_test.go
+++ b/papayapass/internal/forwarder/leaving_test.go
@@ -32,12 +32,12 @@
 			f.Leave(f.beat.ID)
 			f.advance(time.Second)
 			tt.heard(&f.beat)
-			_, ok := f.Heartbeat(f.beat)
+			_, ok := f.Heartbeat(f.beat, nil)
 			require.True(t, ok)
 			require.Equal(t, tt.up, f.Server().Up())
 			f.beat.Sequence++
 			f.advance(time.Second)
-			f.Heartbeat(f.beat)
+			f.Heartbeat(f.beat, nil)
 			require.Equal(t, tt.up, f.Server().Up(), "the next heartbeat changes nothing")
 		})
 	}
--- a/papayapass/internal/forwarder/notice_test.go
+++ b/papayapass/internal/forwarder/notice_test.go
@@ -88,7 +88,7 @@
 		"restart of the backend server": func(f *testForwarder, _ *noticeServer) {
 			h := f.heartbeat()
 			h.ID, h.StartedAtMillis, h.Sequence = "server-2", 20, 1
-			f.Heartbeat(h)
+			f.Heartbeat(h, nil)
 		},
 		"response without a limit": func(f *testForwarder, server *noticeServer) {
 			server.say(map[string]string{})
@@ -131,13 +131,13 @@
 
 	h := f.heartbeat()
 	h.Sequence++
-	f.Heartbeat(h) // one from before it left
+	f.Heartbeat(h, nil) // one from before it left
 	require.Equal(t, dispatcher.ReasonNoServer, f.serveAtOnce().Reason)
 	require.EqualValues(t, 1, server.runs.Load())
 
 	server.say(map[string]string{})
 	h.ID, h.StartedAtMillis, h.Sequence = "server-2", 20, 1
-	f.Heartbeat(h)
+	f.Heartbeat(h, nil)
 	require.Equal(t, dispatcher.Answered, f.serveAtOnce().Outcome, "its successor gets requests")
 }
 
@@ -181,7 +181,7 @@
 			restarted := newTestForwarderAt(t, node.address)
 			h := node.heartbeat()
 			tt.restart(&h)
-			_, ok := restarted.Heartbeat(h)
+			_, ok := restarted.Heartbeat(h, nil)
 			require.True(t, ok)
 			serve(restarted)
 			require.Equal(t, tt.want, call().Outcome)
@@ -225,7 +225,7 @@
 	require.True(t, n.Leaving)
 
 	serving = newTestForwarderAt(t, node.address)
-	_, ok := serving.Heartbeat(node.heartbeat())
+	_, ok := serving.Heartbeat(node.heartbeat(), nil)
 	require.True(t, ok)
 	require.Equal(t, dispatcher.ReasonNoServer, call("/x").Reason)
 }
--- a/papayapass/internal/forwarder/order_test.go
+++ b/papayapass/internal/forwarder/order_test.go
@@ -37,7 +37,7 @@
 	f.advance(after)
 	f.beat.Sequence++
 	f.beat.Slots = 3 + f.Server().Slots%2
-	f.Heartbeat(f.beat)
+	f.Heartbeat(f.beat, nil)
 	return f.Server().Slots == f.beat.Slots
 }
 
@@ -57,7 +57,7 @@
 	odd := f.beat
 	odd.Sequence = math.MaxInt64
 	f.advance(500 * time.Millisecond)
-	f.Heartbeat(odd)
+	f.Heartbeat(odd, nil)
 	for range 3 {
 		require.False(t, f.sendNext(900*time.Millisecond))
 		require.True(t, f.Server().Up())
@@ -101,7 +101,7 @@
 			for range 10 { // between those of the current start
 				require.False(t, f.sendNext(900*time.Millisecond))
 				current.Sequence++
-				f.Heartbeat(current)
+				f.Heartbeat(current, nil)
 			}
 			f.advance(time.Minute) // its sender has ended
 			require.False(t, f.Server().Up())
--- a/papayapass/internal/forwarder/repeated_test.go
+++ b/papayapass/internal/forwarder/repeated_test.go
@@ -46,7 +46,7 @@
 func newRepeatingForwarder(t *testing.T, s *repeatingServer) *testForwarder {
 	t.Helper()
 	f := newTestForwarderAt(t, s.start(t))
-	_, ok := f.Heartbeat(f.heartbeat())
+	_, ok := f.Heartbeat(f.heartbeat(), nil)
 	require.True(t, ok)
 	return f
 }
--- a/papayapass/internal/forwarder/start_test.go
+++ b/papayapass/internal/forwarder/start_test.go
@@ -34,7 +34,7 @@
 		"for a slot": func(f *testForwarder, _ *dispatcher.Call) {
 			h := f.heartbeat()
 			h.Sequence, h.Slots = 6, 1
-			f.Heartbeat(h)
+			f.Heartbeat(h, nil)
 		},
 	}
 	changes := map[string]struct {
@@ -44,7 +44,7 @@
 		"drain": {func(f *testForwarder) {
 			h := f.heartbeat()
 			h.Sequence, h.Draining = 7, true
-			f.Heartbeat(h)
+			f.Heartbeat(h, nil)
 		}, dispatcher.ReasonNoServer},
 		"notice":   {func(f *testForwarder) { f.Leave("server-1") }, dispatcher.ReasonNoServer},
 		"zone out": {func(f *testForwarder) { f.node.zoneOut.Store(true) }, dispatcher.ReasonZoneOut},
--- a/papayapass/internal/forwarder/suspects_test.go
+++ b/papayapass/internal/forwarder/suspects_test.go
@@ -100,7 +100,7 @@
 			})
 			h := f.heartbeat()
 			h.Sequence, h.Slots = 6, 1
-			f.Heartbeat(h)
+			f.Heartbeat(h, nil)
 			other, c := f.call(true), f.call(true)
 			other.URI = "/other"
 			first, second := make(chan dispatcher.Result, 1), make(chan dispatcher.Result, 1)
--- a/papayapass/internal/forwarder/wait_test.go
+++ b/papayapass/internal/forwarder/wait_test.go
@@ -27,7 +27,7 @@
 	f.service = "permits"
 	h := f.heartbeat()
 	h.Sequence, h.Service = 6, "permits"
-	_, ok := f.Heartbeat(h)
+	_, ok := f.Heartbeat(h, nil)
 	require.True(t, ok)
 	f.granter.SetLease(f.clock.Now().Add(time.Minute))
 	return f
@@ -111,7 +111,7 @@
 	t.Cleanup(s.Close)
 	f := newTestForwarder(t, nil)
 	f.Forwarder = NewForwarder(strings.TrimPrefix(s.URL, "http://"), "records", time.Second, fakeCodec{}, f.clock, f.granter, f.node, f.tracer, f.logger)
-	_, ok := f.Heartbeat(f.heartbeat())
+	_, ok := f.Heartbeat(f.heartbeat(), nil)
 	require.True(t, ok)
 	results := make([]dispatcher.Result, burst)
 	var wg sync.WaitGroup
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -126,12 +127,12 @@
 	return strconv.FormatInt(startedAtMillis, 10) + " " + id
 }
 
-// Observe records that a start of the backend server has just been heard, so that grants for it are
-// not sent to another one.
-func (c *client) Observe(id string, startedAtMillis int64) {
+// Observe records that a start of the backend server has just been heard over a connection, so that
+// grants for it are not sent to another one.
+func (c *client) Observe(id string, startedAtMillis int64, sender net.Conn) {
 	ctx, cancel := context.WithTimeout(context.Background(), controlConnectTimeout)
 	defer cancel()
-	if err := c.monitor.Observe(ctx, startName(id, startedAtMillis)); err != nil {
+	if err := c.monitor.Observe(ctx, startName(id, startedAtMillis), sender); err != nil {
 		c.logger.Info().Err(err).Str("server", id).Msg("no connection to the backend server, it gets no grants until its next heartbeat")
 	}
 }
--- a/papayapass/internal/launcher/calls_test.go
+++ b/papayapass/internal/launcher/calls_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"papayapass.dev/papayapass/internal/drainer"
 	"papayapass.dev/papayapass/internal/enveloper"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/granter"
@@ -166,8 +167,8 @@
 		return result
 	}
 	hear := func() { // twice, since the connect may take long
-		c.Observe("server-1", 7)
-		c.Observe("server-1", 7)
+		c.Observe("server-1", 7, nil)
+		c.Observe("server-1", 7, nil)
 	}
 	require.Equal(t, granter.Unconfirmed, send(granter.Call{Token: 1}), "nothing heard")
 	hear()
@@ -186,10 +187,54 @@
 	}
 	require.Equal(t, int32(2), requests.Load())
 	require.Equal(t, granter.Done, send(granter.Call{Token: 1, Release: true}))
-	c.Observe("server-2", 8)
+	c.Observe("server-2", 8, nil)
 	require.Equal(t, granter.Unconfirmed, send(granter.Call{Token: 1, Renewal: true}))
 }
 
+// A node stood still. When it handled the last heartbeat of a backend server that had ended, the next
+// start accepted connections, and it took grants meant for the former one (incidents 0024, 0027).
+func TestHeldUpHeartbeatOfAFormerStartBringsNoGrants(t *testing.T) {
+	var executed atomic.Int32
+	next := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { executed.Add(1) }))
+	defer next.Close()
+	address := next.Listener.Addr().String()
+	c := newClient(fakeAdapter(&memoryStore{}).GrantAPI, address, enveloper.NewEnveloper(`{"id":""}`))
+	defer c.server.Close()
+	c.monitor = exchanger.NewStartMonitor(address, time.Second)
+	defer c.monitor.Close()
+	heard := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	node := drainer.NewDrainer(newServer(context.Background(), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		c.Observe("server-1", 7, connectionOf(r))
+		heard <- struct{}{}
+	})), l)
+	send := func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "PUT /beats/server-1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		return conn
+	}
+	for range 2 {
+		require.NoError(t, send().Close())
+	}
+	go func() { _ = node.Serve() }()
+	defer func() { _ = node.Close() }() // its listener closes
+	grant := func() granter.Result {
+		result, _ := c.UpdateGrant(context.Background(), granter.Call{Token: 1, Hold: time.Second, Server: "server-1", ServerStartedAtMillis: 7})
+		return result
+	}
+	<-heard
+	<-heard
+	require.Equal(t, granter.Unconfirmed, grant())
+	require.Zero(t, executed.Load())
+	conn := send()
+	defer func() { _ = conn.Close() }() // the response is not read
+	<-heard
+	require.Equal(t, granter.Done, grant())
+}
+
 // A backend server that had started again under another id took the renewals for the start before,
 // with its fencing tokens, when the monitor took the one for the other (incident 0027).
 func TestGrantsNameTheirBackendServer(t *testing.T) {
@@ -209,7 +254,7 @@
 	c.monitor = exchanger.NewStartMonitor(address, time.Second)
 	defer c.monitor.Close()
 	for range 2 { // a heartbeat of the former start that was held up, twice since the connect may take long
-		c.Observe("server-1", 7)
+		c.Observe("server-1", 7, nil)
 	}
 	for _, call := range []granter.Call{{Token: 1}, {Token: 1, Renewal: true}} {
 		call.Server, call.ServerStartedAtMillis, call.Hold = "server-1", 7, time.Second
@@ -219,8 +264,8 @@
 	require.Zero(t, executed.Load())
 	result, _ := c.UpdateGrant(context.Background(), granter.Call{Release: true, Token: 1, Server: "server-1"})
 	require.Equal(t, granter.Done, result, "a release is never refused")
-	c.Observe("server-2", 8)
-	c.Observe("server-2", 8)
+	c.Observe("server-2", 8, nil)
+	c.Observe("server-2", 8, nil)
 	result, _ = c.UpdateGrant(context.Background(), granter.Call{Token: 2, Hold: time.Second, Server: "server-2", ServerStartedAtMillis: 8})
 	require.Equal(t, granter.Done, result)
 }
@@ -252,13 +297,13 @@
 		return result
 	}
 	for range 2 { // a heartbeat of the former start that was held up, twice since the connect may take long
-		c.Observe("server-1", 7)
+		c.Observe("server-1", 7, nil)
 	}
 	require.Equal(t, granter.Done, send())
 	require.Equal(t, int32(1), executed.Load())
 
 	now = now.Add(300 * time.Millisecond)
-	c.Observe("server-1", 8)
+	c.Observe("server-1", 8, nil)
 	require.Equal(t, granter.Unconfirmed, send())
 	next := former
 	next.StartedAtMillis = 8
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -245,15 +245,32 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", address)
 	}
-	d := drainer.NewDrainer(&http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil, BaseContext: func(net.Listener) context.Context { return requests },
-	}, l)
+	d := drainer.NewDrainer(newServer(requests, h), l)
 	n.drainers = append(n.drainers, d)
 	g.Go(func() error { return errors.Wrapf(d.Serve(), "serve at %s", address) })
 	return nil
 }
 
+// newServer returns a server whose requests have contexts derived from requests.
+func newServer(requests context.Context, h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: nil, BaseContext: func(net.Listener) context.Context { return requests },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
+	}
+}
+
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
+// connectionOf returns the connection over which a request came.
+func connectionOf(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(connectionKey{}).(net.Conn)
+	return c
+}
+
 func (n *node) ready(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != n.adapter.ReadyPath {
 		w.WriteHeader(http.StatusNotFound)
@@ -299,7 +316,7 @@
 			return
 		}
 		acknowledged := false
-		if reply, acknowledged = n.forwarder.Heartbeat(h); !acknowledged {
+		if reply, acknowledged = n.forwarder.Heartbeat(h, connectionOf(r)); !acknowledged {
 			n.rejectHeartbeat(w, id, http.StatusConflict, errors.Newf("service %q, address %q and start %d are not those of the backend server",
 				validator.Excerpt(h.Service), validator.Excerpt(h.Address), h.StartedAtMillis))
 			return
--- a/papayapass/internal/participant/participant_test.go
+++ b/papayapass/internal/participant/participant_test.go
@@ -298,7 +298,7 @@
 		m.Server = server
 		table.SetMember(m)
 		p.applyTable(table)
-		_, ok := p.forwarder.Heartbeat(beat)
+		_, ok := p.forwarder.Heartbeat(beat, nil)
 		require.True(t, ok)
 		return p
 	}
@@ -308,7 +308,7 @@
 	p := restart(server)
 	require.False(t, p.forwarder.Server().Up())
 	beat.Sequence, beat.StartedAtMillis = 1, 6
-	_, ok := p.forwarder.Heartbeat(beat)
+	_, ok := p.forwarder.Heartbeat(beat, nil)
 	require.True(t, ok)
 	require.True(t, p.forwarder.Server().Up())
 }
