Let all that is reported of an idle backend server lose its weight, and try it once in 15 s

- A route with short work stayed locked out if its old mean lay below that of all work but above its deadline (5 of 120 requests ran, 120 with the right mean).
For admission a mean now approaches zero, as before the first request of a route.
- One slow request after a pause replaced the mean (290 ms before, 1.97 s after one of 2 s).
Only lower durations get the weight that the mean has lost.
- Requests that waited behind the first try of a route were refused when it started.
One try waits at a time.
- The mean of a route without requests made all other work count as short (76 instead of 4 requests queued).
- Without a coordinator the last report counted for good (0 of 75,000 requests).
It loses its weight, and its requests and warm-up count for 3 s.
Loads that are not reported are kept for a minute.
- A past rate limit kept requests from an idle backend server for good (0 of 75,000).
It loses its weight, too; the node beside the backend server still keeps it.
- A node's own backend server counted with 100 ms instead of its mean while there are no reports.
- A backend server that only fails does not change its mean and counted as idle (8,000 of 30,000 requests).
A node that chooses one counts it as used, so that it tries it once.
- After a first request of 100 ms beside others of 4 ms no request came in 30 s.
After 15 s without requests the lowest mean is expected.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -68,6 +68,11 @@
 	arrived timer.Instant
 	started timer.Instant
 	index   int
+	// planned is the duration with which the request was admitted to the queue.
+	planned time.Duration
+	// isTry is set if only the lost weight of its kind's mean admits the request. One of a kind waits at a
+	// time, since the mean counts again when it starts.
+	isTry bool
 	// admitted receives true when the request may start, and false when it is rejected.
 	admitted chan bool
 }
@@ -82,7 +87,7 @@
 	running int
 	queue   queue
 	means   map[string]*estimator.Mean
-	mean    estimator.Mean
+	allWork estimator.Mean
 	// warmUpUntil and warmUpRate limit the starts while the backend server warms up.
 	warmUpUntil timer.Instant
 	warmUpRate  float64
@@ -154,14 +159,14 @@
 func (a *Admitter) Mean() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.mean.Value()
+	return a.allWork.Value()
 }
 
 // Expected returns the expected duration of a request of a kind.
 func (a *Admitter) Expected(kind string, now timer.Instant) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return cmp.Or(a.expected(kind, now), a.mean.Value())
+	return cmp.Or(a.expected(kind, now), a.allWork.Value())
 }
 
 // expected returns the expected duration of a request of a kind, or zero when none has ended.
@@ -170,7 +175,17 @@
 	if !ok {
 		return 0
 	}
-	return m.Expected(a.mean.Value(), now)
+	return m.Expected(a.allWork.Value(), now)
+}
+
+// planned returns the duration with which a request of a kind is admitted. Unlike expected, it approaches
+// zero, as for a kind that has not ended yet: the mean of all work may leave too little time as well.
+func (a *Admitter) planned(kind string, now timer.Instant) time.Duration {
+	m, ok := a.means[kind]
+	if !ok {
+		return 0
+	}
+	return m.Expected(0, now)
 }
 
 // Offer asks to admit a request; queue allows it to wait. With Reject and Busy, retry is
@@ -191,13 +206,33 @@
 	if !queue {
 		return nil, Busy, wait
 	}
-	if excess := max(wait-a.maxWait(r, now), now.Add(wait+a.expected(r.Kind, now)).Sub(r.Deadline)); excess > 0 {
+	t.planned = a.planned(r.Kind, now)
+	excess := max(wait-a.maxWait(r, now), now.Add(wait+t.planned).Sub(r.Deadline))
+	if late := now.Add(wait + a.mean(r.Kind)).Sub(r.Deadline); late > 0 {
+		if t.isTry = true; a.hasWaitingTry(r.Kind) {
+			excess = max(excess, late)
+		}
+	}
+	if excess > 0 {
 		return nil, Reject, max(excess, minRetryAfter)
 	}
 	heap.Push(&a.queue, t)
 	return t, Wait, 0
 }
 
+// mean returns the mean duration of a kind, or zero when none has ended.
+func (a *Admitter) mean(kind string) time.Duration {
+	if m, ok := a.means[kind]; ok {
+		return m.Value()
+	}
+	return 0
+}
+
+// hasWaitingTry reports whether a try of a kind waits.
+func (a *Admitter) hasWaitingTry(kind string) bool {
+	return slices.ContainsFunc(a.queue, func(t *Ticket) bool { return t.isTry && t.Kind == kind })
+}
+
 // maxWait returns how long a request may wait: to meet its objective, but at least
 // minWaitShare of it.
 //
@@ -205,11 +240,13 @@
 // not from a queue of its own kind, which soon clears. Most of it are nested calls, whose
 // rejection wastes the work of the calling request.
 func (a *Admitter) maxWait(r Request, now timer.Instant) time.Duration {
-	work := a.expected(r.Kind, now)
+	work := a.planned(r.Kind, now)
 	wait := max(waitShare*float64(r.Objective-work), minWaitShare*float64(r.Objective))
 	longest := time.Duration(0)
 	for _, mean := range a.means {
-		longest = max(longest, mean.Value())
+		if mean.Value() > longest {
+			longest = max(longest, mean.Expected(a.allWork.Value(), now))
+		}
 	}
 	if work > 0 && float64(work) < shortWorkShare*float64(longest) {
 		wait = max(wait, waitShare*float64(r.Deadline.Sub(now)-work))
@@ -226,7 +263,7 @@
 			before++
 		}
 	}
-	wait := time.Duration(float64(a.mean.Value()) * float64(before) / float64(max(a.slots, 1)))
+	wait := time.Duration(float64(a.allWork.Value()) * float64(before) / float64(max(a.slots, 1)))
 	if now < a.warmUpUntil {
 		warmUpWait := time.Duration(float64(before) / max(a.warmUpRate, 1) * float64(time.Second))
 		wait = max(wait, min(max(warmUpWait, a.startsUnknownUntil.Sub(now)), a.warmUpUntil.Sub(now)))
@@ -254,7 +291,7 @@
 		a.means[t.Kind] = kind
 	}
 	kind.Start(now)
-	a.mean.Start(now)
+	a.allWork.Start(now)
 	a.limit.take(now)
 	a.starts.add(now)
 }
@@ -268,10 +305,10 @@
 	kind := a.means[t.Kind]
 	if d := now.Sub(t.started); ran {
 		kind.End(d, now)
-		a.mean.End(d, now)
+		a.allWork.End(d, now)
 	} else {
 		kind.Stop(now)
-		a.mean.Stop(now)
+		a.allWork.Stop(now)
 	}
 	a.admit(now)
 }
@@ -309,7 +346,11 @@
 func (a *Admitter) rejectOverdue(now timer.Instant) {
 	waiting := len(a.queue)
 	a.queue = slices.DeleteFunc(a.queue, func(t *Ticket) bool {
-		overdue := now.Add(a.expected(t.Kind, now)/2) > t.Deadline
+		work := t.planned
+		if !t.isTry {
+			work = a.planned(t.Kind, now)
+		}
+		overdue := now.Add(work/2) > t.Deadline
 		if overdue {
 			t.index = -1
 			t.admitted <- false
--- a/papayapass/internal/estimator/mean.go
+++ b/papayapass/internal/estimator/mean.go
@@ -64,10 +64,13 @@
 // End records the end of work and its duration.
 func (m *Mean) End(d time.Duration, now timer.Instant) {
 	m.Stop(now)
-	if m.value == 0 {
+	switch {
+	case m.value == 0:
 		m.value = d
-	} else {
+	case d < m.value:
 		m.value += time.Duration(max(smoothing, 1-m.weight) * float64(d-m.value))
+	default: // single requests may take long at any time
+		m.value += time.Duration(smoothing * float64(d-m.value))
 	}
 	m.weight = 1
 }
--- a/papayapass/internal/estimator/mean_test.go
+++ b/papayapass/internal/estimator/mean_test.go
@@ -47,3 +47,11 @@
 	run(&m, now.Add(2*time.Minute), 2*time.Second)
 	require.Equal(t, 1100*time.Millisecond, m.Value())
 }
+
+// One slow request after a pause made a backend server look as slow as that.
+func TestSlowWorkAfterAPauseIsSmoothed(t *testing.T) {
+	var m Mean
+	now := run(&m, 1, 100*time.Millisecond)
+	run(&m, now.Add(time.Minute), 2100*time.Millisecond)
+	require.Equal(t, 300*time.Millisecond, m.Value())
+}
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -96,6 +96,7 @@
 	keysServedUntil atomic.Int64
 	table           atomic.Pointer[partitioner.Table]
 	loads           atomic.Pointer[poolLoads]
+	lastChoices     sync.Map // node to *atomic.Int64, when its backend server was last chosen in a shared pool
 	peers           sync.Map // address to *dispatcher.Peer
 	retryBudget     *retryBudget
 
--- a/papayapass/internal/participant/poolload.go
+++ b/papayapass/internal/participant/poolload.go
@@ -1,6 +1,7 @@
 package participant
 
 import (
+	"cmp"
 	"time"
 
 	"papayapass.dev/papayapass/internal/estimator"
@@ -9,6 +10,15 @@
 	"papayapass.dev/papayapass/internal/timer"
 )
 
+const (
+	// maxReportAge is the age up to which the requests and the warm-up of a report count.
+	maxReportAge = 3 * time.Second
+	// maxLoadAge is the age up to which a load is kept that is no longer reported.
+	maxLoadAge = time.Minute
+	// maxIdle is how long a backend server of a shared pool may get no requests because of an old mean.
+	maxIdle = 15 * time.Second
+)
+
 // poolLoad is the load of a backend server of a shared pool, as last reported.
 type poolLoad struct {
 	overseer.ServerLoad
@@ -30,37 +40,59 @@
 		}
 		out[r.Node] = load
 	}
+	for id, last := range l {
+		if _, ok := out[id]; !ok && now.Sub(last.reportedAt) <= maxLoadAge {
+			out[id] = last
+		}
+	}
 	return out
 }
 
-// lowestMean returns the lowest mean duration of the members' backend servers that have ended requests,
-// or defaultMeanDuration if none has.
-func (l poolLoads) lowestMean(members []*partitioner.Member) time.Duration {
+// lowestMean returns the lowest mean duration of the backend servers that have ended requests, or
+// defaultMeanDuration if none has.
+func lowestMean(pool []poolLoad) time.Duration {
 	lowest := time.Duration(0)
-	for _, m := range members {
-		if mean := l[m.ID].MeanDuration; mean > 0 && (lowest == 0 || mean < lowest) {
-			lowest = mean
+	for _, l := range pool {
+		if l.MeanDuration > 0 && (lowest == 0 || l.MeanDuration < lowest) {
+			lowest = l.MeanDuration
 		}
 	}
-	if lowest == 0 {
-		return defaultMeanDuration
+	return cmp.Or(lowest, defaultMeanDuration)
+}
+
+// weight returns the weight of what the load says about the next request. Without requests a backend
+// server shows no change, so it must get one before long.
+func (l poolLoad) weight(now timer.Instant) float64 {
+	idle := now.Sub(l.usedAt)
+	if idle >= maxIdle {
+		return 0
 	}
-	return lowest
+	return estimator.Weight(idle)
 }
 
 // expectedMean returns the mean duration to expect of the next request.
-func (l poolLoad) expectedMean(lowest time.Duration) time.Duration {
-	if l.Node == "" {
+func (l poolLoad) expectedMean(lowest time.Duration, now timer.Instant) time.Duration {
+	switch {
+	case l.Node == "":
 		return defaultMeanDuration
+	case l.MeanDuration == 0:
+		return lowest
 	}
-	return estimator.Expected(max(l.MeanDuration, lowest), lowest, estimator.Weight(l.reportedAt.Sub(l.usedAt)))
+	return estimator.Expected(l.MeanDuration, lowest, l.weight(now))
 }
 
-// expectedDuration returns how long a request is expected to take with n requests at the backend server.
-func (l poolLoad) expectedDuration(n, slots float64, lowest time.Duration) float64 {
-	use := min(n/slots, 1)
-	expected := float64(l.expectedMean(lowest)) * (1 + busySlowdown*use*use + max(0, n+1-slots)/slots)
-	if l.WarmingUp {
+// expectedDuration returns how long a request is expected to take at a backend server with slots,
+// where this node has inFlight requests.
+func (l poolLoad) expectedDuration(inFlight, slots int, lowest time.Duration, now timer.Instant) float64 {
+	n, warmingUp := float64(inFlight), false
+	if now.Sub(l.reportedAt) <= maxReportAge {
+		n, warmingUp = max(n, float64(l.Running+l.Waiting)), l.WarmingUp
+	}
+	all := float64(max(slots, 1))
+	usable := all - l.weight(now)*(all-l.Slots(int(all)))
+	use := min(n/usable, 1)
+	expected := float64(l.expectedMean(lowest, now)) * (1 + busySlowdown*use*use + max(0, n+1-usable)/usable)
+	if warmingUp {
 		expected *= 3 // a server that is warming up accepts only a low rate
 	}
 	return expected
--- a/papayapass/internal/participant/poolload_test.go
+++ b/papayapass/internal/participant/poolload_test.go
@@ -7,25 +7,44 @@
 	"github.com/stretchr/testify/require"
 
 	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/estimator"
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
 )
 
-// poolServer is a backend server of a shared pool: the mean duration that it reports, how long requests
-// take, and how many it has served.
+// poolServer is a backend server of a shared pool.
 type poolServer struct {
-	mean, duration time.Duration
-	served         int
+	estimator.Mean
+
+	// duration is how long requests take.
+	duration time.Duration
+	served   int
+	// fails is set if no request tells how long work takes.
+	fails     bool
+	rateLimit float64
+}
+
+// newPoolServer returns a backend server whose requests took a time so far, or which has ended none.
+func newPoolServer(mean, duration time.Duration) *poolServer {
+	s := &poolServer{duration: duration}
+	if mean > 0 {
+		s.Start(0)
+		s.End(mean, 0)
+	}
+	return s
 }
 
-// serve records a request, and returns how long it took.
-func (s *poolServer) serve() time.Duration {
+// serve records a request that starts at an instant, and returns how long it took.
+func (s *poolServer) serve(now timer.Instant) time.Duration {
 	s.served++
 	d := s.duration + time.Duration(s.served%7)*10*time.Microsecond
-	if s.mean == 0 {
-		s.mean = d
+	s.Start(now)
+	if s.fails {
+		s.Stop(now.Add(d))
+	} else {
+		s.End(d, now.Add(d))
 	}
-	s.mean += (d - s.mean) / 5
 	return d
 }
 
@@ -47,7 +66,7 @@
 		if clock.Now() >= reportAt {
 			r := overseer.HeartbeatReply{IsCoordinator: true, Epoch: table.Epoch}
 			for id, s := range pool {
-				r.Loads = append(r.Loads, overseer.ServerLoad{Node: id, MeanDuration: s.mean})
+				r.Loads = append(r.Loads, overseer.ServerLoad{Node: id, MeanDuration: s.Value(), RateLimit: s.rateLimit})
 			}
 			require.NoError(t, p.applyReply(r, clock.Now()))
 			reportAt = clock.Now().Add(100 * time.Millisecond)
@@ -55,7 +74,7 @@
 		_, id, _ := p.Choose(&dispatcher.Call{Service: "records", Objective: 5 * time.Second}, nil)
 		require.Contains(t, pool, id)
 		shares[id]++
-		clock.Advance(pool[id].serve())
+		clock.Advance(pool[id].serve(clock.Now()))
 	}
 	for id := range shares {
 		shares[id] /= n
@@ -66,19 +85,25 @@
 // A backend server of a shared pool got no requests, since it had ended none or a slow one before.
 func TestIdleServerOfAPoolGetsRequests(t *testing.T) {
 	const ms = time.Millisecond
+	failing := newPoolServer(400*ms, 4*ms)
+	failing.fails = true
+	limited := newPoolServer(4*ms, 4*ms)
+	limited.rateLimit = 5
 	for name, c := range map[string]struct {
-		idle               poolServer
+		idle               *poolServer
 		after              time.Duration
 		minShare, maxShare float64
 	}{
-		"no request ended":          {idle: poolServer{duration: 4 * ms}, after: time.Second, minShare: 0.3, maxShare: 0.7},
-		"first requests were slow":  {idle: poolServer{mean: 9 * ms, duration: 4 * ms}, after: 30 * time.Second, minShare: 0.0001, maxShare: 0.7},
-		"it is four times as slow":  {idle: poolServer{mean: 16 * ms, duration: 16 * ms}, after: 5 * time.Minute, minShare: 0.0001, maxShare: 0.02},
-		"it takes its turn at once": {idle: poolServer{mean: 4 * ms, duration: 4 * ms}, after: time.Second, minShare: 0.3, maxShare: 0.7},
+		"no request ended":          {idle: newPoolServer(0, 4*ms), after: time.Second, minShare: 0.3, maxShare: 0.7},
+		"first requests were slow":  {idle: newPoolServer(9*ms, 4*ms), after: 30 * time.Second, minShare: 0.1, maxShare: 0.7},
+		"first one took very long":  {idle: newPoolServer(2500*ms, 4*ms), after: time.Minute, minShare: 0.1, maxShare: 0.7},
+		"it is four times as slow":  {idle: newPoolServer(16*ms, 16*ms), after: 5 * time.Minute, minShare: 0.0001, maxShare: 0.001},
+		"its requests fail":         {idle: failing, after: 5 * time.Minute, minShare: 0.0001, maxShare: 0.001},
+		"it limited its rate":       {idle: limited, after: 5 * time.Minute, minShare: 0.0001, maxShare: 0.7},
+		"it takes its turn at once": {idle: newPoolServer(4*ms, 4*ms), after: time.Second, minShare: 0.3, maxShare: 0.7},
 	} {
 		t.Run(name, func(t *testing.T) {
-			pool := map[partitioner.NodeID]*poolServer{"node-2": {mean: 4 * ms, duration: 4 * ms}, "node-3": &c.idle}
-			share := sendOneByOne(t, pool, c.after)["node-3"]
+			share := sendOneByOne(t, map[partitioner.NodeID]*poolServer{"node-2": newPoolServer(4*ms, 4*ms), "node-3": c.idle}, c.after)["node-3"]
 			require.GreaterOrEqual(t, share, c.minShare)
 			require.LessOrEqual(t, share, c.maxShare)
 		})
@@ -88,17 +113,45 @@
 // A backend server with running requests is not idle, however long they take.
 func TestMeanOfABusyServerKeepsItsWeight(t *testing.T) {
 	slow := overseer.ServerLoad{Node: "node-2", MeanDuration: 8 * time.Second, Running: 1}
-	loads := make(poolLoads)
-	p, clock := newTestParticipant(t, &fakeStore{})
+	loads, now := make(poolLoads), timer.Instant(time.Hour)
+	report := func() {
+		now = now.Add(100 * time.Millisecond)
+		loads = loads.next([]overseer.ServerLoad{slow}, now)
+	}
 	for range 100 {
-		clock.Advance(100 * time.Millisecond)
-		loads = loads.next([]overseer.ServerLoad{slow}, p.timers.Now())
+		report()
 	}
-	require.Equal(t, 8*time.Second, loads["node-2"].expectedMean(time.Second))
+	require.Equal(t, 8*time.Second, loads["node-2"].expectedMean(time.Second, now))
 	slow.Running = 0
 	for range 50 {
-		clock.Advance(100 * time.Millisecond)
-		loads = loads.next([]overseer.ServerLoad{slow}, p.timers.Now())
+		report()
+	}
+	require.Equal(t, 4500*time.Millisecond, loads["node-2"].expectedMean(time.Second, now))
+	loads = loads.next(nil, now) // by another coordinator, which has not heard it yet
+	report()
+	require.Less(t, loads["node-2"].expectedMean(time.Second, now), 4500*time.Millisecond)
+}
+
+// While there is no coordinator, the last report kept requests from a backend server for good.
+func TestOldReportsLoseTheirWeight(t *testing.T) {
+	now := timer.Instant(time.Hour)
+	for name, l := range map[string]overseer.ServerLoad{
+		"slow":         {Node: "node-2", MeanDuration: time.Second},
+		"busy":         {Node: "node-2", MeanDuration: 4 * time.Millisecond, Running: 8, Waiting: 10},
+		"warming up":   {Node: "node-2", MeanDuration: 4 * time.Millisecond, WarmingUp: true},
+		"rate limited": {Node: "node-2", MeanDuration: 4 * time.Millisecond, RateLimit: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			load := make(poolLoads).next([]overseer.ServerLoad{l}, now)["node-2"]
+			lowest := 4 * time.Millisecond
+			require.Greater(t, load.expectedDuration(0, 8, lowest, now), 2*float64(lowest))
+			require.InEpsilon(t, float64(lowest), load.expectedDuration(0, 8, lowest, now.Add(maxIdle)), 0.01)
+		})
 	}
-	require.InDelta(t, 4.5, loads["node-2"].expectedMean(time.Second).Seconds(), 0.1)
+}
+
+// Without reports, a node's own backend server counted as slower than it is.
+func TestOwnServerCountsAsMeasured(t *testing.T) {
+	own := poolLoad{ServerLoad: overseer.ServerLoad{Node: "node-1", MeanDuration: 4 * time.Millisecond}}
+	require.Equal(t, 4*time.Millisecond, own.expectedMean(lowestMean([]poolLoad{own, {}}), 1))
 }
--- a/papayapass/internal/participant/view.go
+++ b/papayapass/internal/participant/view.go
@@ -1,12 +1,15 @@
 package participant
 
 import (
+	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
 )
 
 const (
@@ -57,16 +60,48 @@
 	if len(pool) == 0 {
 		return nil, "", dispatcher.ReasonNoServer
 	}
-	lowest := (*p.loads.Load()).lowestMean(pool)
-	best, bestCost := pool[0], p.cost(pool[0], call.Objective, lowest)
-	for _, m := range pool[1:] {
-		if cost := p.cost(m, call.Objective, lowest); cost < bestCost {
+	now := p.timers.Now()
+	loads := make([]poolLoad, len(pool))
+	for i, m := range pool {
+		loads[i] = p.poolLoad(m.ID, now)
+	}
+	lowest := lowestMean(loads)
+	best, bestCost := pool[0], time.Duration(math.MaxInt64)
+	for i, m := range pool {
+		if cost := p.cost(m, loads[i], call.Objective, lowest, now); cost < bestCost {
 			best, bestCost = m, cost
 		}
 	}
+	p.lastChoice(best.ID).Store(int64(now))
 	return p.server(*best), best.ID, dispatcher.ReasonNone
 }
 
+// lastChoice is when the backend server of a node was last chosen in a shared pool.
+func (p *Participant) lastChoice(id partitioner.NodeID) *atomic.Int64 {
+	if at, ok := p.lastChoices.Load(id); ok {
+		return at.(*atomic.Int64)
+	}
+	at, _ := p.lastChoices.LoadOrStore(id, &atomic.Int64{})
+	return at.(*atomic.Int64)
+}
+
+// poolLoad returns the load of a node's backend server. Each node tries an idle one once, until a report
+// tells how that went.
+func (p *Participant) poolLoad(id partitioner.NodeID, now timer.Instant) poolLoad {
+	load := (*p.loads.Load())[id]
+	if id == p.self.ID {
+		var h overseer.Heartbeat
+		p.forwarder.FillLoad(&h)
+		h.Member.ID = id
+		load.ServerLoad, load.reportedAt = h.ServerLoad(), now
+		if load.Running > 0 {
+			load.usedAt = now
+		}
+	}
+	load.usedAt = max(load.usedAt, timer.Instant(p.lastChoice(id).Load()))
+	return load
+}
+
 // pool returns the members of a shared pool that may be asked, except those at the tried nodes.
 func (p *Participant) pool(t *partitioner.Table, service string, tried map[partitioner.NodeID]bool) []*partitioner.Member {
 	var out []*partitioner.Member
@@ -100,20 +135,12 @@
 
 // cost estimates how long a request takes at a backend server of a shared pool, in which the lowest
 // known mean duration is given.
-func (p *Participant) cost(m *partitioner.Member, objective, lowest time.Duration) time.Duration {
-	load := (*p.loads.Load())[m.ID]
-	if m.ID == p.self.ID {
-		var h overseer.Heartbeat
-		p.forwarder.FillLoad(&h)
-		h.Member.ID = p.self.ID
-		load.ServerLoad = h.ServerLoad()
-	}
-	n := float64(load.Running + load.Waiting)
+func (p *Participant) cost(m *partitioner.Member, load poolLoad, objective, lowest time.Duration, now timer.Instant) time.Duration {
+	inFlight := 0
 	if m.ID != p.self.ID {
-		n = max(n, float64(p.peer(m.Address).InFlight()))
+		inFlight = p.peer(m.Address).InFlight()
 	}
-	expected := load.expectedDuration(n, load.Slots(max(m.Server.Slots, 1)), lowest)
-	expected *= 1 + costJitter*rand.Float64()
+	expected := load.expectedDuration(inFlight, m.Server.Slots, lowest, now) * (1 + costJitter*rand.Float64())
 	if m.Zone != p.self.Zone {
 		expected += crossZoneShare * float64(objective)
 	}
