Refuse to start with one address for two purposes

What callers saw: all requests to a node fail for as long as it runs, and no line says why.

Cause: the handlers were in a map by address. If customers, ready, heartbeats, peers and metrics have an address twice, the map keeps one of the two handlers, and the node starts without the other. The tests bring this about by chance: freePort opens and closes a port five times for each node, and the kernel gives out a port again.

Change: the addresses are a list, and the second listener's error ends the start.

--- a/papayapass/internal/launcher/deployment_test.go
+++ b/papayapass/internal/launcher/deployment_test.go
@@ -54,12 +54,20 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, 1+instances.Add(1)%250)
 }
 
+// usedAddresses are the addresses that freeAddress has returned.
+var usedAddresses sync.Map
+
+// freeAddress returns an address at which nothing listens, another one at each call.
 func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		require.NoError(t, err)
+		require.NoError(t, l.Close())
+		if _, used := usedAddresses.LoadOrStore(l.Addr().String(), true); !used {
+			return l.Addr().String()
+		}
+	}
 }
 
 func port(address string) string {
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -209,14 +209,17 @@
 	summaries := summarizer.NewSummarizer(meter.NewRouteMeter(n.meter), n.logger)
 	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.memory, n.tracer, n.logger)
 	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
-	for address, h := range map[string]http.Handler{
-		n.settings.Listen.Customers:  n.dispatcher,
-		n.settings.Listen.Ready:      http.HandlerFunc(n.ready),
-		n.settings.Listen.Heartbeats: http.HandlerFunc(n.heartbeat),
-		n.settings.metricsAddress():  http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) }),
-		n.settings.peersAddress():    newPeerHandler(n.participant, peers, n.enveloper),
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Listen.Customers, n.dispatcher},
+		{n.settings.Listen.Ready, http.HandlerFunc(n.ready)},
+		{n.settings.Listen.Heartbeats, http.HandlerFunc(n.heartbeat)},
+		{n.settings.metricsAddress(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) })},
+		{n.settings.peersAddress(), newPeerHandler(n.participant, peers, n.enveloper)},
 	} {
-		if err := n.listen(requests, g, address, h); err != nil {
+		if err := n.listen(requests, g, l.address, l.handler); err != nil {
 			return err
 		}
 	}
