--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -103,6 +103,8 @@
 	ReasonBroken      Reason = "broken"
 	ReasonStopping    Reason = "stopping"
 	ReasonQuarantined Reason = "quarantined"
+	ReasonQuota       Reason = "quota"
+	ReasonNoQuota     Reason = "no-quota"
 )
 
 // Result is the result of a call at one backend server.
--- a/shared/descriptor/configuration.go
+++ b/shared/descriptor/configuration.go
@@ -15,10 +15,25 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Customers are those whose requests are accepted. Without any, requests need no key.
+	Customers []Customer
 	// Source is the encoded form, which is forwarded to peers unchanged.
 	Source []byte
 
 	byHost map[string][]*Route
+	byKey  map[string]*Customer
+}
+
+// Customer is a customer of the deployment. Its requests carry one of its API keys.
+type Customer struct {
+	Name string
+	Keys []string
+	// Priority precedes the priority of routes; zero is the most urgent.
+	Priority int
+	// Rate limits the requests of the customer at all nodes together, in requests per second,
+	// and Burst is how many may come at once beyond it. A rate of zero means no limit.
+	Rate  float64
+	Burst float64
 }
 
 // Route maps the requests of a host and path prefix to services.
@@ -36,6 +51,8 @@
 	Attempts int
 	// Priority orders routes under load; zero is the most urgent.
 	Priority int
+	// Public is set if requests need no key of a customer.
+	Public bool
 }
 
 // Target is a service and its weight among the targets of a route.
@@ -65,8 +82,23 @@
 	IdleTimeout   time.Duration
 }
 
-// BuildIndex builds the index that Match reads; decoders call it once.
+// RequiresKeys reports whether requests for routes that are not public must carry a customer's key.
+func (c *Configuration) RequiresKeys() bool { return len(c.Customers) > 0 }
+
+// CustomerOf returns the customer that holds a key.
+func (c *Configuration) CustomerOf(key string) (*Customer, bool) {
+	customer, ok := c.byKey[key]
+	return customer, ok
+}
+
+// BuildIndex builds the indexes that Match and CustomerOf read; decoders call it once.
 func (c *Configuration) BuildIndex() {
+	c.byKey = make(map[string]*Customer)
+	for i := range c.Customers {
+		for _, key := range c.Customers[i].Keys {
+			c.byKey[key] = &c.Customers[i]
+		}
+	}
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
