Run the requests that a customer sends ahead side by side

Cause: the server handles the requests of a connection one after the other. Change: package pipeliner reads ahead on customers' connections while a request is served, and starts up to eight requests that follow, if they are idempotent and their heads are beyond doubt plain ones without a body. Responses go out in order, a connection stays open until those of started requests are written, and what the customer cannot wait for any more is canceled. Tests with the race detector: order, limits, drains, cut connections.

--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -29,6 +29,7 @@
 	"papayapass.dev/papayapass/internal/meter"
 	"papayapass.dev/papayapass/internal/participant"
 	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/pipeliner"
 	"papayapass.dev/papayapass/internal/summarizer"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/papayapass/internal/tracer"
@@ -209,17 +210,20 @@
 	summaries := summarizer.NewSummarizer(meter.NewRouteMeter(n.meter), n.logger)
 	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.memory, n.tracer, n.logger)
 	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
+	ahead := pipeliner.NewPipeliner(n.dispatcher, n.dispatcher.MayStartEarly, n.logger)
+	if err := n.listen(requests, g, n.settings.Listen.Customers, ahead, ahead.Listener); err != nil {
+		return err
+	}
 	for _, l := range []struct {
 		address string
 		handler http.Handler
 	}{
-		{n.settings.Listen.Customers, n.dispatcher},
 		{n.settings.Listen.Ready, http.HandlerFunc(n.ready)},
 		{n.settings.Listen.Heartbeats, http.HandlerFunc(n.heartbeat)},
 		{n.settings.metricsAddress(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) })},
 		{n.settings.peersAddress(), newPeerHandler(n.participant, peers, n.enveloper)},
 	} {
-		if err := n.listen(requests, g, l.address, l.handler); err != nil {
+		if err := n.listen(requests, g, l.address, l.handler, nil); err != nil {
 			return err
 		}
 	}
@@ -243,11 +247,15 @@
 	return g.Wait()
 }
 
-func (n *node) listen(requests context.Context, g *errgroup.Group, address string, h http.Handler) error {
+// listen serves a handler at an address; wrap, if any, wraps the listener.
+func (n *node) listen(requests context.Context, g *errgroup.Group, address string, h http.Handler, wrap func(net.Listener) net.Listener) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", address)
 	}
+	if wrap != nil {
+		l = wrap(l)
+	}
 	d := drainer.NewDrainer(newServer(requests, h), l)
 	n.drainers = append(n.drainers, d)
 	g.Go(func() error { return errors.Wrapf(d.Serve(), "serve at %s", address) })
@@ -260,7 +268,7 @@
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil, BaseContext: func(net.Listener) context.Context { return requests },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connectionKey{}, c)
+			return context.WithValue(pipeliner.WithConn(ctx, c), connectionKey{}, c)
 		},
 	}
 }
