Keep the order of bytes that arrive right after a response

While the server watched a connection, the response ended and a further byte arrived; it was returned before requests read ahead earlier. Change: what was read ahead is delivered first. The test failed before.

--- a/papayapass/internal/pipeliner/conn.go
+++ b/papayapass/internal/pipeliner/conn.go
@@ -70,7 +70,12 @@
 		}
 		c.mu.Lock()
 		if !c.isServing || c.noMore {
-			n = c.frame(b[:n])
+			if len(c.pending) > 0 { // what was read ahead comes first
+				c.pending = append(c.pending, b[:n]...)
+				n = c.deliver(b)
+			} else {
+				n = c.frame(b[:n])
+			}
 			c.mu.Unlock()
 			return n, nil
 		}
