Accept only requests with a customer's key where the configuration names customers

The dispatcher decides by the key before it reads a body (400, 401), charges the quota after the body has arrived and gives the credit back if the request has not run, and looks at the key again before each try; the forwarder looks whether the customer is still there. The key goes no further than the dispatcher; a name that the sender gave is removed everywhere.

Existing fakes got the new methods; the existing call of run in a test got an empty entrance.

--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	cd papayapass && go test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZ_COUNT) ./internal/enveloper
 	go test -run '^$$' -fuzz FuzzDecodeHeartbeat -fuzztime $(FUZZ_COUNT) ./platform
 	go test -run '^$$' -fuzz FuzzDecodeObject -fuzztime $(FUZZ_COUNT) ./platform
+	go test -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime $(FUZZ_COUNT) ./platform
 	cd shared && go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_COUNT) ./announcer
 
 capacity:
--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -28,7 +28,11 @@
 	Key        uint16
 	Idempotent bool
 	Priority   int
-	Objective  time.Duration
+	// Customer is the name of the customer, or empty if the request needs no key.
+	Customer string
+	// ConfigurationVersion is that of the configuration which names the customer.
+	ConfigurationVersion uint64
+	Objective            time.Duration
 	// Caller is the service of the instance that received the request from the customer.
 	Caller   string
 	Deadline timer.Instant
@@ -105,6 +109,9 @@
 	ReasonQuarantined Reason = "quarantined"
 	ReasonQuota       Reason = "quota"
 	ReasonNoQuota     Reason = "no-quota"
+	ReasonKey         Reason = "key"
+	ReasonRevoked     Reason = "key-revoked"
+	ReasonStale       Reason = "stale-configuration"
 )
 
 // Result is the result of a call at one backend server.
@@ -130,6 +137,11 @@
 	RequestID(h http.Header) string
 	Deadline(h http.Header) (time.Duration, bool)
 	Key(h http.Header) (uint16, bool)
+	// CustomerKey returns a customer's key, and false if there are several.
+	CustomerKey(h http.Header) (string, bool)
+	// RemoveCustomer removes the key and any customer's name, SetCustomer sets the name.
+	RemoveCustomer(h http.Header)
+	SetCustomer(h http.Header, name string)
 	SetRequestHeaders(h http.Header, server, caller string, left time.Duration)
 	MatchesRequest(h http.Header, id string) bool
 	Signed(h http.Header) bool
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -4,12 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 
@@ -53,6 +51,8 @@
 type Cluster interface {
 	// Configuration returns the configuration in force, or nil before the first.
 	Configuration() *descriptor.Configuration
+	// ConfigurationFreshness returns the freshness of the configuration in force.
+	ConfigurationFreshness() Freshness
 	// Choose returns the server for a call, except those at the tried nodes.
 	Choose(c *Call, tried map[partitioner.NodeID]bool) (Server, partitioner.NodeID, Reason)
 	// Server returns the backend server of a node, or nil if the node is not a member.
@@ -82,6 +82,8 @@
 	memory  *budgeter.Budget
 	tracer  *tracer.Tracer
 	logger  zerolog.Logger
+	// quota is nil if customers are not limited.
+	quota Quota
 	// stopAt is when a stopping node gives up what is still in flight; zero while it runs.
 	stopAt atomic.Int64
 }
@@ -93,6 +95,9 @@
 	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger}
 }
 
+// SetQuota sets what limits the customers' requests; it must be called before the first request.
+func (d *Dispatcher) SetQuota(q Quota) { d.quota = q }
+
 // Stop makes the dispatcher accept only requests that can be answered before an instant.
 func (d *Dispatcher) Stop(at timer.Instant) { d.stopAt.Store(int64(at)) }
 
@@ -110,6 +115,7 @@
 // ServeHTTP serves one request of a customer.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := d.clock.Now()
+	fresh := d.cluster.ConfigurationFreshness()
 	cfg := d.cluster.Configuration()
 	if cfg == nil {
 		writeUnavailable(w, http.StatusServiceUnavailable, time.Second)
@@ -121,6 +127,11 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	enter := newEntrance(cfg, fresh, route, d.codec, r.Header)
+	if enter.status != 0 {
+		d.rejectEntrance(w, enter, route, arrived)
+		return
+	}
 	memory := d.memory.Lease()
 	defer memory.Close()
 	limit := max(cfg.Limits.BodyBytes, 1)
@@ -131,6 +142,9 @@
 	}
 	c := d.newCall(r, route, body, arrived)
 	c.Memory = memory
+	if c.Customer = enter.customerName(); c.Customer != "" {
+		c.ConfigurationVersion = cfg.Version
+	}
 	if s, ok := cfg.Services[c.Service]; ok && s.Divided {
 		c.Divided = true
 		if c.Key, ok = d.codec.Key(r.Header); !ok {
@@ -138,45 +152,43 @@
 			return
 		}
 	}
+	ctx, cancel := context.WithTimeout(r.Context(), c.Deadline.Sub(arrived)+responseSlack)
+	defer cancel()
+	// A request whose body never arrives costs its customer nothing, so that the quota is charged only here.
+	if reason, retry := d.charge(ctx, enter.customer); reason != ReasonNone {
+		d.respond(w, c, Result{Outcome: NotRun, Reason: reason, Retry: retry}, arrived, &attemptLog{start: arrived})
+		return
+	}
 	d.cluster.CountRequest(c.Service)
 	if !d.limitToStop(c) {
+		d.refund(enter.customer)
 		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonStopping}, arrived, &attemptLog{start: arrived})
 		return
 	}
 	if d.cluster.IsQuarantined(c) {
+		d.refund(enter.customer)
 		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonQuarantined}, arrived, &attemptLog{start: arrived})
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.Deadline.Sub(arrived)+responseSlack)
-	defer cancel()
 	ctx, span, parent := d.tracer.Start(ctx, "request", r.Header.Get("Traceparent"), trace.SpanKindServer)
 	defer span.End()
 	c.Trace = parent
-	res, attempts := d.run(ctx, c, route)
+	res, attempts := d.run(ctx, c, route, &enter)
+	if res.Outcome == NotRun {
+		d.refund(enter.customer)
+	}
 	if r.Context().Err() != nil {
 		res.Reason = ReasonCanceled
 	}
 	d.respond(w, c, res, arrived, attempts)
 }
 
-func (d *Dispatcher) rejectBody(w http.ResponseWriter, err error) {
-	var large *http.MaxBytesError
-	w.Header().Set("Connection", "close") // the rest of the body is not read
-	switch {
-	case errors.As(err, &large) || errors.Is(err, budgeter.ErrTooLarge):
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-	case errors.Is(err, budgeter.ErrExhausted):
-		d.logger.Warn().Err(err).Msg("request rejected, its body does not fit into the memory for bodies")
-		writeUnavailable(w, http.StatusServiceUnavailable, absentServerRetryAfter)
-	default:
-		w.WriteHeader(http.StatusBadRequest)
-	}
-}
-
 func (d *Dispatcher) newCall(r *http.Request, route *descriptor.Route, body []byte, arrived timer.Instant) *Call {
+	header := endToEnd(r.Header)
+	d.codec.RemoveCustomer(header)
 	c := &Call{
 		ID: d.codec.RequestID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: endToEnd(r.Header), Body: body, Route: route.Name, Service: pickService(route.Targets),
+		Header: header, Body: body, Route: route.Name, Service: pickService(route.Targets),
 		Idempotent: route.Idempotent, Priority: route.Priority, Objective: route.Objective, Caller: d.caller,
 	}
 	wait := route.Timeout
@@ -208,46 +220,19 @@
 	return ""
 }
 
-// attemptLog records the tries of a call.
-type attemptLog struct {
-	start timer.Instant
-	// sent counts the tries that sent the call to a backend server, and disconnected those
-	// of them in which the backend server closed the connection.
-	sent, disconnected int
-	// tries counts all tries; lastNode is the node of the last one.
-	tries    int
-	lastNode partitioner.NodeID
-	// ownerWaits counts the waits for the table to name the owner.
-	ownerWaits int
-}
-
-// ownerWait returns the time until the next try of a key without a known owner.
-func (l *attemptLog) ownerWait() time.Duration {
-	l.ownerWaits++
-	return min(ownerRetryInterval<<min(l.ownerWaits-1, 8), maxOwnerRetryInterval)
-}
-
-// serve calls a node's server and records the try.
-func (l *attemptLog) serve(ctx context.Context, s Server, id partitioner.NodeID, c *Call) Result {
-	l.tries++
-	l.lastNode = id
-	res := s.Serve(ctx, c)
-	if res.Sent {
-		l.sent++
-	}
-	if res.Disconnected {
-		l.disconnected++
-	}
-	return res
-}
-
 // run tries backend servers until the outcome of the call is final.
-func (d *Dispatcher) run(ctx context.Context, c *Call, route *descriptor.Route) (Result, *attemptLog) {
+func (d *Dispatcher) run(ctx context.Context, c *Call, route *descriptor.Route, enter *entrance) (Result, *attemptLog) {
 	tried := make(map[partitioner.NodeID]bool)
 	var waits queueWaits
 	attempts := &attemptLog{start: d.clock.Now()}
 	last := Result{Outcome: NotRun, Reason: ReasonNoServer}
 	for {
+		if enter.isRevoked(d.cluster.Configuration()) {
+			if last.Outcome == NotRun {
+				last.Reason = ReasonRevoked
+			}
+			return last, attempts
+		}
 		server, id, reason := d.cluster.Choose(c, tried)
 		c.NoQueue = !c.Divided
 		if queue, ok := waits.shortest(server == nil); ok {
@@ -298,38 +283,6 @@
 	}
 }
 
-// queueWaits holds the expected waits of the servers that had no free slot.
-type queueWaits struct {
-	tries int
-	waits map[partitioner.NodeID]time.Duration
-	// rejected counts the servers that rejected the request from their queue.
-	rejected int
-}
-
-func (q *queueWaits) add(id partitioner.NodeID, wait time.Duration) {
-	if q.waits == nil {
-		q.waits = make(map[partitioner.NodeID]time.Duration)
-	}
-	q.tries++
-	q.waits[id] = wait
-}
-
-// shortest removes and returns the server with the shortest wait, once enough servers were
-// tried or none is left to try.
-func (q *queueWaits) shortest(noneLeft bool) (partitioner.NodeID, bool) {
-	if len(q.waits) == 0 || (q.tries < freeSlotTries && !noneLeft) {
-		return "", false
-	}
-	var best partitioner.NodeID
-	for id, wait := range q.waits {
-		if best == "" || wait < q.waits[best] {
-			best = id
-		}
-	}
-	delete(q.waits, best)
-	return best, true
-}
-
 // retryableFailure reports whether the response is a failure that a retry may avoid.
 func (d *Dispatcher) retryableFailure(r Result) bool {
 	return r.Response.Status == http.StatusInternalServerError || r.Response.Status == http.StatusBadGateway
@@ -373,52 +326,3 @@
 		return true
 	}
 }
-
-func (d *Dispatcher) respond(w http.ResponseWriter, c *Call, res Result, arrived timer.Instant, attempts *attemptLog) {
-	now := d.clock.Now()
-	left := c.Deadline.Sub(now)
-	status := 0
-	switch res.Outcome {
-	case Answered:
-		status = res.Response.Status
-		writeResponse(w, res.Response)
-	case NotRun:
-		status = http.StatusServiceUnavailable
-		retry := min(max(res.Retry, minRetryDelay(res.Reason)), max(left, minRetryAfter)/retryAfterDivisor)
-		writeUnavailable(w, status, retry)
-	default:
-		status = http.StatusBadGateway
-		if left <= 0 {
-			status = http.StatusGatewayTimeout
-		}
-		w.WriteHeader(status)
-	}
-	d.counter.ObserveRequest(c.Route, res.Outcome.String(), string(res.Reason), status, now.Sub(arrived))
-	if res.Outcome != Answered || status >= http.StatusInternalServerError {
-		e := d.logger.Info().Str("request", c.ID).Str("route", c.Route).Str("service", c.Service).Uint16("key", c.Key).
-			Stringer("outcome", res.Outcome).Str("reason", string(res.Reason)).Int("status", status).
-			Str("server", string(attempts.lastNode)).Int("asked", attempts.tries).Int("reached", attempts.sent).
-			Dur("elapsed", now.Sub(arrived)).Dur("left", left)
-		if attempts.disconnected > 0 {
-			e.Int("disconnected", attempts.disconnected).Stringer("fingerprint", c.Fingerprint())
-		}
-		e.Msg("request failed")
-	}
-}
-
-// minRetryDelay returns the shortest Retry-After for a reason. Most customers retry only
-// once, so it must not be too short.
-func minRetryDelay(r Reason) time.Duration {
-	switch r {
-	case ReasonUnreachable, ReasonNotOwner, ReasonNotHeld, ReasonNoServer, ReasonStopping, ReasonZoneOut, ReasonQuarantined:
-		return absentServerRetryAfter
-	default:
-		return minRetryAfter
-	}
-}
-
-// writeUnavailable responds that a request has not run, and when to retry.
-func writeUnavailable(w http.ResponseWriter, status int, after time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	w.WriteHeader(status)
-}
--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -35,6 +35,15 @@
 	return 7, h.Get("Key") != ""
 }
 
+func (fakeCodec) CustomerKey(h http.Header) (string, bool) {
+	return h.Get("Customer-Key"), len(h["Customer-Key"]) <= 1
+}
+
+func (fakeCodec) RemoveCustomer(h http.Header) {
+	h.Del("Customer-Key")
+	h.Del("Customer")
+}
+
 // fakeServer returns its results in order, then repeats the last one.
 type fakeServer struct {
 	results []Result
@@ -58,10 +67,15 @@
 	budget  int
 	// quarantined is set if all calls are quarantined.
 	quarantined bool
+	fresh       Freshness
+	// counted is the number of requests in the retry budget.
+	counted int
 }
 
 func (c *fakeCluster) Configuration() *descriptor.Configuration { return c.cfg }
 
+func (c *fakeCluster) ConfigurationFreshness() Freshness { return c.fresh }
+
 func (c *fakeCluster) Choose(_ *Call, tried map[partitioner.NodeID]bool) (Server, partitioner.NodeID, Reason) {
 	for _, id := range c.order {
 		if !tried[id] {
@@ -80,7 +94,7 @@
 	return c.budget >= 0
 }
 
-func (c *fakeCluster) CountRequest(string) {}
+func (c *fakeCluster) CountRequest(string) { c.counted++ }
 
 var testEnveloper = enveloper.NewEnveloper(`{"id":"","method":"GET"}`)
 
@@ -204,7 +218,7 @@
 			d := NewDispatcher(v, fakeCodec{}, timer.BootClock{}, "own-service", fakeCounter{}, budgeter.NewBudget(1<<20), &tracer.Tracer{}, zerolog.Nop())
 			route := testConfiguration().Routes[0]
 			c := &Call{Service: "records", Idempotent: true, Deadline: timer.BootClock{}.Now().Add(time.Minute)}
-			res, attempts := d.run(ctx, c, &route)
+			res, attempts := d.run(ctx, c, &route, &entrance{})
 			require.Equal(t, 2, attempts.tries)
 			require.Equal(t, tt.want, res.Outcome)
 		})
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -46,6 +46,8 @@
 	Key        uint16      `json:"key,omitempty"`
 	Idempotent bool        `json:"idempotent,omitempty"`
 	Priority   int         `json:"priority,omitempty"`
+	Customer   string      `json:"customer,omitempty"`
+	Version    uint64      `json:"version,omitempty"` // of the configuration that names the customer
 	Objective  int64       `json:"objectiveMillis,omitempty"`
 	Caller     string      `json:"caller"`
 	Left       int64       `json:"leftMillis"` // until the deadline
@@ -122,7 +124,7 @@
 	defer p.addInFlight(-1)
 	body, err := p.enveloper.Pack(callHead{
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: c.Header, Route: c.Route, Service: c.Service,
-		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority,
+		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority, Customer: c.Customer, Version: c.ConfigurationVersion,
 		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
 		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), NoQueue: c.NoQueue, Trace: c.Trace, Notice: p.knownNotice(),
 		IsSuspect: c.IsSuspect,
@@ -240,7 +242,7 @@
 	c := &Call{
 		ID: head.ID, Method: head.Method, URI: head.URI, Host: head.Host, Header: head.Header, Body: body,
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
-		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
+		Priority: head.Priority, Customer: head.Customer, ConfigurationVersion: head.Version, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), NoQueue: head.NoQueue,
 		Trace: trace, Memory: memory, IsSuspect: head.IsSuspect,
 	}
--- a/papayapass/internal/dispatcher/quota.go
+++ b/papayapass/internal/dispatcher/quota.go
@@ -15,3 +15,18 @@
 	// Refund gives back the credit of a request that has not run.
 	Refund(c *descriptor.Customer)
 }
+
+// charge charges a request to its customer's quota, or returns why not and when there may be a credit.
+func (d *Dispatcher) charge(ctx context.Context, customer *descriptor.Customer) (Reason, time.Duration) {
+	if d.quota == nil || customer == nil || customer.Rate <= 0 {
+		return ReasonNone, 0
+	}
+	return d.quota.Charge(ctx, customer)
+}
+
+// refund gives back the credit of a request that has not run.
+func (d *Dispatcher) refund(customer *descriptor.Customer) {
+	if d.quota != nil && customer != nil && customer.Rate > 0 {
+		d.quota.Refund(customer)
+	}
+}
--- a/papayapass/internal/forwarder/forwarder_test.go
+++ b/papayapass/internal/forwarder/forwarder_test.go
@@ -39,6 +39,8 @@
 	return n, err
 }
 
+func (fakeCodec) SetCustomer(h http.Header, name string) { h.Set("Customer", name) }
+
 func (fakeCodec) SetRequestHeaders(h http.Header, server, caller string, left time.Duration) {
 	h.Set("Server", server)
 	h.Set("Caller", caller)
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -91,6 +91,8 @@
 	switch {
 	case c.Service != f.service || !s.Up():
 		return dispatcher.ReasonNoServer, false
+	case f.isRevoked(c):
+		return dispatcher.ReasonRevoked, false
 	case f.stopped(c.Divided):
 		return dispatcher.ReasonStopping, false
 	case f.node.ZoneOut(c.Divided):
@@ -100,6 +102,15 @@
 	}
 }
 
+// isRevoked reports whether the customer of a call was removed since the call was accepted.
+func (f *Forwarder) isRevoked(c *dispatcher.Call) bool {
+	if c.Customer == "" {
+		return false
+	}
+	cfg := f.node.Configuration()
+	return cfg != nil && cfg.Version > c.ConfigurationVersion && cfg.RequiresKeys() && !cfg.HasCustomer(c.Customer)
+}
+
 // mayStart reports whether a call may run now, or the reason why not.
 func (f *Forwarder) mayStart(c *dispatcher.Call) (dispatcher.Reason, bool) {
 	if r, ok := f.mayServe(c); !ok || !c.Divided {
@@ -194,6 +205,9 @@
 		h.Set("Traceparent", parent)
 	}
 	server := f.Server()
+	if c.Customer != "" {
+		f.codec.SetCustomer(h, c.Customer)
+	}
 	f.codec.SetRequestHeaders(h, server.ID, c.Caller, left)
 	maxIdleTime := maxIdleNonIdempotent
 	if c.Idempotent {
--- a/papayapass/internal/launcher/fakes_test.go
+++ b/papayapass/internal/launcher/fakes_test.go
@@ -86,6 +86,17 @@
 	return uint16(n), err == nil
 }
 
+func (fakeCodec) CustomerKey(h http.Header) (string, bool) {
+	return h.Get("Customer-Key"), len(h["Customer-Key"]) <= 1
+}
+
+func (fakeCodec) RemoveCustomer(h http.Header) {
+	h.Del("Customer-Key")
+	h.Del("Customer")
+}
+
+func (fakeCodec) SetCustomer(h http.Header, name string) { h.Set("Customer", name) }
+
 func (fakeCodec) SetRequestHeaders(h http.Header, server, _ string, _ time.Duration) {
 	h.Set("Server", server)
 }
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -168,7 +168,7 @@
 	loads := (*p.loads.Load()).next(r.Loads, p.timers.Now())
 	p.loads.Store(&loads)
 	if len(r.Configuration) > 0 {
-		if cfg, err := p.layout.Decode(r.Configuration); err == nil {
+		if cfg, err := p.decodeConfiguration(r.Configuration); err == nil {
 			p.applyConfiguration(cfg, "coordinator")
 		} else {
 			p.logger.Warn().Err(err).Msg("cannot decode the configuration from the coordinator")
--- a/papayapass/internal/participant/poll.go
+++ b/papayapass/internal/participant/poll.go
@@ -152,7 +152,7 @@
 	if last := p.configurationRead.Load(); last != nil && *last == read {
 		return true
 	}
-	cfg, err := p.layout.Decode(o.Spec)
+	cfg, err := p.decodeConfiguration(o.Spec)
 	if err != nil {
 		p.logRejected(p.layout.ConfigurationKind, []error{errors.Wrapf(err, "revision %d", o.Revision)})
 		return true // the previous one stays in force
--- a/papayapass/internal/participant/rejection.go
+++ b/papayapass/internal/participant/rejection.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"papayapass.dev/papayapass/internal/validator"
+	"papayapass.dev/shared/descriptor"
 )
 
 // maxLoggedRejections is the number of rejected objects of one kind that are logged.
@@ -43,3 +44,18 @@
 			Msg("objects in the store rejected, the others are used")
 	}
 }
+
+// kindCustomer is the kind of customers among the rejections.
+const kindCustomer = "customer"
+
+// decodeConfiguration decodes a configuration. Of its customers, it has those that can be used.
+func (p *Participant) decodeConfiguration(spec []byte) (*descriptor.Configuration, error) {
+	cfg, err := p.layout.Decode(spec)
+	if err != nil || len(cfg.Customers) == 0 {
+		return cfg, err
+	}
+	usable, rejected := validator.Customers(cfg.Customers)
+	p.logRejected(kindCustomer, rejected)
+	cfg.SetCustomers(usable)
+	return cfg, nil
+}
--- a/shared/descriptor/configuration.go
+++ b/shared/descriptor/configuration.go
@@ -15,15 +15,21 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
-	// Customers are those whose requests are accepted. Without any, requests need no key.
+	// Customers are those whose requests are accepted.
 	Customers []Customer
+	// KeysRequired is set if requests need a key even though there are no customers.
+	KeysRequired bool
 	// Source is the encoded form, which is forwarded to peers unchanged.
 	Source []byte
 
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
+	byName map[string]*Customer
 }
 
+// MaxKeyBytes is the longest API key of a customer.
+const MaxKeyBytes = 256
+
 // Customer is a customer of the deployment. Its requests carry one of its API keys.
 type Customer struct {
 	Name string
@@ -83,7 +89,14 @@
 }
 
 // RequiresKeys reports whether requests for routes that are not public must carry a customer's key.
-func (c *Configuration) RequiresKeys() bool { return len(c.Customers) > 0 }
+func (c *Configuration) RequiresKeys() bool { return c.KeysRequired || len(c.Customers) > 0 }
+
+// SetCustomers replaces the customers. Whether keys are required stays as it is.
+func (c *Configuration) SetCustomers(customers []Customer) {
+	c.KeysRequired = c.RequiresKeys()
+	c.Customers = customers
+	c.indexKeys()
+}
 
 // CustomerOf returns the customer that holds a key.
 func (c *Configuration) CustomerOf(key string) (*Customer, bool) {
@@ -91,14 +104,12 @@
 	return customer, ok
 }
 
+// HasCustomer reports whether there is a customer with a name.
+func (c *Configuration) HasCustomer(name string) bool { return c.byName[name] != nil }
+
 // BuildIndex builds the indexes that Match and CustomerOf read; decoders call it once.
 func (c *Configuration) BuildIndex() {
-	c.byKey = make(map[string]*Customer)
-	for i := range c.Customers {
-		for _, key := range c.Customers[i].Keys {
-			c.byKey[key] = &c.Customers[i]
-		}
-	}
+	c.indexKeys()
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -109,6 +120,18 @@
 	}
 }
 
+func (c *Configuration) indexKeys() {
+	c.byKey, c.byName = make(map[string]*Customer), make(map[string]*Customer)
+	for i := range c.Customers {
+		c.byName[c.Customers[i].Name] = &c.Customers[i]
+		for _, key := range c.Customers[i].Keys {
+			if key != "" {
+				c.byKey[key] = &c.Customers[i]
+			}
+		}
+	}
+}
+
 // Match returns the route of a host with the longest prefix of a path.
 func (c *Configuration) Match(host, path string) (*Route, bool) {
 	for _, r := range c.byHost[host] {
