--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -82,6 +82,8 @@
 	memory  *budgeter.Budget
 	tracer  *tracer.Tracer
 	logger  zerolog.Logger
+	// splitter splits the requests of routes among services.
+	splitter *splitter
 	// quota is nil if customers are not limited.
 	quota Quota
 	// stopAt is when a stopping node gives up what is still in flight; zero while it runs.
@@ -92,7 +94,7 @@
 func NewDispatcher(cluster Cluster, codec HeaderCodec, clock timer.Clock, caller string, counter Counter,
 	memory *budgeter.Budget, t *tracer.Tracer, logger zerolog.Logger,
 ) *Dispatcher {
-	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger}
+	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger, splitter: newSplitter(rand.Uint64)}
 }
 
 // SetQuota sets what limits the customers' requests; it must be called before the first request.
@@ -188,7 +190,7 @@
 	d.codec.RemoveCustomer(header)
 	c := &Call{
 		ID: d.codec.RequestID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: header, Body: body, Route: route.Name, Service: pickService(route.Targets),
+		Header: header, Body: body, Route: route.Name, Service: d.splitter.pick(route),
 		Idempotent: route.Idempotent, Priority: route.Priority, Objective: route.Objective, Caller: d.caller,
 	}
 	wait := route.Timeout
@@ -202,24 +204,6 @@
 	return c
 }
 
-// pickService picks a service at random by the weights of a route's targets.
-func pickService(targets []descriptor.Target) string {
-	total := 0
-	for _, t := range targets {
-		total += t.Weight
-	}
-	if total <= 0 {
-		return ""
-	}
-	n := rand.IntN(total)
-	for _, t := range targets {
-		if n -= t.Weight; n < 0 {
-			return t.Service
-		}
-	}
-	return ""
-}
-
 // run tries backend servers until the outcome of the call is final.
 func (d *Dispatcher) run(ctx context.Context, c *Call, route *descriptor.Route, enter *entrance) (Result, *attemptLog) {
 	tried := make(map[partitioner.NodeID]bool)
--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -465,7 +465,7 @@
 				targets = append(targets, descriptor.Target{Service: "records", Weight: w})
 			}
 			for range 100 {
-				require.Contains(t, []string{"", "records"}, pickService(targets))
+				require.Contains(t, []string{"", "records"}, newSplitter(firstPoint).pick(&descriptor.Route{Targets: targets}))
 			}
 		})
 	}
