Charge customers' quotas at accountants of quota shards

Change: the limit of a customer is divided among three quota groups, and in each group the customers among 16 shards, each owned by one node under the lease protocol (partitioner.QuotaShards, planned by the overseer only where customers have rates). Package accountant answers charges from token buckets that start empty under each new owner; package charger keeps a node's credits, which live for a part of the tolerated excess; participant asks the accountant in its zone first and then those of the other groups. Nothing calls Charge in the dispatcher yet. With the tag mutation, QuotaMutation detects both planted faults.

--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"papayapass.dev/papayapass/internal/accountant"
 	"papayapass.dev/papayapass/internal/budgeter"
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/enveloper"
@@ -28,12 +29,15 @@
 	heartbeatPath = "/control/beat"
 	probePath     = "/control/probe"
 	tablePath     = "/control/table"
+	chargePath    = "/control/charge"
 )
 
 const (
 	controlConnectTimeout = 300 * time.Millisecond
 	controlMaxIdle        = 20 * time.Second
 	maxControlBytes       = 4 << 20
+	// maxChargeBytes limits a charge, which has the name of one customer.
+	maxChargeBytes = 64 << 10
 )
 
 // GrantAPI describes a backend server's API for grants and releases of keys.
@@ -122,6 +126,13 @@
 	return c.post(ctx, address, tablePath, t, &p)
 }
 
+// Charge asks the node at an address for credits of a customer.
+func (c *client) Charge(ctx context.Context, address string, charge accountant.Charge) (accountant.Answer, error) {
+	var a accountant.Answer
+	err := c.post(ctx, address, chargePath, charge, &a)
+	return a, err
+}
+
 // startName returns the name of a start of the backend server.
 func startName(id string, startedAtMillis int64) string {
 	return strconv.FormatInt(startedAtMillis, 10) + " " + id
@@ -240,6 +251,18 @@
 		}
 		writeReply(w, e, p.HandleProbe(request))
 	})
+	mux.HandleFunc("POST "+chargePath, func(w http.ResponseWriter, r *http.Request) {
+		packed, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChargeBytes))
+		if err != nil {
+			return // the node asks another accountant
+		}
+		var charge accountant.Charge
+		if _, err := e.Open(packed, &charge); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writeReply(w, e, p.HandleCharge(charge))
+	})
 	return mux
 }
 
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -188,6 +188,15 @@
 	n.meter.Gauge("papayapass_server_rate_limit", func() float64 { notice, _ := n.forwarder.Notice(); return notice.RateLimit })
 	n.meter.Gauge("papayapass_server_leaving", func() float64 { notice, _ := n.forwarder.Notice(); return boolToFloat(notice.Leaving) })
 	n.meter.Gauge("papayapass_server_ends", func() float64 { return float64(n.forwarder.Ends()) })
+	n.meter.Gauge("papayapass_quota_shards", func() float64 { return float64(n.participant.QuotaStats().ShardsOwned) })
+	for result, read := range map[string]func(participant.QuotaStats) uint64{
+		"asked":       func(s participant.QuotaStats) uint64 { return s.Asked },
+		"granted":     func(s participant.QuotaStats) uint64 { return s.Granted },
+		"denied":      func(s participant.QuotaStats) uint64 { return s.Denied },
+		"unreachable": func(s participant.QuotaStats) uint64 { return s.Unreachable },
+	} {
+		n.meter.Gauge(`papayapass_quota_charges{result="`+result+`"}`, func() float64 { return float64(read(n.participant.QuotaStats())) })
+	}
 	n.meter.Gauge("papayapass_body_bytes", func() float64 { return float64(n.memory.Used()) })
 	n.meter.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 }
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
 
+	"papayapass.dev/papayapass/internal/accountant"
 	"papayapass.dev/papayapass/internal/participant"
 	"papayapass.dev/shared/descriptor"
 )
@@ -55,6 +56,9 @@
 		RetryRatio  float64  `toml:"retryRatio"`
 		RetryWindow duration `toml:"retryWindow"`
 		RetrySlack  float64  `toml:"retrySlack"`
+		QuotaWindow duration `toml:"quotaWindow"`
+		QuotaOver   float64  `toml:"quotaOver"`
+		QuotaSlack  float64  `toml:"quotaSlack"`
 	} `toml:"bounds"`
 }
 
@@ -127,6 +131,8 @@
 		return errors.New("settings listen.peers and listen.metrics are required")
 	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.HoldMax <= 0 || s.Bounds.Apply <= 0:
 		return errors.New("settings bounds.heartbeat, bounds.grace, bounds.holdMax, bounds.apply and bounds.retryWindow must be above zero")
+	case s.Bounds.QuotaWindow < 0 || s.Bounds.QuotaOver < 0 || s.Bounds.QuotaSlack < 0:
+		return errors.New("settings bounds.quotaWindow, bounds.quotaOver and bounds.quotaSlack must not be below zero")
 	default:
 		return nil
 	}
@@ -137,6 +143,7 @@
 	return participant.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
 		ZoneOutTimeout: time.Duration(s.Bounds.ZoneOut), ApplyTimeout: time.Duration(s.Bounds.Apply), HeartbeatInterval: time.Duration(s.Bounds.Heartbeat),
+		Quota: accountant.Bounds{Window: time.Duration(s.Bounds.QuotaWindow), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
 	}
 }
 
--- a/papayapass/internal/mutator/fault.go
+++ b/papayapass/internal/mutator/fault.go
@@ -69,4 +69,10 @@
 	// FreeBesidePriorGrants frees the keys of a former start of a backend server although its
 	// next start may hold them by grants of an earlier process of the node.
 	FreeBesidePriorGrants
+	// ReassignShardOfSilentOwner gives a quota shard another owner although the lease of the present
+	// one may be valid.
+	ReassignShardOfSilentOwner
+	// StartWithFullBuckets lets the next owner of a quota shard grant the burst of each customer at
+	// once, though the owner before may have granted it.
+	StartWithFullBuckets
 )
--- a/papayapass/internal/overseer/overseer.go
+++ b/papayapass/internal/overseer/overseer.go
@@ -92,6 +92,8 @@
 	released           []partitioner.Release
 	zonesOut           map[string]bool
 	suspects           suspects
+	// hasQuotas is set while customers have quotas, which need owners of quota shards.
+	hasQuotas bool
 	// inDoubt holds tables whose writes are in doubt. The store may hold any of them,
 	// now or later, until another write takes effect.
 	inDoubt []*partitioner.Table
@@ -193,6 +195,9 @@
 	}
 }
 
+// SetQuotas sets whether customers have quotas.
+func (o *Overseer) SetQuotas(has bool) { o.hasQuotas = has }
+
 // AuthorityUntil returns the instant until which the coordinator may renew leases.
 func (o *Overseer) AuthorityUntil() timer.Instant {
 	end := o.confirmedAt.Add(AuthorityDuration)
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -35,6 +35,9 @@
 	p.Balance()
 	p.Merge()
 	p.Compact()
+	if o.hasQuotas && (len(o.table.QuotaShards) > 0 || now.Sub(o.termStart) > o.serverHeartbeatInterval+startupSlack) {
+		p.AssignQuotaShards(o.table.Unheard)
+	}
 	o.freed = p.Freed()
 	next := p.Table()
 	membersChanged := o.removeExpired(next, now)
--- a/papayapass/internal/overseer/world_test.go
+++ b/papayapass/internal/overseer/world_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"papayapass.dev/papayapass/internal/accountant"
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
@@ -121,6 +122,7 @@
 	lastWrite         timer.Instant
 	startedAt         timer.Instant
 	nextPlan          time.Duration
+	accountant        *accountant.Accountant
 }
 
 type world struct {
@@ -165,6 +167,8 @@
 	violation string
 	// twoOwners describes the first time when a key had two owners.
 	twoOwners string
+	// quotas has what accountants granted; nil if customers have no quotas.
+	quotas *quotaLog
 }
 
 // storeCopy is a state of the store that a restore may bring back.
@@ -226,6 +230,7 @@
 	m.overseer, m.table, m.joinedEpoch, m.echo, m.echoEpoch = nil, nil, 0, 0, 0
 	m.granter = granter.NewGranter(m.self.ID, 10*time.Second, w.clock(m))
 	m.granter.SetMethod(w.method)
+	m.accountant = newTestAccountant(m.self.ID, w.clock(m))
 	m.startedAt = w.clock(m)
 	m.lastContact = m.startedAt.Add(-time.Second)
 	w.registerServer(m)
@@ -431,6 +436,7 @@
 	if t.Newer(m.table) {
 		m.table = t
 		m.granter.SetTable(t, w.clock(m))
+		m.accountant.SetTable(t, w.clock(m))
 	}
 }
 
@@ -558,6 +564,7 @@
 			}
 		}
 	}
+	m.overseer.SetQuotas(w.quotas != nil)
 	next := m.overseer.Plan(now)
 	if next == nil && now.Sub(m.lastWrite) < overseer.RenewalInterval && !m.overseer.RenewalDue(now) {
 		return
@@ -604,6 +611,9 @@
 
 // check counts the owners of each sample key over all backend servers.
 func (w *world) check() {
+	if w.quotas != nil {
+		w.chargeAll()
+	}
 	for i := range sampleCount {
 		key, owners, known := sampleKey(i), 0, 0
 		for _, m := range w.members {
--- a/papayapass/internal/participant/coordinate.go
+++ b/papayapass/internal/participant/coordinate.go
@@ -197,6 +197,9 @@
 		return nil, descriptor.Object{}, false, false
 	}
 	p.overseer.SetZonesOut(list)
+	if cfg := p.Configuration(); cfg != nil {
+		p.overseer.SetQuotas(cfg.HasQuotas())
+	}
 	now := p.timers.Now()
 	next = p.overseer.Plan(now)
 	if next != nil {
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"papayapass.dev/papayapass/internal/accountant"
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/forwarder"
 	"papayapass.dev/papayapass/internal/granter"
@@ -38,6 +39,8 @@
 	Probe(ctx context.Context, address string, r overseer.ProbeRequest) (overseer.ProbeReply, error)
 	// Announce sends the coordinator's table to the node at an address.
 	Announce(ctx context.Context, address string, t *partitioner.Table) error
+	// Charge asks the node at an address for credits of a customer.
+	Charge(ctx context.Context, address string, c accountant.Charge) (accountant.Answer, error)
 	// UpdateGrant sends a key request to the local backend server. The second result is
 	// the handover value from the response.
 	UpdateGrant(ctx context.Context, call granter.Call) (granter.Result, string)
@@ -64,6 +67,8 @@
 	ApplyTimeout time.Duration
 	// HeartbeatInterval is the time between two heartbeats of a backend server.
 	HeartbeatInterval time.Duration
+	// Quota says how far customers may exceed their limits.
+	Quota accountant.Bounds
 }
 
 // Participant connects one node to the deployment.
@@ -99,6 +104,7 @@
 	lastChoices     sync.Map // node to *atomic.Int64, when its backend server was last chosen in a shared pool
 	peers           sync.Map // address to *dispatcher.Peer
 	retryBudget     *retryBudget
+	quota           *quota
 
 	// lastWriteSent is when the last write of the table's object was sent; renewals counts
 	// the writes that changed only its status. Only the goroutine that runs coordinate
@@ -151,6 +157,7 @@
 		started: timers.Now(), lastContact: timers.Now(), retryBudget: newRetryBudget(bounds, timers),
 	}
 	p.bounds.Store(&bounds)
+	p.quota = newQuota(p, bounds)
 	empty := make(map[string]bool)
 	p.zonesOut.Store(&empty)
 	p.freshReplyAt = timers.Now().Add(firstReadDelay - bounds.freshness())
@@ -168,6 +175,7 @@
 func (p *Participant) SetBounds(b Bounds) {
 	p.bounds.Store(&b)
 	p.retryBudget.setBounds(b)
+	p.quota.setBounds(b)
 }
 
 // Configuration returns the configuration in force, or nil before the first.
@@ -222,6 +230,7 @@
 		if p.configuration.CompareAndSwap(old, cfg) {
 			p.logger.Info().Uint64("version", cfg.Version).Int("routes", len(cfg.Routes)).Str("from", from).Msg("configuration in force")
 			p.forwarder.ApplyConfiguration()
+			p.quota.applyConfiguration(cfg)
 			p.mu.Lock()
 			p.notify()
 			p.mu.Unlock()
@@ -243,6 +252,7 @@
 	}
 	p.table.Store(t)
 	p.granter.SetTable(t, p.timers.Now())
+	p.quota.applyTable(t)
 	p.forwarder.Quarantine().ApplyTable(t.Suspects)
 	wake(p.grantsDue)
 	p.retryBudget.setNodes(len(t.Members))
--- a/papayapass/internal/partitioner/delta.go
+++ b/papayapass/internal/partitioner/delta.go
@@ -15,6 +15,8 @@
 	Members   []Member   `json:"members,omitempty"`
 	Removed   []NodeID   `json:"removed,omitempty"`
 	Divisions []Division `json:"divisions,omitempty"` // only the changed ranges
+	// QuotaShards are the changed shards.
+	QuotaShards []QuotaShard `json:"quotaShards,omitempty"`
 }
 
 // Diff returns the delta from an older table to a newer one of the same epoch.
@@ -45,6 +47,11 @@
 			d.Divisions = append(d.Divisions, Division{Service: division.Service, Ranges: changed})
 		}
 	}
+	for _, s := range to.QuotaShards {
+		if old, ok := from.QuotaShard(s.Group, s.Index); !ok || old != s {
+			d.QuotaShards = append(d.QuotaShards, s)
+		}
+	}
 	return d
 }
 
@@ -66,6 +73,9 @@
 	for _, changed := range d.Divisions {
 		next.overlay(changed)
 	}
+	for _, s := range d.QuotaShards {
+		next.setQuotaShard(s)
+	}
 	return next
 }
 
--- a/papayapass/internal/partitioner/table.go
+++ b/papayapass/internal/partitioner/table.go
@@ -105,6 +105,8 @@
 	LastToken uint64     `json:"lastToken"`
 	Members   []Member   `json:"members"`
 	Divisions []Division `json:"divisions"`
+	// QuotaShards are all shards of all groups in ascending order, or none.
+	QuotaShards []QuotaShard `json:"quotaShards,omitempty"`
 }
 
 // Newer reports whether the table supersedes another. A blank table supersedes none that knows
@@ -193,9 +195,12 @@
 	return out
 }
 
-// TakesFrom reports whether the table takes keys from a node that owned them in an
+// TakesFrom reports whether the table takes keys or quota shards from a node that owned them in an
 // earlier table, or gives them to it under another token.
 func (t *Table) TakesFrom(earlier *Table, id NodeID) bool {
+	if t.takesQuotaShards(earlier, id) {
+		return true
+	}
 	for _, d := range earlier.Divisions {
 		now, _ := t.Division(d.Service)
 		for _, r := range d.Ranges {
@@ -216,7 +221,7 @@
 func (t *Table) Clone() *Table {
 	c := *t
 	c.Unheard, c.Suspects = slices.Clone(t.Unheard), slices.Clone(t.Suspects)
-	c.Members = slices.Clone(t.Members)
+	c.Members, c.QuotaShards = slices.Clone(t.Members), slices.Clone(t.QuotaShards)
 	c.Divisions = make([]Division, len(t.Divisions))
 	for i, d := range t.Divisions {
 		c.Divisions[i] = Division{Service: d.Service, Ranges: slices.Clone(d.Ranges)}
--- a/papayapass/internal/validator/validator.go
+++ b/papayapass/internal/validator/validator.go
@@ -101,6 +101,22 @@
 			return errors.Wrapf(err, "service %q", Excerpt(d.Service))
 		}
 	}
+	return quotaShards(t)
+}
+
+// quotaShards returns an error unless a table has all shards in order, or none.
+func quotaShards(t *partitioner.Table) error {
+	if n := len(t.QuotaShards); n != 0 && n != partitioner.QuotaGroups*partitioner.QuotaShardsPerGroup {
+		return errors.Newf("%d quota shards, not %d", n, partitioner.QuotaGroups*partitioner.QuotaShardsPerGroup)
+	}
+	for i, s := range t.QuotaShards {
+		if s.Group*partitioner.QuotaShardsPerGroup+s.Index != i || s.Index < 0 || s.Index >= partitioner.QuotaShardsPerGroup {
+			return errors.Newf("quota shard %d of group %d is not in order", s.Index, s.Group)
+		}
+		if s.Token > t.LastToken {
+			return errors.Newf("quota shard %d of group %d has token %d, above the last one, %d", s.Index, s.Group, s.Token, t.LastToken)
+		}
+	}
 	return nil
 }
 
--- a/shared/descriptor/configuration.go
+++ b/shared/descriptor/configuration.go
@@ -3,6 +3,7 @@
 package descriptor
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -98,6 +99,11 @@
 	c.indexKeys()
 }
 
+// HasQuotas reports whether any customer has a limit.
+func (c *Configuration) HasQuotas() bool {
+	return slices.ContainsFunc(c.Customers, func(c Customer) bool { return c.Rate > 0 })
+}
+
 // CustomerOf returns the customer that holds a key.
 func (c *Configuration) CustomerOf(key string) (*Customer, bool) {
 	customer, ok := c.byKey[key]
