Limit customers' requests by their quotas and describe how

Tests of the lifetime of credits and of the order of accountants. Measured: go test of accountant, charger and participant passed.

--- /dev/null
+++ b/papayapass/internal/charger/charger_test.go
@@ -0,0 +1,60 @@
+package charger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/accountant"
+	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/timer"
+	"papayapass.dev/shared/descriptor"
+)
+
+// A node is cut off right after a grant of two credits. It uses them in their lifetime only, unless
+// they were asked for after the request had come.
+func TestCreditsExpire(t *testing.T) {
+	lifetime := replayBounds.CreditLifetime()
+	for name, tt := range map[string]struct {
+		bounds         accountant.Bounds
+		arrived, taken time.Duration // from when the credits were asked for
+		usable         bool
+	}{
+		"in their lifetime":                      {replayBounds, lifetime, lifetime, true},
+		"after it":                               {replayBounds, lifetime, lifetime + 1, false},
+		"no credits in advance":                  {accountant.Bounds{}, 1, 1, false},
+		"for a request that waited":              {accountant.Bounds{}, 0, Timeout, true},
+		"for a request that waited for too long": {accountant.Bounds{}, 0, Timeout + 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked := timer.Instant(time.Hour)
+			c := NewCharger(partitioner.Member{ID: "a"}, tt.bounds)
+			c.HandleAnswer("customer", Target{}, accountant.Answer{Outcome: accountant.Granted, Count: 2}, asked, asked)
+			for _, want := range []bool{tt.usable, tt.usable, false} {
+				require.Equal(t, want, c.Take("customer", asked.Add(tt.arrived), asked.Add(tt.taken)))
+			}
+		})
+	}
+}
+
+func TestTargetsInTheOwnZoneComeFirst(t *testing.T) {
+	s, now := newReplaySite(), timer.Instant(time.Hour)
+	customer := &descriptor.Customer{Name: "customer", Rate: 10, Burst: 10}
+	for _, id := range s.ids {
+		m, _ := s.table.Member(id)
+		c := NewCharger(m, replayBounds)
+		targets, _, _ := c.Targets(customer, s.table, now)
+		require.Len(t, targets, partitioner.QuotaGroups)
+		require.Equal(t, m.Zone, targets[0].Owner.Zone)
+		require.True(t, c.HandleFailure(targets[0].Owner.ID, now))
+		require.False(t, c.HandleFailure(targets[0].Owner.ID, now), "one log line")
+		left, _, _ := c.Targets(customer, s.table, now)
+		require.Equal(t, targets[1:], left)
+		for _, target := range left {
+			c.HandleFailure(target.Owner.ID, now)
+		}
+		again, _, _ := c.Targets(customer, s.table, now)
+		require.Len(t, again, partitioner.QuotaGroups, "perhaps this node stalled")
+	}
+}
--- a/papayapass/internal/commander/deployment.go
+++ b/papayapass/internal/commander/deployment.go
@@ -110,7 +110,11 @@
 	fmt.Fprintf(tw, "coordinator\t%s, epoch %d, table %d\n", t.Coordinator, t.Epoch, t.Version)
 	fmt.Fprintf(tw, "configuration\t%s\n", configuration)
 	fmt.Fprintf(tw, "zones out\t%s\n\n", strings.Join(zonesOut, ", "))
-	fmt.Fprintln(tw, "NODE\tZONE\tSERVICE\tSERVER\tSTATE\tRANGES\tKEYS")
+	shards := make(map[partitioner.NodeID][]string)
+	for _, s := range t.QuotaShards {
+		shards[s.Owner] = append(shards[s.Owner], fmt.Sprintf("%d/%d", s.Group, s.Index))
+	}
+	fmt.Fprintln(tw, "NODE\tZONE\tSERVICE\tSERVER\tSTATE\tRANGES\tKEYS\tQUOTA SHARDS")
 	for _, m := range t.Members {
 		keys := 0
 		owned := t.Owned(m.ID)
@@ -124,7 +128,7 @@
 		case m.Server.Leaving:
 			state = "leaving"
 		}
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", m.ID, m.Zone, m.Server.Service, m.Server.ID, state, len(owned), keys)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", m.ID, m.Zone, m.Server.Service, m.Server.ID, state, len(owned), keys, strings.Join(shards[m.ID], " "))
 	}
 	return tw.Flush()
 }
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -217,6 +217,7 @@
 	defer endRequests()
 	summaries := summarizer.NewSummarizer(meter.NewRouteMeter(n.meter), n.logger)
 	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.memory, n.tracer, n.logger)
+	n.dispatcher.SetQuota(n.participant)
 	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
 	for _, l := range []struct {
 		address string
