--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -189,6 +189,15 @@
 	n.meter.Gauge("papayapass_server_rate_limit", func() float64 { notice, _ := n.forwarder.Notice(); return notice.RateLimit })
 	n.meter.Gauge("papayapass_server_leaving", func() float64 { notice, _ := n.forwarder.Notice(); return boolToFloat(notice.Leaving) })
 	n.meter.Gauge("papayapass_server_ends", func() float64 { return float64(n.forwarder.Ends()) })
+	n.meter.Gauge("papayapass_quota_shards", func() float64 { return float64(n.participant.QuotaStats().ShardsOwned) })
+	for result, read := range map[string]func(participant.QuotaStats) uint64{
+		"asked":       func(s participant.QuotaStats) uint64 { return s.Asked },
+		"granted":     func(s participant.QuotaStats) uint64 { return s.Granted },
+		"denied":      func(s participant.QuotaStats) uint64 { return s.Denied },
+		"unreachable": func(s participant.QuotaStats) uint64 { return s.Unreachable },
+	} {
+		n.meter.Gauge(`papayapass_quota_charges{result="`+result+`"}`, func() float64 { return float64(read(n.participant.QuotaStats())) })
+	}
 	n.meter.Gauge("papayapass_body_bytes", func() float64 { return float64(n.memory.Used()) })
 	n.meter.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 }
@@ -209,6 +218,7 @@
 	defer endRequests()
 	summaries := summarizer.NewSummarizer(meter.NewRouteMeter(n.meter), n.logger)
 	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.memory, n.tracer, n.logger)
+	n.dispatcher.SetQuota(n.participant)
 	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
 	ahead := pipeliner.NewPipeliner(n.dispatcher, n.dispatcher.MayStartEarly, n.logger)
 	if err := n.listen(requests, g, n.settings.Listen.Customers, ahead, ahead.Listener); err != nil {
