Treat a status outside 100 to 599 as a malformed answer

Cause: a backend server in trouble sent the status 000. The exchanger took what is below 200 for an interim response, waited until the deadline and read what followed as the answer; it passed on 600 and more. The first design's executor passed on any number, and its client library reports 000 as 200.

Change: both fail at once with an unknown outcome and close the connection; the executor's result counts as failed for the limiter. The executor reads the status lines at the connection, before the client library.

--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -335,6 +335,9 @@
 		if containsStatusLine(resp) {
 			return nil, errors.Newf("part of another response before %q", resp.Status)
 		}
+		if !IsStatus(resp.StatusCode) {
+			return nil, errors.Newf("status %03d", resp.StatusCode)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -345,6 +348,9 @@
 	return nil, errors.Newf("more than %d interim responses", maxInterim)
 }
 
+// IsStatus reports whether a number is a status of HTTP. An answer with another one is malformed.
+func IsStatus(n int) bool { return n >= 100 && n <= 599 }
+
 // isFramingLost reports whether a head leaves the end of its body to the end of a connection
 // that it keeps. The line with the length is missing, and the body may be too. The library
 // has removed Connection if it holds "close".
--- a/papayapass/internal/executor/dialer.go
+++ b/papayapass/internal/executor/dialer.go
@@ -37,12 +37,16 @@
 
 	// answered is set while the connection has been read from since the last request.
 	answered bool
+	status   statusChecker
 }
 
 // Read reads from the connection.
 func (c *backendConn) Read(p []byte) (int, error) {
 	c.answered = true
 	n, err := c.Conn.Read(p)
+	if malformed := c.status.check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if err == io.EOF { //nolint:errorlint // net.Conn returns it unwrapped
 		return n, io.ErrUnexpectedEOF
 	}
@@ -54,6 +58,9 @@
 	if c.answered && !exchanger.IsQuiet(c.Conn) {
 		return 0, errStale
 	}
+	if c.answered {
+		c.status = statusChecker{}
+	}
 	c.answered = false
 	return c.Conn.Write(p)
 }
