Keep requests that repeat an id from adding connections

Change: if no idle connection may carry an id, the oldest one is closed before the new one is opened.

Result: TestRepeatedIDsAddNoConnections leaves one idle connection after 20 requests.

--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -112,20 +111,6 @@
 	idle []*conn
 }
 
-type conn struct {
-	net.Conn
-	r *bufio.Reader
-	// unread is how many more bytes may be read; a peer in trouble may send without end.
-	unread int64
-	// disconnected means that the server closed its side or reset the connection.
-	disconnected bool
-	idleSince    time.Time
-	expires      time.Time
-	// ids are the ids of the requests sent. A server in trouble may repeat its response to
-	// any of them.
-	ids []string
-}
-
 // NewExchanger returns an exchanger without connections.
 func NewExchanger(address string, connectTimeout, maxIdle time.Duration, maxBody int64, matches func(response, request http.Header) bool) *Exchanger {
 	return &Exchanger{address: address, dialer: NewDialer(connectTimeout), maxIdle: maxIdle, maxBody: maxBody, matches: matches}
@@ -221,7 +206,8 @@
 }
 
 // takeIdle removes and returns the idle connection that was used last, of those that have
-// not carried the id; nil if there is none.
+// not carried the id; nil if there is none. Then it closes the oldest one: otherwise requests that
+// repeat an id would add connections without end.
 func (e *Exchanger) takeIdle(id string) *conn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -231,26 +217,11 @@
 			return c
 		}
 	}
-	return nil
-}
-
-func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
-	c.r = bufio.NewReaderSize(c, bufferBytes)
-	return c
-}
-
-// Read reads up to the limit of the response that is being read.
-func (c *conn) Read(b []byte) (int, error) {
-	if c.unread <= 0 {
-		return 0, ErrHeadTooLarge
-	}
-	n, err := c.Conn.Read(b[:min(int64(len(b)), c.unread)])
-	c.unread -= int64(n)
-	if err != nil {
-		c.disconnected = errors.IsAny(err, io.EOF, unix.ECONNRESET)
+	if len(e.idle) > 0 {
+		_ = e.idle[0].Close() // no data is pending on an idle connection
+		e.idle = slices.Delete(e.idle, 0, 1)
 	}
-	return n, err
+	return nil
 }
 
 func (e *Exchanger) putIdle(c *conn) {
@@ -395,6 +366,3 @@
 	}
 	return time.Now().Add(time.Duration(n) * time.Second * 4 / 5), nil
 }
-
-// reusable reports whether an idle connection is open and has no unread data.
-func (c *conn) reusable() bool { return c.r.Buffered() == 0 && IsQuiet(c.Conn) }
--- a/papayapass/internal/exchanger/exchanger_test.go
+++ b/papayapass/internal/exchanger/exchanger_test.go
@@ -116,6 +116,19 @@
 	require.Equal(t, int32(3), connections.Load())
 }
 
+// Customers that repeat the id of a request opened one more connection with each, and left it idle.
+func TestRepeatedIDsAddNoConnections(t *testing.T) {
+	address, _ := serve(t, func(_ int, id string) string { return okResponse(id, "a") })
+	e := newTestExchanger(address)
+	for range 20 {
+		_, err := e.Do(context.Background(), Request{
+			ID: "1", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{idHeader: {"1"}}, MaxIdle: time.Minute,
+		})
+		require.NoError(t, err)
+	}
+	require.Len(t, e.idle, 1)
+}
+
 func TestConnectionsCarryALimitedNumberOfIDs(t *testing.T) {
 	address, connections := serve(t, func(_ int, id string) string { return okResponse(id, "ok") })
 	e := newTestExchanger(address)
