Limit what clients' connections hold at each listener of a node

Cause: heads, connections and goroutines were in no budget, listeners had no limit on connections, bodies and answers had no time limit, and the limits of the configuration were not used, except that for bodies. 600 connections with short fields took a process of 96 MB to 175 to 187 MB at each listener.

Change: - Each listener has a part of the memory for connections and heads and a share of the descriptors (setting node.descriptors); heartbeats and control calls take their bodies from it too. Customers get nine tenths of the memory for bodies. - Heads are charged by bytes and lines before the library parses them. If a listener was short of memory or connections, they close those that shedder.Choose names; responses close connections until a quarter is free. - Metrics and log lines by listener and reason.

--- a/papayapass/internal/budgeter/budgeter.go
+++ b/papayapass/internal/budgeter/budgeter.go
@@ -1,6 +1,5 @@
-// Package budgeter limits the memory that the bodies of all requests and responses of a
-// node take together. Without it, a few backend servers that send bytes without end would
-// end the node's process.
+// Package budgeter limits the memory that connections, heads and bodies of a node take. Without
+// it, a few clients or backend servers that send bytes without end would end the node's process.
 package budgeter
 
 import (
@@ -10,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrExhausted means that the node has no memory left for a body.
-var ErrExhausted = errors.New("no memory left for bodies")
+// ErrExhausted means that a budget has no memory left.
+var ErrExhausted = errors.New("no memory left")
 
 // ErrTooLarge means that a body is larger than its own limit.
 var ErrTooLarge = errors.New("body too large")
@@ -23,20 +22,56 @@
 	maxGrowth = 1 << 20
 )
 
-// Budget is the memory for bodies.
+// Budget is an amount of memory for one purpose.
 type Budget struct {
-	limit int64
-	used  atomic.Int64
+	// whole is the budget that this one is a part of, or nil.
+	whole    *Budget
+	limit    int64
+	used     atomic.Int64
+	refusals atomic.Int64
 }
 
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
+// Part returns a budget that takes its memory from this one, up to a number of bytes. What it leaves is
+// kept for others.
+func (b *Budget) Part(limit int64) *Budget { return &Budget{whole: b, limit: limit} }
+
+// Limit returns the number of bytes of the budget.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// TakeRefusals returns how often the budget had no memory since the last call.
+func (b *Budget) TakeRefusals() int64 { return b.refusals.Swap(0) }
+
+// add takes n bytes, or gives them back if n is negative.
+func (b *Budget) add(n int64) error {
+	if used := b.used.Add(n); n > 0 && used > b.limit {
+		b.used.Add(-n)
+		b.refusals.Add(1)
+		return errors.Wrapf(ErrExhausted, "%d of %d bytes in use", used-n, b.limit)
+	}
+	if b.whole == nil {
+		return nil
+	}
+	if err := b.whole.add(n); err != nil {
+		b.used.Add(-n)
+		b.refusals.Add(1)
+		return err
+	}
+	return nil
+}
+
 // Used returns the number of bytes in use.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-// Lease returns a lease that takes no memory yet.
-func (b *Budget) Lease() *Lease { return &Lease{budget: b} }
+// Lease returns a lease that takes no memory yet; a nil budget has a lease without a limit.
+func (b *Budget) Lease() *Lease {
+	if b == nil {
+		return nil
+	}
+	return &Lease{budget: b}
+}
 
 // Lease is the memory that one request takes from the budget. Its methods may be called
 // by several goroutines, and a nil lease takes nothing.
@@ -45,23 +80,33 @@
 	taken  atomic.Int64
 }
 
-// take takes n more bytes.
-func (l *Lease) take(n int64) error {
+// Take takes n more bytes.
+func (l *Lease) Take(n int64) error {
 	if l == nil {
 		return nil
 	}
-	if used := l.budget.used.Add(n); used > l.budget.limit {
-		l.budget.used.Add(-n)
-		return errors.Wrapf(ErrExhausted, "%d of %d bytes in use", used-n, l.budget.limit)
+	if err := l.budget.add(n); err != nil {
+		return err
 	}
 	l.taken.Add(n)
 	return nil
 }
 
+// Taken returns the number of bytes taken.
+func (l *Lease) Taken() int64 {
+	if l == nil {
+		return 0
+	}
+	return l.taken.Load()
+}
+
 // Close gives the memory back.
 func (l *Lease) Close() {
-	if l != nil {
-		l.budget.used.Add(-l.taken.Swap(0))
+	if l == nil {
+		return
+	}
+	if n := l.taken.Swap(0); n != 0 {
+		_ = l.budget.add(-n) // giving back does not fail
 	}
 }
 
@@ -78,7 +123,7 @@
 	var buf []byte
 	for {
 		if size = min(size, limit+1); int64(cap(buf)) < size {
-			if err := l.take(size - int64(cap(buf))); err != nil {
+			if err := l.Take(size - int64(cap(buf))); err != nil {
 				return nil, err
 			}
 			buf = append(make([]byte, 0, size), buf...)
--- a/papayapass/internal/budgeter/budgeter_test.go
+++ b/papayapass/internal/budgeter/budgeter_test.go
@@ -49,3 +49,20 @@
 	require.NoError(t, err)
 	require.Empty(t, got)
 }
+
+// Clients that take all of their part leave the rest of the memory to others.
+func TestPartLeavesMemoryToOthers(t *testing.T) {
+	whole := NewBudget(100)
+	part := whole.Part(70)
+	customers, others := part.Lease(), whole.Lease()
+	require.NoError(t, customers.Take(70))
+	require.ErrorIs(t, customers.Take(1), ErrExhausted)
+	require.Equal(t, int64(1), part.TakeRefusals())
+	require.NoError(t, others.Take(30))
+	customers.Close()
+	require.Equal(t, int64(30), whole.Used())
+	require.NoError(t, others.Take(60))
+	require.ErrorIs(t, customers.Take(20), ErrExhausted, "the whole is exhausted")
+	require.Zero(t, part.Used())
+	require.Zero(t, customers.Taken())
+}
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -168,6 +169,8 @@
 	case errors.Is(err, budgeter.ErrExhausted):
 		d.logger.Warn().Err(err).Msg("request rejected, its body does not fit into the memory for bodies")
 		writeUnavailable(w, http.StatusServiceUnavailable, absentServerRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded): // the connection was cut while the body was read
+		w.WriteHeader(http.StatusRequestTimeout)
 	default:
 		w.WriteHeader(http.StatusBadRequest)
 	}
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -31,6 +31,8 @@
 	peerBackoff = 250 * time.Millisecond
 	// maxBodyBytes is the largest body of a response.
 	maxBodyBytes = 64 << 20
+	// headerFieldBytes is the memory of a header field of a call, with the copies that are made of it.
+	headerFieldBytes = 256
 )
 
 // callHead is the head of a call between nodes; the request's body follows it.
@@ -235,6 +237,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if err := memory.Take(int64(headerFieldBytes * len(head.Header))); err != nil {
+		p.reply(w, resultHead{Outcome: NotRun.String(), Reason: ReasonFull}, nil)
+		return
+	}
 	ctx, span, trace := p.tracer.Start(r.Context(), "serve for a node", head.Trace, trace.SpanKindServer)
 	defer span.End()
 	c := &Call{
--- a/papayapass/internal/drainer/conn.go
+++ b/papayapass/internal/drainer/conn.go
@@ -1,31 +1,87 @@
 package drainer
 
 import (
+	"bytes"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"papayapass.dev/papayapass/internal/budgeter"
+	"papayapass.dev/papayapass/internal/shedder"
+)
+
+const (
+	// writePiece is the most that is written at a time, so that the progress of an answer is seen.
+	writePiece = 16 << 10
+	// readAhead is the size of the buffer through which the server reads heads and small bodies.
+	readAhead = 4 << 10
+	// refusalTimeout is the time for writing a refusal.
+	refusalTimeout = 50 * time.Millisecond
+)
+
+// Refusals that are written before the server has seen the request.
+const (
+	refusalMemory = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.6\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	refusalSize   = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
+// errRefused is the result of reading a head that is refused.
+var errRefused = errors.New("request refused")
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // listener wraps the connections that it accepts.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	admit func(*conn) bool
+}
 
 // Accept accepts a connection.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: raw}
+		if l.admit(c) {
+			return c, nil
+		}
+		_ = raw.Close() // nothing was read from it
 	}
-	return &conn{Conn: c}, nil
 }
 
 // conn is a connection that can be ended while no byte of a request has been read. A read
 // deadline in the past ends it, so data already read is never dropped.
 type conn struct {
 	net.Conn
+	guard *Guard // nil without limits
+	own   *budgeter.Lease
+	watch shedder.Watch // used by Sweep only
+	// moved counts the bytes read and written.
+	moved atomic.Int64
 
 	mu    sync.Mutex
 	busy  bool // a byte has been read since the last response
 	ended bool
+	// readCut and writeCut are set if no more is read or written.
+	readCut, writeCut bool
+	// inRequest is set from the end of a head to the end of the response.
+	inRequest bool
+	// reading is set while the rest of a body is awaited, and writing is what is left to write.
+	reading  bool
+	writing  int
+	requests uint64
+	// movedBefore is moved at the start of the request.
+	movedBefore int64
+	head        *budgeter.Lease
+	parsed      headCounter
+	// ahead is the number of line ends that the server has read and not parsed yet.
+	ahead int
 }
 
 // NetConn returns the connection that it wraps.
@@ -33,34 +89,133 @@
 
 // Read reads data and marks the connection as busy.
 func (c *conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	// The server reads a single byte ahead while a request runs.
+	c.reading = c.inRequest && len(b) > 1
+	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.mu.Lock()
-		c.busy = true
-		if c.ended {
-			c.ended = false
-			_ = c.Conn.SetReadDeadline(time.Time{}) // a broken connection fails at its next use
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if n == 0 {
+		return n, err
+	}
+	c.busy = true
+	if c.ended {
+		c.ended = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // a broken connection fails at its next use
+	}
+	if c.guard == nil {
+		return n, err
+	}
+	c.moved.Add(int64(n))
+	if !c.inRequest {
+		if refusal := c.countHead(b[:n]); refusal != "" {
+			return 0, c.refuse(refusal)
 		}
-		c.mu.Unlock()
+		return n, err
+	}
+	if len(b) <= readAhead {
+		c.ahead = bytes.Count(b[:n], []byte{'\n'})
 	}
 	return n, err
 }
 
+// countHead takes the memory of a part of a head, and returns the refusal if that is not possible.
+// The caller holds c.mu.
+func (c *conn) countHead(b []byte) string {
+	size, lines, rest := c.parsed.count(b)
+	c.ahead = bytes.Count(rest, []byte{'\n'})
+	if c.parsed.size > headSlack && c.parsed.size > c.guard.Limits().HeadBytes+headSlack {
+		c.guard.Count(shedder.ReasonHeadSize)
+		return refusalSize
+	}
+	if err := c.head.Take(int64(headCopies*size + fieldBytes*lines)); err != nil { // counted, and logged from the counts
+		c.guard.Count(shedder.ReasonMemory)
+		return refusalMemory
+	}
+	return ""
+}
+
+// refuse answers a request that the server has not seen and returns the error that makes the server close
+// the connection without a response of its own. The caller holds c.mu.
+func (c *conn) refuse(text string) error {
+	c.readCut = true
+	err := c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	if err == nil {
+		_, err = c.Conn.Write([]byte(text))
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: errors.CombineErrors(errRefused, err)}
+}
+
+// Write writes data in pieces.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.guard == nil {
+		return c.Conn.Write(b)
+	}
+	done := 0
+	for {
+		c.mu.Lock()
+		c.writing = len(b) - done
+		c.mu.Unlock()
+		if done == len(b) {
+			return done, nil
+		}
+		n, err := c.Conn.Write(b[done:min(done+writePiece, len(b))])
+		done += n
+		c.moved.Add(int64(n))
+		if err != nil {
+			return done, err
+		}
+	}
+}
+
 // SetReadDeadline sets the read deadline unless the connection has been ended.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
+	if c.ended || c.readCut {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline sets the write deadline unless the connection has been cut.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeCut {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// markActive records that the server has read a head.
+func (c *conn) markActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inRequest, c.movedBefore = true, c.moved.Load()
+}
+
 // markIdle records that the last response has been sent.
 func (c *conn) markIdle() {
 	c.mu.Lock()
-	c.busy = false
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	c.busy, c.inRequest, c.parsed = false, false, headCounter{}
+	c.requests++
+	if c.guard == nil {
+		return
+	}
+	c.head.Close()
+	if c.ahead == 0 {
+		return
+	}
+	// The head of the next request is in the server's buffer already.
+	if err := c.head.Take(int64(fieldBytes * c.ahead)); err != nil { // counted, and logged from the counts
+		c.guard.Count(shedder.ReasonMemory)
+		c.readCut = true
+		_ = c.Close() // a request sent ahead that is not served
+	}
 }
 
 // endIfIdle ends the connection unless a request has started.
@@ -71,5 +226,62 @@
 		return
 	}
 	c.ended = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a broken connection has already ended
+	_ = c.Conn.SetReadDeadline(past) // a broken connection has already ended
+}
+
+// snapshot returns what the connection is waiting for.
+func (c *conn) snapshot() shedder.Reading {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return shedder.Reading{Phase: c.phase(), Request: c.requests, Moved: c.moved.Load()}
+}
+
+// phase returns the phase. The caller holds c.mu.
+func (c *conn) phase() shedder.Phase {
+	switch {
+	case c.writing > 0:
+		return shedder.Answer
+	case c.inRequest && c.reading:
+		return shedder.Body
+	case c.inRequest:
+		return shedder.Running
+	case c.busy:
+		return shedder.Head
+	default:
+		return shedder.Idle
+	}
+}
+
+// heldOwn returns the memory of the connection and the head.
+func (c *conn) heldOwn() int64 { return c.own.Taken() + c.head.Taken() }
+
+// heldBody returns the memory of the body that is being read, or of the answer that is being written.
+func (c *conn) heldBody() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inRequest {
+		return 0
+	}
+	return max(c.moved.Load()-c.movedBefore, int64(c.writing))
+}
+
+// end closes the connection for a reason unless it has gone on since a reading.
+func (c *conn) end(r shedder.Reading, reason shedder.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readCut || c.ended || c.requests != r.Request || c.phase() != r.Phase || c.moved.Load() != r.Moved {
+		return
+	}
+	c.guard.Count(reason)
+	if r.Phase == shedder.Idle {
+		c.ended = true
+		_ = c.Conn.SetReadDeadline(past) // a broken connection has already ended
+		return
+	}
+	c.readCut = true
+	_ = c.Conn.SetReadDeadline(past) // a broken connection has already ended
+	if r.Phase != shedder.Body {     // the server would answer a part of a head
+		c.writeCut = true
+		_ = c.Conn.SetWriteDeadline(past) // a broken connection has already ended
+	}
 }
--- a/papayapass/internal/drainer/drainer.go
+++ b/papayapass/internal/drainer/drainer.go
@@ -19,6 +19,12 @@
 	server             *http.Server
 	listener           net.Listener
 	keepAlivesDisabled atomic.Bool
+	guard              *Guard // nil without limits
+	// open counts the connections, and full is set when one was refused because of their number.
+	open atomic.Int64
+	full atomic.Bool
+	// crowded is set from a refusal until a sweep finds room again.
+	crowded atomic.Bool
 
 	mu        sync.Mutex
 	closing   bool
@@ -32,7 +38,7 @@
 	d := &Drainer{server: s, listener: l, conns: make(map[*conn]struct{}), allClosed: make(chan struct{})}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.keepAlivesDisabled.Load() {
+		if d.keepAlivesDisabled.Load() || d.isCrowded() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -43,7 +49,7 @@
 
 // Serve accepts and serves connections until Drain or Close.
 func (d *Drainer) Serve() error {
-	err := d.server.Serve(listener{d.listener})
+	err := d.server.Serve(listener{d.listener, d.admit})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closing {
@@ -100,9 +106,11 @@
 		c.markIdle()
 	case http.StateClosed, http.StateHijacked:
 		delete(d.conns, c)
+		d.release(c)
 		d.signalIfEmpty()
 		return
 	case http.StateActive:
+		c.markActive()
 		return
 	}
 	if d.closing {
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -200,42 +199,42 @@
 }
 
 // newPeerHandler returns the handler of other nodes' calls.
-func newPeerHandler(p *participant.Participant, calls http.Handler, e *enveloper.Enveloper) http.Handler {
+func newPeerHandler(p *participant.Participant, calls http.Handler, e *enveloper.Enveloper, memory *budgeter.Budget) http.Handler {
 	mux := http.NewServeMux()
+	// open reads a control call, or rejects it.
+	open := func(w http.ResponseWriter, r *http.Request, out any) bool {
+		lease := memory.Lease()
+		defer lease.Close()
+		packed, err := lease.ReadAll(r.Body, maxControlBytes, r.ContentLength)
+		if err != nil { // the node calls again
+			rejectControl(w, err)
+			return false
+		}
+		if _, err := e.Open(packed, out); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return false
+		}
+		return true
+	}
 	mux.Handle("POST "+dispatcher.CallPath, calls)
 	mux.HandleFunc("POST "+heartbeatPath, func(w http.ResponseWriter, r *http.Request) {
-		packed, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBytes))
-		if err != nil {
-			return // the node sends another heartbeat
-		}
 		var h overseer.Heartbeat
-		if _, err := e.Open(packed, &h); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !open(w, r, &h) {
 			return
 		}
 		writeReply(w, e, p.HandleHeartbeat(r.Context(), h))
 	})
 	mux.HandleFunc("POST "+tablePath, func(w http.ResponseWriter, r *http.Request) {
-		packed, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBytes))
-		if err != nil {
-			return // the coordinator announces the table again
-		}
 		var t partitioner.Table
-		if _, err := e.Open(packed, &t); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !open(w, r, &t) {
 			return
 		}
 		p.HandleTable(&t)
 		writeReply(w, e, p.HandleProbe(overseer.ProbeRequest{}))
 	})
 	mux.HandleFunc("POST "+probePath, func(w http.ResponseWriter, r *http.Request) {
-		packed, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControlBytes))
-		if err != nil {
-			return // the node asks again or counts this one as missing
-		}
 		var request overseer.ProbeRequest
-		if _, err := e.Open(packed, &request); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		if !open(w, r, &request) {
 			return
 		}
 		writeReply(w, e, p.HandleProbe(request))
@@ -243,6 +242,19 @@
 	return mux
 }
 
+// rejectControl answers a control call or heartbeat whose body could not be read.
+func rejectControl(w http.ResponseWriter, err error) {
+	w.Header().Set("Connection", "close") // the rest of the body is not read
+	switch {
+	case errors.Is(err, budgeter.ErrTooLarge):
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	case errors.Is(err, budgeter.ErrExhausted):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusRequestTimeout)
+	}
+}
+
 func writeReply(w http.ResponseWriter, e *enveloper.Enveloper, v any) {
 	packed, err := e.Pack(v, nil)
 	if err != nil {
--- /dev/null
+++ b/papayapass/internal/launcher/doors.go
@@ -0,0 +1,193 @@
+package launcher
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"papayapass.dev/papayapass/internal/budgeter"
+	"papayapass.dev/papayapass/internal/drainer"
+	"papayapass.dev/papayapass/internal/shedder"
+)
+
+// Shares of the process's memory for the connections and heads of each listener, and of its
+// descriptors for the connections. With bodyMemoryShare and controlMemoryShare they leave room for
+// the rest of the process, and none can take what another needs.
+const (
+	customerMemoryShare     = 0.15
+	customerDescriptorShare = 0.4
+	peerMemoryShare         = 0.1
+	peerDescriptorShare     = 0.35
+	// innerMemoryShare and innerDescriptorShare are for each of ready, heartbeats and metrics.
+	innerMemoryShare     = 0.02
+	innerDescriptorShare = 0.03
+	// minDoorMemory is the least memory of a listener, in bytes: a few of the largest heads.
+	minDoorMemory = 2 << 20
+	// customerBodyShare is the part of the memory for bodies that customers may take; other nodes'
+	// calls always have the rest.
+	customerBodyShare = 0.9
+)
+
+const (
+	// reservedDescriptors are kept for files and connections to the store.
+	reservedDescriptors = 200
+	// defaultDescriptors is used if the limit of the process cannot be read.
+	defaultDescriptors = 1024
+	// minConnections is the least number of connections of a listener.
+	minConnections = 16
+	// backstopTimeout ends reads that the sweeps have not ended.
+	backstopTimeout = 10 * time.Minute
+	// sweepInterval is the time between two sweeps of the connections.
+	sweepInterval = 500 * time.Millisecond
+	// doorLogInterval is the time between two log lines of a listener.
+	doorLogInterval = 10 * time.Second
+)
+
+// doors are the listeners of a node.
+type doors struct{ customers, ready, heartbeats, metrics, peers *door }
+
+// door limits the connections of one listener and counts what was refused or closed.
+type door struct {
+	name  string
+	guard drainer.Guard
+
+	mu     sync.Mutex
+	counts map[shedder.Reason]int
+	logged map[shedder.Reason]int
+}
+
+func (n *node) newDoors() *doors {
+	descriptors := n.settings.descriptors()
+	newDoor := func(name string, memoryShare, descriptorShare float64, bodies *budgeter.Budget, limits func() shedder.Limits) *door {
+		d := &door{name: name, counts: make(map[shedder.Reason]int), logged: make(map[shedder.Reason]int)}
+		memory := max(int64(memoryShare*float64(n.settings.Node.MemoryMB)*(1<<20)), minDoorMemory)
+		d.guard = drainer.Guard{
+			Memory: budgeter.NewBudget(memory), Bodies: bodies, Limits: limits, Count: d.count,
+			MaxConnections: max(int(descriptorShare*float64(descriptors)), minConnections),
+		}
+		label := `{door="` + name + `"}`
+		n.meter.Gauge("papayapass_connection_bytes"+label, func() float64 { return float64(d.guard.Memory.Used()) })
+		for _, r := range shedder.Reasons() {
+			n.meter.Gauge(`papayapass_connections_refused_total{door="`+name+`",reason="`+string(r)+`"}`, func() float64 { return float64(d.counted(r)) })
+		}
+		return d
+	}
+	return &doors{
+		customers:  newDoor("customers", customerMemoryShare, customerDescriptorShare, n.memory.Part(int64(customerBodyShare*float64(n.memory.Limit()))), n.customerLimits),
+		peers:      newDoor("peers", peerMemoryShare, peerDescriptorShare, n.memory, innerLimits),
+		ready:      newDoor("ready", innerMemoryShare, innerDescriptorShare, nil, innerLimits),
+		heartbeats: newDoor("heartbeats", innerMemoryShare, innerDescriptorShare, nil, innerLimits),
+		metrics:    newDoor("metrics", innerMemoryShare, innerDescriptorShare, nil, innerLimits),
+	}
+}
+
+// descriptors returns the number of descriptors for connections.
+func (s *Settings) descriptors() int {
+	n := s.Node.Descriptors
+	if n == 0 {
+		n = defaultDescriptors
+		var limit unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil { // otherwise the default holds
+			n = int(min(limit.Cur, 1<<20))
+		}
+	}
+	return max(n-reservedDescriptors, 0)
+}
+
+// innerLimits returns the limits of listeners that the configuration does not cover.
+func innerLimits() shedder.Limits {
+	return shedder.Limits{HeadBytes: maxHeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout}
+}
+
+// customerLimits returns the limits of the configuration in force.
+func (n *node) customerLimits() shedder.Limits {
+	l := innerLimits()
+	if cfg := n.participant.Configuration(); cfg != nil {
+		l.HeadBytes = cmp.Or(cfg.Limits.HeaderBytes, l.HeadBytes)
+		l.HeadTime = cmp.Or(cfg.Limits.HeaderTimeout, l.HeadTime)
+		l.IdleTime = cmp.Or(cfg.Limits.IdleTimeout, l.IdleTime)
+	}
+	return l
+}
+
+func (n *node) listen(requests context.Context, g *errgroup.Group, door *door, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", address)
+	}
+	d := drainer.NewDrainer(newServer(requests, h), l)
+	d.Limit(&door.guard)
+	n.drainers = append(n.drainers, d)
+	g.Go(func() error { return errors.Wrapf(d.Serve(), "serve at %s", address) })
+	return nil
+}
+
+// newServer returns a server whose requests have contexts derived from requests. The time limits are
+// those of the sweeps.
+func newServer(requests context.Context, h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: backstopTimeout, IdleTimeout: backstopTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: nil, BaseContext: func(net.Listener) context.Context { return requests },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
+	}
+}
+
+// sweep closes connections that exceed their limits until ctx is done.
+func (n *node) sweep(ctx context.Context) {
+	tick := n.timers.Subscribe(sweepInterval)
+	defer tick.Stop()
+	logged := n.timers.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C():
+			// A process that was suspended has not given its clients the time.
+			for _, d := range n.drainers {
+				d.Sweep(sweepInterval)
+			}
+			if now.Sub(logged) < doorLogInterval {
+				continue
+			}
+			logged = now
+			for _, d := range []*door{n.doors.customers, n.doors.ready, n.doors.heartbeats, n.doors.metrics, n.doors.peers} {
+				d.log(n)
+			}
+		}
+	}
+}
+
+// count counts a connection that was refused or closed.
+func (d *door) count(r shedder.Reason) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counts[r]++
+}
+
+func (d *door) counted(r shedder.Reason) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counts[r]
+}
+
+// log logs what has been refused or closed since the last line, except idle connections.
+func (d *door) log(n *node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range shedder.Reasons() {
+		if added := d.counts[r] - d.logged[r]; added > 0 && r != shedder.ReasonIdle {
+			n.logger.Warn().Str("door", d.name).Str("reason", string(r)).Int("count", added).Int64("bytes", d.guard.Memory.Used()).
+				Msg("connections refused or closed")
+		}
+		d.logged[r] = d.counts[r]
+	}
+}
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -62,10 +61,11 @@
 	logRingLines = 4096
 	// logPollInterval is the time between reads of the ring buffer.
 	logPollInterval = 200 * time.Millisecond
-	// headerTimeout limits how long a customer may take to send a header.
+	// headerTimeout limits how long a client may take to send a header, unless the configuration
+	// has a limit for customers.
 	headerTimeout = 10 * time.Second
-	// idleTimeout exceeds the longest time that operators let customers' connections stay
-	// idle.
+	// idleTimeout is how long connections may stay idle, with the same exception. It exceeds the
+	// longest time that operators let customers' connections stay idle.
 	idleTimeout = 120 * time.Second
 	// maxHeaderBytes is the largest header of a request.
 	maxHeaderBytes = 64 << 10
@@ -133,6 +133,7 @@
 	meter       *meter.Meter
 	enveloper   *enveloper.Enveloper
 	memory      *budgeter.Budget
+	doors       *doors
 	dispatcher  *dispatcher.Dispatcher
 	drainers    []*drainer.Drainer
 	tracer      *tracer.Tracer
@@ -156,6 +157,7 @@
 	c.monitor, c.logger = exchanger.NewStartMonitor(s.Node.Server, controlConnectTimeout), logger
 	n.forwarder.SetStartMonitor(c)
 	n.participant.Attach(n.forwarder, c)
+	n.doors = n.newDoors()
 	n.addGauges()
 	return n
 }
@@ -207,22 +209,24 @@
 	requests, endRequests := context.WithCancel(context.WithoutCancel(ctx))
 	defer endRequests()
 	summaries := summarizer.NewSummarizer(meter.NewRouteMeter(n.meter), n.logger)
-	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.memory, n.tracer, n.logger)
+	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.doors.customers.guard.Bodies, n.tracer, n.logger)
 	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
 	for _, l := range []struct {
+		door    *door
 		address string
 		handler http.Handler
 	}{
-		{n.settings.Listen.Customers, n.dispatcher},
-		{n.settings.Listen.Ready, http.HandlerFunc(n.ready)},
-		{n.settings.Listen.Heartbeats, http.HandlerFunc(n.heartbeat)},
-		{n.settings.metricsAddress(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) })},
-		{n.settings.peersAddress(), newPeerHandler(n.participant, peers, n.enveloper)},
+		{n.doors.customers, n.settings.Listen.Customers, n.dispatcher},
+		{n.doors.ready, n.settings.Listen.Ready, http.HandlerFunc(n.ready)},
+		{n.doors.heartbeats, n.settings.Listen.Heartbeats, http.HandlerFunc(n.heartbeat)},
+		{n.doors.metrics, n.settings.metricsAddress(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.meter.Write(w) })},
+		{n.doors.peers, n.settings.peersAddress(), newPeerHandler(n.participant, peers, n.enveloper, n.doors.peers.guard.Memory)},
 	} {
-		if err := n.listen(requests, g, l.address, l.handler); err != nil {
+		if err := n.listen(requests, g, l.door, l.address, l.handler); err != nil {
 			return err
 		}
 	}
+	g.Go(func() error { n.sweep(runCtx); return nil })
 	g.Go(func() error { return n.timers.Run(runCtx) })
 	g.Go(func() error { return n.participant.Run(runCtx) })
 	g.Go(func() error { return r.run(runCtx) })
@@ -243,28 +247,6 @@
 	return g.Wait()
 }
 
-func (n *node) listen(requests context.Context, g *errgroup.Group, address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen at %s", address)
-	}
-	d := drainer.NewDrainer(newServer(requests, h), l)
-	n.drainers = append(n.drainers, d)
-	g.Go(func() error { return errors.Wrapf(d.Serve(), "serve at %s", address) })
-	return nil
-}
-
-// newServer returns a server whose requests have contexts derived from requests.
-func newServer(requests context.Context, h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil, BaseContext: func(net.Listener) context.Context { return requests },
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connectionKey{}, c)
-		},
-	}
-}
-
 // connectionKey is the key of the connection in the context of a request.
 type connectionKey struct{}
 
@@ -301,14 +283,16 @@
 		}
 		n.forwarder.Leave(id)
 	case http.MethodPut:
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes))
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
+		memory := n.doors.heartbeats.guard.Memory.Lease()
+		defer memory.Close()
+		body, err := memory.ReadAll(r.Body, maxHeartbeatBytes, r.ContentLength)
+		if errors.Is(err, budgeter.ErrTooLarge) {
 			n.rejectHeartbeat(w, id, http.StatusRequestEntityTooLarge, err)
 			return
 		}
-		if err != nil {
-			return // the backend server sends another heartbeat
+		if err != nil { // the backend server sends another heartbeat
+			rejectControl(w, err)
+			return
 		}
 		h, err := n.adapter.DecodeHeartbeat(r.URL.Path, body)
 		if err == nil {
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -26,6 +26,9 @@
 		Grants descriptor.GrantMethod `toml:"grants"`
 		// MemoryMB is the memory of the process, in megabytes.
 		MemoryMB int `toml:"memoryMB"`
+		// Descriptors is the number of descriptors of the process; zero takes the limit that
+		// the process was started with.
+		Descriptors int `toml:"descriptors"`
 		// Cores is the processor share of the instance in cores; zero if unknown. The
 		// coordinator's role moves to a larger instance.
 		Cores number `toml:"cores"`
@@ -121,8 +124,8 @@
 		return errors.New("settings node.id, node.zone and node.service are required")
 	case s.Node.Grants != descriptor.GrantByCall && s.Node.Grants != descriptor.GrantByHeartbeat:
 		return errors.Newf("setting node.grants is %q, not %q or %q", s.Node.Grants, descriptor.GrantByCall, descriptor.GrantByHeartbeat)
-	case s.Node.MemoryMB <= 0 || s.Node.Cores < 0:
-		return errors.New("setting node.memoryMB must be above zero, node.cores not below")
+	case s.Node.MemoryMB <= 0 || s.Node.Cores < 0 || s.Node.Descriptors < 0:
+		return errors.New("setting node.memoryMB must be above zero, node.cores and node.descriptors not below")
 	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
 		return errors.New("settings listen.peers and listen.metrics are required")
 	case s.Bounds.Heartbeat <= 0 || s.Bounds.Grace <= 0 || s.Bounds.RetryWindow <= 0 || s.Bounds.HoldMax <= 0 || s.Bounds.Apply <= 0:
