Merge limits of what clients' connections hold

Requests ahead take their memory from the customers' listener, and a connection that is to be closed starts no more of them.

--- a/papayapass/internal/dispatcher/respond.go
+++ b/papayapass/internal/dispatcher/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -31,6 +32,8 @@
 	case errors.Is(err, budgeter.ErrExhausted):
 		d.logger.Warn().Err(err).Msg("request rejected, its body does not fit into the memory for bodies")
 		writeUnavailable(w, http.StatusServiceUnavailable, absentServerRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded): // the connection was cut while the body was read
+		w.WriteHeader(http.StatusRequestTimeout)
 	default:
 		w.WriteHeader(http.StatusBadRequest)
 	}
--- a/papayapass/internal/pipeliner/pipeliner.go
+++ b/papayapass/internal/pipeliner/pipeliner.go
@@ -9,6 +9,8 @@
 	"net/http"
 
 	"github.com/rs/zerolog"
+
+	"papayapass.dev/papayapass/internal/budgeter"
 )
 
 // Pipeliner wraps a server's listener and its handler.
@@ -17,12 +19,14 @@
 	// mayStartEarly reports whether a request may run although its connection may end before
 	// its response is due.
 	mayStartEarly func(*http.Request) bool
-	logger        zerolog.Logger
+	// memory is for what is read ahead and for requests that started early; nil has no limit.
+	memory *budgeter.Budget
+	logger zerolog.Logger
 }
 
 // NewPipeliner returns a pipeliner for a handler.
-func NewPipeliner(h http.Handler, mayStartEarly func(*http.Request) bool, logger zerolog.Logger) *Pipeliner {
-	return &Pipeliner{handler: h, mayStartEarly: mayStartEarly, logger: logger}
+func NewPipeliner(h http.Handler, mayStartEarly func(*http.Request) bool, memory *budgeter.Budget, logger zerolog.Logger) *Pipeliner {
+	return &Pipeliner{handler: h, mayStartEarly: mayStartEarly, memory: memory, logger: logger}
 }
 
 // Listener returns a listener whose connections read ahead.
--- a/papayapass/internal/pipeliner/pipeliner_test.go
+++ b/papayapass/internal/pipeliner/pipeliner_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"papayapass.dev/papayapass/internal/budgeter"
 )
 
 func TestFrame(t *testing.T) {
@@ -60,9 +62,9 @@
 	address string
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T, memory *budgeter.Budget) *site {
 	s := &site{t: t, running: make(chan string, 32), ended: make(chan string, 32), release: make(map[string]chan struct{}), close: make(map[string]bool)}
-	p := NewPipeliner(http.HandlerFunc(s.serve), func(r *http.Request) bool { return r.Method == http.MethodGet }, zerolog.Nop())
+	p := NewPipeliner(http.HandlerFunc(s.serve), func(r *http.Request) bool { return r.Method == http.MethodGet }, memory, zerolog.Nop())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.address = l.Addr().String()
@@ -155,7 +157,7 @@
 		"byte by one": func(c client) { sendBytes(c, get("/1")+get("/2")+get("/3")) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newSite(t)
+			s := newSite(t, nil)
 			c := s.connect()
 			send(c)
 			s.awaitRunning("/1", "/2", "/3")
@@ -179,7 +181,7 @@
 }
 
 func TestRequestsThatMustNotStartEarlyWaitForTheirTurn(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, nil)
 	c := s.connect()
 	c.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi" + get("/3"))
 	s.awaitRunning("/1")
@@ -193,7 +195,7 @@
 }
 
 func TestResponsesAreWrittenBeforeTheConnectionCloses(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, nil)
 	s.close["/1"], s.close["/2"] = true, true
 	c := s.connect()
 	c.send(get("/1") + get("/2"))
@@ -205,7 +207,7 @@
 }
 
 func TestRequestsEndWithTheirConnection(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, nil)
 	c := s.connect()
 	c.send(get("/1") + get("/2"))
 	s.awaitRunning("/1", "/2")
@@ -214,7 +216,7 @@
 }
 
 func TestStartedRequestsAreLimited(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, nil)
 	c := s.connect()
 	close(s.gate("/all"))
 	c.send(get("/first") + strings.Repeat(get("/wait"), 3*maxStarted))
@@ -232,7 +234,7 @@
 
 // Without the abort, the server would have written an empty 200 for it.
 func TestFailedRequestGetsNoResponse(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, nil)
 	c := s.connect()
 	c.send(get("/1") + get("/panic"))
 	s.awaitRunning("/1", "/panic")
@@ -242,3 +244,19 @@
 	_, err := http.ReadResponse(c.r, nil)
 	require.Error(t, err)
 }
+
+func TestRequestsWithoutMemoryWaitForTheirTurn(t *testing.T) {
+	memory := budgeter.NewBudget(maxAheadBytes + startedBytes)
+	s := newSite(t, memory)
+	c := s.connect()
+	c.send(get("/1") + get("/2") + get("/3"))
+	s.awaitRunning("/1", "/2")
+	close(s.gate("/3"))
+	close(s.gate("/2"))
+	close(s.gate("/1"))
+	for _, path := range []string{"/1", "/2", "/3"} {
+		c.receive(path)
+	}
+	s.awaitRunning("/3")
+	require.Zero(t, memory.Used())
+}
