--- a/papayapass/internal/pipeliner/conn.go
+++ b/papayapass/internal/pipeliner/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"papayapass.dev/papayapass/internal/budgeter"
 )
 
 const (
@@ -13,6 +15,8 @@
 	maxAheadBytes = 16 << 10
 	// aheadChunk is the least room for one read ahead.
 	aheadChunk = 1 << 10
+	// startedBytes is the memory of a request that started early, besides its body and response.
+	startedBytes = 24 << 10
 	// maxStarted limits the requests of a connection that have started early.
 	maxStarted = 8
 )
@@ -24,8 +28,12 @@
 	net.Conn
 
 	pipeliner *Pipeliner
+	// memory is taken while bytes are kept.
+	memory *budgeter.Lease
 
 	mu sync.Mutex
+	// isReserved is set while memory is taken.
+	isReserved bool
 	// head holds the delivered part of the head that has not ended yet.
 	head []byte
 	// pending holds the bytes that follow the request being served.
@@ -45,7 +53,9 @@
 	noMore, isEnding bool
 }
 
-func newConn(c net.Conn, p *Pipeliner) *conn { return &conn{Conn: c, pipeliner: p} }
+func newConn(c net.Conn, p *Pipeliner) *conn {
+	return &conn{Conn: c, pipeliner: p, memory: p.memory.Lease()}
+}
 
 // NetConn returns the connection that it wraps.
 func (c *conn) NetConn() net.Conn { return c.Conn }
@@ -95,6 +105,9 @@
 
 // readAhead reads what has arrived behind the first bytes of the next request, and starts the requests in it.
 func (c *conn) readAhead() error {
+	c.mu.Lock()
+	c.reserve()
+	c.mu.Unlock()
 	buf := make([]byte, aheadChunk)
 	for {
 		c.mu.Lock()
@@ -123,7 +136,8 @@
 	}
 	c.pending, c.looked = c.pending[n:], max(0, c.looked-n)
 	if len(c.pending) == 0 {
-		c.pending = nil
+		c.pending, c.isReserved = nil, false
+		c.memory.Close()
 	}
 	return n
 }
@@ -132,11 +146,24 @@
 // reads, and keeps the others. The caller holds c.mu.
 func (c *conn) frame(b []byte) int {
 	n := c.bound(b)
-	c.pending = append(c.pending, b[n:]...)
-	c.startPending()
+	if n < len(b) {
+		c.reserve()
+		c.pending = append(c.pending, b[n:]...)
+		c.startPending()
+	}
 	return n
 }
 
+// reserve takes the memory for what is read ahead. Without it, nothing more is read and no request
+// starts early. The caller holds c.mu.
+func (c *conn) reserve() {
+	if !c.isReserved && c.memory.Take(maxAheadBytes) != nil { // the budget counts it
+		c.noMore = true
+		return
+	}
+	c.isReserved = true
+}
+
 // bound returns how many bytes of b belong to the request that the server reads. While it serves
 // one, it reads the first byte of the next. The caller holds c.mu.
 func (c *conn) bound(b []byte) int {
@@ -180,9 +207,14 @@
 		if err != nil || r.Host == "" || !c.pipeliner.mayStartEarly(r) {
 			return // the server reads it in its turn
 		}
+		memory := c.pipeliner.memory.Lease()
+		if memory.Take(startedBytes) != nil { // the budget counts it
+			c.noMore = true
+			return
+		}
 		r.RemoteAddr = c.RemoteAddr().String()
 		c.looked += n
-		c.started = append(c.started, start(c.pipeliner, r))
+		c.started = append(c.started, start(c.pipeliner, r, memory))
 	}
 }
 
@@ -203,16 +235,13 @@
 	c.mu.Unlock()
 }
 
-// keepOpen reports whether requests that started early still need the connection. If not, none
-// starts any more.
+// keepOpen reports whether requests that started early still need a connection that is to be
+// closed. No others start early.
 func (c *conn) keepOpen() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.started) > 0 {
-		return true
-	}
 	c.noMore, c.isEnding = true, true
-	return false
+	return len(c.started) > 0
 }
 
 // cancelStarted cancels the requests that started early.
@@ -231,5 +260,8 @@
 // Close closes the connection. Requests whose responses are still due are canceled.
 func (c *conn) Close() error {
 	c.cancelStarted()
+	c.mu.Lock()
+	c.memory.Close()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/papayapass/internal/pipeliner/conn_test.go
+++ b/papayapass/internal/pipeliner/conn_test.go
@@ -37,7 +37,7 @@
 func TestBytesKeepTheirOrderAfterAResponse(t *testing.T) {
 	first, second, third := get("/1"), "DELETE /2 HTTP/1.1\r\nHost: a\r\n\r\n", get("/3")
 	s := &scriptedConn{texts: []string{first + second, third}}
-	c := newConn(s, NewPipeliner(http.NotFoundHandler(), func(*http.Request) bool { return false }, zerolog.Nop()))
+	c := newConn(s, NewPipeliner(http.NotFoundHandler(), func(*http.Request) bool { return false }, nil, zerolog.Nop()))
 	s.before = func(read int) {
 		if read == 1 {
 			c.responded() // while the server watches the connection
--- a/papayapass/internal/pipeliner/started.go
+++ b/papayapass/internal/pipeliner/started.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"runtime/debug"
+
+	"papayapass.dev/papayapass/internal/budgeter"
 )
 
 // started is a request that runs before its response is due.
@@ -17,8 +19,8 @@
 	isAborted bool
 }
 
-// start runs a request. Its context is not that of the server, which begins in its turn.
-func start(p *Pipeliner, r *http.Request) *started {
+// start runs a request, which holds memory until its end. Its context is not that of the server, which begins in its turn.
+func start(p *Pipeliner, r *http.Request, memory *budgeter.Lease) *started {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &started{cancel: cancel, turn: make(chan http.ResponseWriter, 1), done: make(chan struct{})}
 	s.request = r.WithContext(ctx)
@@ -26,6 +28,7 @@
 	go func() {
 		defer close(s.done)
 		defer cancel()
+		defer memory.Close()
 		defer func() {
 			if v := recover(); v != nil {
 				p.logger.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Msg("request that started early failed, its connection is closed")
