Let calls of backend servers and requests that can still be in time go first

Half of the customers that were served came late, many of them on their second try.

Change: the node beside a called server tells calls from customers' requests by the services that they come from (package classifier: customers are at the instances of all services). Of the same priority, calls go first, and wait for a short while rather than search for a free slot. A node estimates the age of a request from the deadline that the route's customers have in common; requests that are late already wait behind those that can be in time, for a bounded time.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -55,8 +55,12 @@
 	Kind string
 	// Priority ranks the request; zero is the most urgent.
 	Priority int
+	// Nested is set for a call of a backend server that runs another request.
+	Nested bool
 	// Objective is the latency within which an answer has its full value.
 	Objective time.Duration
+	// Age is how long ago the customer first sent the request, or zero if that is unknown.
+	Age time.Duration
 	// Deadline is the instant after which an answer is useless.
 	Deadline timer.Instant
 }
@@ -73,6 +77,10 @@
 	// isTry is set if only the lost weight of its kind's mean admits the request. One of a kind waits at a
 	// time, since the mean counts again when it starts.
 	isTry bool
+	// isLate is set if the request cannot meet its objective.
+	isLate bool
+	// latest is the instant after which a late request waits no longer.
+	latest timer.Instant
 	// admitted receives true when the request may start, and false when it is rejected.
 	admitted chan bool
 }
@@ -202,11 +210,13 @@
 		a.start(t, now)
 		return t, Start, 0
 	}
+	t.planned = a.planned(r.Kind, now)
+	t.isLate = r.Age > 0 && r.Age+t.planned > r.Objective
+	t.latest = now.Add(a.maxWait(r, now))
 	wait := a.expectedWait(t, now)
-	if !queue {
+	if !queue && !r.mayQueueAtOnce(wait) {
 		return nil, Busy, wait
 	}
-	t.planned = a.planned(r.Kind, now)
 	excess := max(wait-a.maxWait(r, now), now.Add(wait+t.planned).Sub(r.Deadline))
 	if late := now.Add(wait + a.mean(r.Kind)).Sub(r.Deadline); late > 0 {
 		if t.isTry = true; a.hasWaitingTry(r.Kind) {
@@ -220,6 +230,12 @@
 	return t, Wait, 0
 }
 
+// mayQueueAtOnce reports whether a request waits rather than look for a free slot elsewhere.
+// A nested call passes customers' requests in the queue, and the search costs it more time.
+func (r Request) mayQueueAtOnce(wait time.Duration) bool {
+	return r.Nested && float64(wait) <= minWaitShare*float64(r.Objective)
+}
+
 // mean returns the mean duration of a kind, or zero when none has ended.
 func (a *Admitter) mean(kind string) time.Duration {
 	if m, ok := a.means[kind]; ok {
@@ -241,7 +257,11 @@
 // rejection wastes the work of the calling request.
 func (a *Admitter) maxWait(r Request, now timer.Instant) time.Duration {
 	work := a.planned(r.Kind, now)
-	wait := max(waitShare*float64(r.Objective-work), minWaitShare*float64(r.Objective))
+	left := r.Objective - r.Age
+	if r.Age+work > r.Objective {
+		left = r.Objective // it is late already
+	}
+	wait := max(waitShare*float64(left-work), minWaitShare*float64(r.Objective))
 	longest := time.Duration(0)
 	for _, mean := range a.means {
 		if mean.Value() > longest {
@@ -350,7 +370,7 @@
 		if !t.isTry {
 			work = a.planned(t.Kind, now)
 		}
-		overdue := now.Add(work/2) > t.Deadline
+		overdue := now.Add(work/2) > t.Deadline || (t.isLate && now > t.latest)
 		if overdue {
 			t.index = -1
 			t.admitted <- false
@@ -365,36 +385,3 @@
 	}
 	heap.Init(&a.queue)
 }
-
-// queue orders requests by priority, then by arrival.
-type queue []*Ticket
-
-func (t *Ticket) before(o *Ticket) bool {
-	if t.Priority != o.Priority {
-		return t.Priority < o.Priority
-	}
-	return t.arrived < o.arrived
-}
-
-func (q queue) Len() int           { return len(q) }
-func (q queue) Less(i, j int) bool { return q[i].before(q[j]) }
-func (q queue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-
-// Push adds a request; it implements heap.Interface.
-func (q *queue) Push(x any) {
-	t := x.(*Ticket)
-	t.index = len(*q)
-	*q = append(*q, t)
-}
-
-// Pop removes the last request; it implements heap.Interface.
-func (q *queue) Pop() any {
-	old := *q
-	t := old[len(old)-1]
-	*q = old[:len(old)-1]
-	t.index = -1
-	return t
-}
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -82,6 +82,8 @@
 	memory  *budgeter.Budget
 	tracer  *tracer.Tracer
 	logger  zerolog.Logger
+	// deadlines tells how old requests are.
+	deadlines *deadlines
 	// stopAt is when a stopping node gives up what is still in flight; zero while it runs.
 	stopAt atomic.Int64
 }
@@ -90,7 +92,7 @@
 func NewDispatcher(cluster Cluster, codec HeaderCodec, clock timer.Clock, caller string, counter Counter,
 	memory *budgeter.Budget, t *tracer.Tracer, logger zerolog.Logger,
 ) *Dispatcher {
-	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger}
+	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger, deadlines: newDeadlines()}
 }
 
 // Stop makes the dispatcher accept only requests that can be answered before an instant.
@@ -185,6 +187,7 @@
 	}
 	if left, ok := d.codec.Deadline(r.Header); ok {
 		wait = min(wait, left)
+		c.Age = d.deadlines.age(route.Name, left, arrived)
 	}
 	c.Deadline = arrived.Add(wait)
 	return c
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"papayapass.dev/papayapass/internal/admitter"
+	"papayapass.dev/papayapass/internal/classifier"
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/granter"
@@ -109,6 +110,7 @@
 	notice        serverNotice
 	ending        ending
 	quarantine    *quarantiner.Quarantine
+	classifier    *classifier.Classifier
 	// sent counts all requests sent to the backend server.
 	sent atomic.Uint64
 	// ends counts the ends of backend servers that cut off requests.
@@ -127,7 +129,8 @@
 		admitter:  admitter.NewAdmitter(clock.Now()),
 		exchanger: exchanger.NewExchanger(address, connectTimeout, maxIdle, maxResponseBytes, matches),
 		node:      node, tracer: t, logger: logger, started: clock.Now(), workByKey: make(map[uint16]float32),
-		quarantine: quarantiner.NewQuarantine(clock), timeOfDay: func() int64 { return time.Now().UnixMilli() },
+		quarantine: quarantiner.NewQuarantine(clock), classifier: classifier.NewClassifier(service),
+		timeOfDay: func() int64 { return time.Now().UnixMilli() },
 	}
 }
 
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -52,7 +52,10 @@
 
 // admit waits for admission. Without it, the result says why.
 func (f *Forwarder) admit(ctx context.Context, c *dispatcher.Call) (*admitter.Ticket, dispatcher.Result, bool) {
-	r := admitter.Request{Kind: c.Route, Priority: c.Priority, Objective: c.Objective, Deadline: c.Deadline}
+	r := admitter.Request{
+		Kind: c.Route, Priority: c.Priority, Nested: f.classifier.Observe(c.Route, c.Caller),
+		Objective: c.Objective, Age: c.Age, Deadline: c.Deadline,
+	}
 	ticket, decision, retry := f.admitter.Offer(r, f.clock.Now(), !c.NoQueue)
 	switch decision {
 	case admitter.Start:
