Predict the wait of requests by the work ahead and by calls to come

Cause: a request's wait was predicted with the mean of all work for each request ahead.

Change: the predicted wait adds up the means of the kinds ahead, and leaves out the share of the slots that calls have taken lately. A node logs when it takes a route for one of nested calls, and the estimated age of requests that failed.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -104,6 +104,7 @@
 	startsUnknownUntil timer.Instant
 	// limit is the rate that the backend server accepts.
 	limit rateLimit
+	calls callLoad
 }
 
 // NewAdmitter returns an admitter of a process that started at an instant. It admits nothing until its
@@ -205,6 +206,7 @@
 func (a *Admitter) Offer(r Request, now timer.Instant, queue bool) (t *Ticket, d Decision, retry time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.calls.observe(r, a.slots)
 	t = &Ticket{Request: r, arrived: now, admitted: make(chan bool, 1)}
 	if len(a.queue) == 0 && a.canStart(now) {
 		a.start(t, now)
@@ -275,15 +277,16 @@
 }
 
 // expectedWait predicts how long a request waits: the slots first run the requests ahead
-// of it at the mean duration, and all of them keep to the rates.
+// of it, and nested calls that come meanwhile; all of them keep to the rates.
 func (a *Admitter) expectedWait(t *Ticket, now timer.Instant) time.Duration {
-	before := 1
+	before, work := 1, a.allWork.Value()
 	for _, q := range a.queue {
 		if !t.before(q) {
 			before++
+			work += cmp.Or(a.mean(q.Kind), a.allWork.Value())
 		}
 	}
-	wait := time.Duration(float64(a.allWork.Value()) * float64(before) / float64(max(a.slots, 1)))
+	wait := time.Duration(float64(work) / float64(max(a.slots, 1)) / (1 - a.calls.shareBefore(t.Request)))
 	if now < a.warmUpUntil {
 		warmUpWait := time.Duration(float64(before) / max(a.warmUpRate, 1) * float64(time.Second))
 		wait = max(wait, min(max(warmUpWait, a.startsUnknownUntil.Sub(now)), a.warmUpUntil.Sub(now)))
@@ -304,6 +307,7 @@
 
 func (a *Admitter) start(t *Ticket, now timer.Instant) {
 	a.running++
+	a.calls.start(t.Request)
 	t.started = now
 	kind, ok := a.means[t.Kind]
 	if !ok {
@@ -322,6 +326,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.running--
+	a.calls.end(t.Request)
 	kind := a.means[t.Kind]
 	if d := now.Sub(t.started); ran {
 		kind.End(d, now)
--- a/papayapass/internal/classifier/classifier.go
+++ b/papayapass/internal/classifier/classifier.go
@@ -30,6 +30,7 @@
 type callers struct {
 	byService map[string]int
 	total     int
+	nested    bool
 }
 
 // NewClassifier returns a classifier of the requests for a service.
@@ -37,10 +38,10 @@
 	return &Classifier{service: service, routes: make(map[string]*callers)}
 }
 
-// Observe counts a request that an instance of the calling service received, and reports
-// whether requests of its route are nested calls. Until enough were counted, and where the
-// service calls itself, they count as customers' requests.
-func (c *Classifier) Observe(route, caller string) bool {
+// Observe counts a request that an instance of the calling service received. It reports
+// whether requests of its route are nested calls, and whether that has changed. Until enough
+// were counted, and where the service calls itself, they count as customers' requests.
+func (c *Classifier) Observe(route, caller string) (nested, changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r, ok := c.routes[route]
@@ -52,12 +53,16 @@
 		c.routes[route] = r
 	}
 	r.add(caller)
-	if r.total < minRequests {
-		return false
-	}
+	was := r.nested
+	r.nested = r.total >= minRequests && r.comeFromOneOther(c.service)
+	return r.nested, r.nested != was
+}
+
+// comeFromOneOther reports whether the requests come from one service other than this one.
+func (r *callers) comeFromOneOther(this string) bool {
 	for service, n := range r.byService {
 		if float64(n) >= nestedShare*float64(r.total) {
-			return service != c.service
+			return service != this
 		}
 	}
 	return false
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -401,7 +401,7 @@
 		e := d.logger.Info().Str("request", c.ID).Str("route", c.Route).Str("service", c.Service).Uint16("key", c.Key).
 			Stringer("outcome", res.Outcome).Str("reason", string(res.Reason)).Int("status", status).
 			Str("server", string(attempts.lastNode)).Int("asked", attempts.tries).Int("reached", attempts.sent).
-			Dur("elapsed", now.Sub(arrived)).Dur("left", left)
+			Dur("elapsed", now.Sub(arrived)).Dur("left", left).Dur("age", c.Age)
 		if attempts.disconnected > 0 {
 			e.Int("disconnected", attempts.disconnected).Stringer("fingerprint", c.Fingerprint())
 		}
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -52,8 +52,13 @@
 
 // admit waits for admission. Without it, the result says why.
 func (f *Forwarder) admit(ctx context.Context, c *dispatcher.Call) (*admitter.Ticket, dispatcher.Result, bool) {
+	nested, changed := f.classifier.Observe(c.Route, c.Caller)
+	if changed {
+		f.logger.Info().Str("route", c.Route).Str("caller", c.Caller).Bool("nested", nested).
+			Msg("callers of a route changed, nested calls are admitted before customers' requests of their priority")
+	}
 	r := admitter.Request{
-		Kind: c.Route, Priority: c.Priority, Nested: f.classifier.Observe(c.Route, c.Caller),
+		Kind: c.Route, Priority: c.Priority, Nested: nested,
 		Objective: c.Objective, Age: c.Age, Deadline: c.Deadline,
 	}
 	ticket, decision, retry := f.admitter.Offer(r, f.clock.Now(), !c.NoQueue)
