Take back the order of requests by age

Cause: requests that can no longer be in time waited behind those that can, by an age estimated from the deadlines of a route's customers. The estimate rarely told an age, since customers' deadlines spread by 15 %.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -59,8 +59,6 @@
 	Nested bool
 	// Objective is the latency within which an answer has its full value.
 	Objective time.Duration
-	// Age is how long ago the customer first sent the request, or zero if that is unknown.
-	Age time.Duration
 	// Deadline is the instant after which an answer is useless.
 	Deadline timer.Instant
 }
@@ -77,10 +75,6 @@
 	// isTry is set if only the lost weight of its kind's mean admits the request. One of a kind waits at a
 	// time, since the mean counts again when it starts.
 	isTry bool
-	// isLate is set if the request cannot meet its objective.
-	isLate bool
-	// latest is the instant after which a late request waits no longer.
-	latest timer.Instant
 	// admitted receives true when the request may start, and false when it is rejected.
 	admitted chan bool
 }
@@ -213,8 +207,6 @@
 		return t, Start, 0
 	}
 	t.planned = a.planned(r.Kind, now)
-	t.isLate = r.Age > 0 && r.Age+t.planned > r.Objective
-	t.latest = now.Add(a.maxWait(r, now))
 	wait := a.expectedWait(t, now)
 	if !queue && !r.mayQueueAtOnce(wait) {
 		return nil, Busy, wait
@@ -259,11 +251,7 @@
 // rejection wastes the work of the calling request.
 func (a *Admitter) maxWait(r Request, now timer.Instant) time.Duration {
 	work := a.planned(r.Kind, now)
-	left := r.Objective - r.Age
-	if r.Age+work > r.Objective {
-		left = r.Objective // it is late already
-	}
-	wait := max(waitShare*float64(left-work), minWaitShare*float64(r.Objective))
+	wait := max(waitShare*float64(r.Objective-work), minWaitShare*float64(r.Objective))
 	longest := time.Duration(0)
 	for _, mean := range a.means {
 		if mean.Value() > longest {
@@ -375,7 +363,7 @@
 		if !t.isTry {
 			work = a.planned(t.Kind, now)
 		}
-		overdue := now.Add(work/2) > t.Deadline || (t.isLate && now > t.latest)
+		overdue := now.Add(work/2) > t.Deadline
 		if overdue {
 			t.index = -1
 			t.admitted <- false
--- a/papayapass/internal/admitter/queue.go
+++ b/papayapass/internal/admitter/queue.go
@@ -1,19 +1,17 @@
 package admitter
 
-// queue orders requests by priority, then by what a wait costs, then by arrival.
+// queue orders requests by priority, nested calls first, then by arrival.
 type queue []*Ticket
 
 // before reports whether a request starts before another. Of the same priority, nested calls
 // come first: they are short, and the work of the calling request is lost without them and
-// holds a slot until they end. Requests that are late already come last.
+// holds a slot until they end.
 func (t *Ticket) before(o *Ticket) bool {
 	switch {
 	case t.Priority != o.Priority:
 		return t.Priority < o.Priority
 	case t.Nested != o.Nested:
 		return t.Nested
-	case t.isLate != o.isLate:
-		return o.isLate
 	default:
 		return t.arrived < o.arrived
 	}
--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -29,8 +29,6 @@
 	Idempotent bool
 	Priority   int
 	Objective  time.Duration
-	// Age is how long ago the customer first sent the request, or zero if that is unknown.
-	Age time.Duration
 	// Caller is the service of the instance that received the request from the customer.
 	Caller   string
 	Deadline timer.Instant
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -82,8 +82,6 @@
 	memory  *budgeter.Budget
 	tracer  *tracer.Tracer
 	logger  zerolog.Logger
-	// deadlines tells how old requests are.
-	deadlines *deadlines
 	// stopAt is when a stopping node gives up what is still in flight; zero while it runs.
 	stopAt atomic.Int64
 }
@@ -92,7 +90,7 @@
 func NewDispatcher(cluster Cluster, codec HeaderCodec, clock timer.Clock, caller string, counter Counter,
 	memory *budgeter.Budget, t *tracer.Tracer, logger zerolog.Logger,
 ) *Dispatcher {
-	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger, deadlines: newDeadlines()}
+	return &Dispatcher{cluster: cluster, codec: codec, clock: clock, caller: caller, counter: counter, memory: memory, tracer: t, logger: logger}
 }
 
 // Stop makes the dispatcher accept only requests that can be answered before an instant.
@@ -187,7 +185,6 @@
 	}
 	if left, ok := d.codec.Deadline(r.Header); ok {
 		wait = min(wait, left)
-		c.Age = d.deadlines.age(route.Name, left, arrived)
 	}
 	c.Deadline = arrived.Add(wait)
 	return c
@@ -401,7 +398,7 @@
 		e := d.logger.Info().Str("request", c.ID).Str("route", c.Route).Str("service", c.Service).Uint16("key", c.Key).
 			Stringer("outcome", res.Outcome).Str("reason", string(res.Reason)).Int("status", status).
 			Str("server", string(attempts.lastNode)).Int("asked", attempts.tries).Int("reached", attempts.sent).
-			Dur("elapsed", now.Sub(arrived)).Dur("left", left).Dur("age", c.Age)
+			Dur("elapsed", now.Sub(arrived)).Dur("left", left)
 		if attempts.disconnected > 0 {
 			e.Int("disconnected", attempts.disconnected).Stringer("fingerprint", c.Fingerprint())
 		}
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -47,7 +47,6 @@
 	Idempotent bool        `json:"idempotent,omitempty"`
 	Priority   int         `json:"priority,omitempty"`
 	Objective  int64       `json:"objectiveMillis,omitempty"`
-	Age        int64       `json:"ageMillis,omitempty"`
 	Caller     string      `json:"caller"`
 	Left       int64       `json:"leftMillis"` // until the deadline
 	NoQueue    bool        `json:"impatient,omitempty"`
@@ -124,7 +123,7 @@
 	body, err := p.enveloper.Pack(callHead{
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: c.Header, Route: c.Route, Service: c.Service,
 		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority,
-		Objective: c.Objective.Milliseconds(), Age: c.Age.Milliseconds(), Caller: c.Caller,
+		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
 		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), NoQueue: c.NoQueue, Trace: c.Trace, Notice: p.knownNotice(),
 		IsSuspect: c.IsSuspect,
 	}, c.Body)
@@ -241,8 +240,7 @@
 	c := &Call{
 		ID: head.ID, Method: head.Method, URI: head.URI, Host: head.Host, Header: head.Header, Body: body,
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
-		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond,
-		Age: time.Duration(head.Age) * time.Millisecond, Caller: head.Caller,
+		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), NoQueue: head.NoQueue,
 		Trace: trace, Memory: memory, IsSuspect: head.IsSuspect,
 	}
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -59,7 +59,7 @@
 	}
 	r := admitter.Request{
 		Kind: c.Route, Priority: c.Priority, Nested: nested,
-		Objective: c.Objective, Age: c.Age, Deadline: c.Deadline,
+		Objective: c.Objective, Deadline: c.Deadline,
 	}
 	ticket, decision, retry := f.admitter.Offer(r, f.clock.Now(), !c.NoQueue)
 	switch decision {
