Spread requests over shared pools in proportion to free slots

Cause: each node sent a request to the backend server of a shared pool with the least estimated cost. All nodes have the same reports, up to half a second old, so they chose the same server, which was full while others idled.

Change: the choice moves to a pure package, selector, which takes the time and the random source. It draws two servers of the own zone and two of the others at random, in proportion to expected free slots and speed, and takes the cheaper one; after a server without a free slot it draws one of the own zone by free slots only. What this node has sent since the report counts. Results of calls within the zone carry the server's load. A server without a report no longer counts as faster than the fastest known one of its pool. Two gauges show the age of the deciding load and the tries that were in vain.

--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -40,6 +40,8 @@
 	NoQueue bool
 	// Notice is what the calling node knows of the backend server.
 	Notice Notice
+	// WantsLoad asks for the load of the backend server with the result.
+	WantsLoad bool
 	// IsSuspect means that a backend server ended while an earlier try of the call ran there.
 	IsSuspect bool
 }
@@ -123,6 +125,15 @@
 	ServerEnded bool
 	// Notice is what the backend server last said about itself.
 	Notice Notice
+	// Load is the load of the backend server, or nil if the call did not ask for it.
+	Load *Load
+}
+
+// Load is the load of a backend server at the end of a call.
+type Load struct {
+	Running      int           `json:"running"`
+	Waiting      int           `json:"waiting"`
+	MeanDuration time.Duration `json:"mean"`
 }
 
 // HeaderCodec reads and writes the platform's headers.
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -53,6 +53,7 @@
 	Trace      string      `json:"trace,omitempty"`
 	Notice     *Notice     `json:"notice,omitempty"`
 	IsSuspect  bool        `json:"suspect,omitempty"`
+	WantsLoad  bool        `json:"load,omitempty"`
 }
 
 // resultHead is the head of the result of a call; the response's body follows it.
@@ -66,6 +67,7 @@
 	Status       int         `json:"status,omitempty"`
 	Header       http.Header `json:"header,omitempty"`
 	Notice       *Notice     `json:"notice,omitempty"`
+	Load         *Load       `json:"load,omitempty"`
 }
 
 // Peer serves calls at the backend server of another node.
@@ -80,6 +82,19 @@
 	inFlight     int
 	// notice is what the backend server of the peer last said about itself.
 	notice Notice
+	// wantsLoad makes calls ask for the load; load is the last one received.
+	wantsLoad bool
+	load      PeerLoad
+}
+
+// PeerLoad is the load of the backend server of a peer, as a result carried it.
+type PeerLoad struct {
+	Load
+
+	// ReceivedAt is zero if no result has carried a load.
+	ReceivedAt timer.Instant
+	// InFlight is the number of calls of this node that were then in flight to the peer.
+	InFlight int
 }
 
 // NewPeer returns a peer at an IP address and port.
@@ -107,6 +122,31 @@
 	return p.backoffUntil <= p.clock.Now()
 }
 
+// FollowLoad makes calls ask for the load of the backend server, and returns the last one.
+func (p *Peer) FollowLoad() PeerLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wantsLoad = true
+	return p.load
+}
+
+// asksForLoad reports whether a call asks for the load. Owners of keys need not tell theirs.
+func (p *Peer) asksForLoad(c *Call) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wantsLoad && !c.Divided
+}
+
+// keepLoad keeps the load of a result. Its call still counts as in flight.
+func (p *Peer) keepLoad(l *Load) {
+	if l == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.load = PeerLoad{Load: *l, ReceivedAt: p.clock.Now(), InFlight: p.inFlight - 1}
+}
+
 func (p *Peer) addInFlight(n int) {
 	p.mu.Lock()
 	p.inFlight += n
@@ -125,7 +165,7 @@
 		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority,
 		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
 		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), NoQueue: c.NoQueue, Trace: c.Trace, Notice: p.knownNotice(),
-		IsSuspect: c.IsSuspect,
+		IsSuspect: c.IsSuspect, WantsLoad: p.asksForLoad(c),
 	}, c.Body)
 	if err != nil {
 		return Result{Outcome: NotRun, Reason: ReasonBroken}
@@ -191,6 +231,7 @@
 	}
 	r := Result{Reason: head.Reason, Retry: time.Duration(head.Retry) * time.Millisecond, Sent: head.Sent, Disconnected: head.Disconnected, ServerEnded: head.ServerEnded}
 	r.Notice = p.keepNotice(head.Notice, head.Sent)
+	p.keepLoad(head.Load)
 	switch head.Outcome {
 	case Answered.String():
 		r.Outcome, r.Response = Answered, &exchanger.Response{Status: head.Status, Header: head.Header, Body: body}
@@ -242,7 +283,7 @@
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
 		Priority: head.Priority, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), NoQueue: head.NoQueue,
-		Trace: trace, Memory: memory, IsSuspect: head.IsSuspect,
+		Trace: trace, Memory: memory, IsSuspect: head.IsSuspect, WantsLoad: head.WantsLoad,
 	}
 	if head.Notice != nil {
 		c.Notice = *head.Notice
@@ -250,7 +291,7 @@
 	res := p.server.Serve(ctx, c)
 	result := resultHead{
 		Outcome: res.Outcome.String(), Reason: res.Reason, Retry: res.Retry.Milliseconds(), Sent: res.Sent,
-		Disconnected: res.Disconnected, ServerEnded: res.ServerEnded, Notice: res.Notice.orNil(),
+		Disconnected: res.Disconnected, ServerEnded: res.ServerEnded, Notice: res.Notice.orNil(), Load: res.Load,
 	}
 	body = nil
 	if res.Outcome == Answered {
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -20,6 +20,10 @@
 	f.recallNotice(c.Notice)
 	res := f.serve(ctx, c)
 	res.Notice = f.currentNotice()
+	if c.WantsLoad {
+		running, waiting := f.admitter.Counts()
+		res.Load = &dispatcher.Load{Running: running, Waiting: waiting, MeanDuration: f.admitter.Mean()}
+	}
 	return res
 }
 
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -188,6 +188,8 @@
 	n.meter.Gauge("papayapass_server_rate_limit", func() float64 { notice, _ := n.forwarder.Notice(); return notice.RateLimit })
 	n.meter.Gauge("papayapass_server_leaving", func() float64 { notice, _ := n.forwarder.Notice(); return boolToFloat(notice.Leaving) })
 	n.meter.Gauge("papayapass_server_ends", func() float64 { return float64(n.forwarder.Ends()) })
+	n.meter.Gauge("papayapass_pool_report_age_seconds", func() float64 { return n.participant.PoolReportAge().Seconds() })
+	n.meter.Gauge("papayapass_pool_misses", func() float64 { return float64(n.participant.PoolMisses()) })
 	n.meter.Gauge("papayapass_body_bytes", func() float64 { return float64(n.memory.Used()) })
 	n.meter.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 }
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -165,7 +165,7 @@
 	if !r.StoreFresh {
 		wake(p.staleReply)
 	}
-	loads := (*p.loads.Load()).next(r.Loads, p.timers.Now())
+	loads := (*p.loads.Load()).Next(r.Loads, p.inFlight(), p.timers.Now())
 	p.loads.Store(&loads)
 	if len(r.Configuration) > 0 {
 		if cfg, err := p.layout.Decode(r.Configuration); err == nil {
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -17,6 +17,7 @@
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/selector"
 	"papayapass.dev/papayapass/internal/timer"
 	"papayapass.dev/shared/descriptor"
 )
@@ -95,8 +96,9 @@
 	// the zone was taken out of service.
 	keysServedUntil atomic.Int64
 	table           atomic.Pointer[partitioner.Table]
-	loads           atomic.Pointer[poolLoads]
+	loads           atomic.Pointer[selector.Loads]
 	lastChoices     sync.Map // node to *atomic.Int64, when its backend server was last chosen in a shared pool
+	poolChoices     poolChoices
 	peers           sync.Map // address to *dispatcher.Peer
 	retryBudget     *retryBudget
 
@@ -154,7 +156,7 @@
 	empty := make(map[string]bool)
 	p.zonesOut.Store(&empty)
 	p.freshReplyAt = timers.Now().Add(firstReadDelay - bounds.freshness())
-	loads := make(poolLoads)
+	loads := make(selector.Loads)
 	p.loads.Store(&loads)
 	return p
 }
--- a/papayapass/internal/participant/view.go
+++ b/papayapass/internal/participant/view.go
@@ -1,32 +1,16 @@
 package participant
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync/atomic"
-	"time"
 
 	"papayapass.dev/papayapass/internal/dispatcher"
 	"papayapass.dev/papayapass/internal/overseer"
 	"papayapass.dev/papayapass/internal/partitioner"
+	"papayapass.dev/papayapass/internal/selector"
 	"papayapass.dev/papayapass/internal/timer"
 )
 
-const (
-	// crossZoneShare is the extra cost of a request to another zone, as a fraction of its
-	// latency objective: traffic between zones is charged.
-	crossZoneShare = 0.25
-	// costJitter is the random fraction of a cost, so that nodes with the same loads do
-	// not all choose the same server.
-	costJitter = 0.2
-	// defaultMeanDuration is the assumed mean duration at a backend server without a report, or if
-	// none of its pool has ended a request.
-	defaultMeanDuration = 100 * time.Millisecond
-	// busySlowdown is the fraction by which requests take longer at a backend server with
-	// all slots busy.
-	busySlowdown = 0.5
-)
-
 // CountRequest counts a request for a service in the retry budget.
 func (p *Participant) CountRequest(service string) { p.retryBudget.countRequest(service) }
 
@@ -61,21 +45,42 @@
 		return nil, "", dispatcher.ReasonNoServer
 	}
 	now := p.timers.Now()
-	loads := make([]poolLoad, len(pool))
-	for i, m := range pool {
-		loads[i] = p.poolLoad(m.ID, now)
-	}
-	lowest := lowestMean(loads)
-	best, bestCost := pool[0], time.Duration(math.MaxInt64)
+	candidates := make([]selector.Candidate, len(pool))
 	for i, m := range pool {
-		if cost := p.cost(m, loads[i], call.Objective, lowest, now); cost < bestCost {
-			best, bestCost = m, cost
-		}
+		candidates[i] = p.candidate(m, now)
 	}
+	r := selector.Request{Objective: call.Objective, IsRetry: len(tried) > 0}
+	d := selector.Choose(candidates, r, rand.Float64, now)
+	p.poolChoices.count(d, r)
+	best := pool[d.Index]
 	p.lastChoice(best.ID).Store(int64(now))
 	return p.server(*best), best.ID, dispatcher.ReasonNone
 }
 
+// candidate returns what is known of a member of a shared pool.
+func (p *Participant) candidate(m *partitioner.Member, now timer.Instant) selector.Candidate {
+	c := selector.Candidate{Load: p.poolLoad(m, now), Slots: m.Server.Slots, IsRemote: m.Zone != p.self.Zone, IsOwn: m.ID == p.self.ID}
+	if !c.IsOwn {
+		c.InFlight = p.peer(m.Address).InFlight()
+	}
+	return c
+}
+
+// inFlight returns the number of this node's requests in flight to each member that has some.
+func (p *Participant) inFlight() map[partitioner.NodeID]int {
+	t := p.table.Load()
+	if t == nil {
+		return nil
+	}
+	out := make(map[partitioner.NodeID]int)
+	for i := range t.Members {
+		if peer, ok := p.peers.Load(t.Members[i].Address); ok {
+			out[t.Members[i].ID] = peer.(*dispatcher.Peer).InFlight()
+		}
+	}
+	return out
+}
+
 // lastChoice is when the backend server of a node was last chosen in a shared pool.
 func (p *Participant) lastChoice(id partitioner.NodeID) *atomic.Int64 {
 	if at, ok := p.lastChoices.Load(id); ok {
@@ -85,20 +90,26 @@
 	return at.(*atomic.Int64)
 }
 
-// poolLoad returns the load of a node's backend server. Each node tries an idle one once, until a report
-// tells how that went.
-func (p *Participant) poolLoad(id partitioner.NodeID, now timer.Instant) poolLoad {
-	load := (*p.loads.Load())[id]
-	if id == p.self.ID {
+// poolLoad returns the load of a member's backend server. Each node tries an idle one once, until a report
+// tells how that went. Results tell the loads in the own zone, since traffic between zones is charged.
+func (p *Participant) poolLoad(m *partitioner.Member, now timer.Instant) selector.Load {
+	load := (*p.loads.Load())[m.ID]
+	switch {
+	case m.ID == p.self.ID:
 		var h overseer.Heartbeat
 		p.forwarder.FillLoad(&h)
-		h.Member.ID = id
-		load.ServerLoad, load.reportedAt = h.ServerLoad(), now
+		h.Member.ID = m.ID
+		load.ServerLoad, load.ReportedAt = h.ServerLoad(), now
 		if load.Running > 0 {
-			load.usedAt = now
+			load.UsedAt = now
+		}
+	case m.Zone == p.self.Zone:
+		if l := p.peer(m.Address).FollowLoad(); l.ReceivedAt > load.ReportedAt {
+			load.Node, load.Running, load.Waiting, load.MeanDuration = m.ID, l.Running, l.Waiting, l.MeanDuration
+			load.ReportedAt, load.UsedAt, load.InFlight = l.ReceivedAt, l.ReceivedAt, l.InFlight
 		}
 	}
-	load.usedAt = max(load.usedAt, timer.Instant(p.lastChoice(id).Load()))
+	load.UsedAt = max(load.UsedAt, timer.Instant(p.lastChoice(m.ID).Load()))
 	return load
 }
 
@@ -133,20 +144,6 @@
 	return p.peer(m.Address)
 }
 
-// cost estimates how long a request takes at a backend server of a shared pool, in which the lowest
-// known mean duration is given.
-func (p *Participant) cost(m *partitioner.Member, load poolLoad, objective, lowest time.Duration, now timer.Instant) time.Duration {
-	inFlight := 0
-	if m.ID != p.self.ID {
-		inFlight = p.peer(m.Address).InFlight()
-	}
-	expected := load.expectedDuration(inFlight, m.Server.Slots, lowest, now) * (1 + costJitter*rand.Float64())
-	if m.Zone != p.self.Zone {
-		expected += crossZoneShare * float64(objective)
-	}
-	return time.Duration(expected)
-}
-
 // IsQuarantined reports whether requests like a call have ended several backend servers.
 func (p *Participant) IsQuarantined(c *dispatcher.Call) bool {
 	q := p.forwarder.Quarantine()
