Choose a backend server whose rate limit leaves no slots

Cause: a limit so low that its slots round to zero gave a server no share in the draw; with no other one in the pool, no index was chosen.

Change: the first candidate is taken then, as before the draws.

Result: TestChoice/limit_that_leaves_no_slots; go test of selector passes.

--- a/papayapass/internal/selector/selector.go
+++ b/papayapass/internal/selector/selector.go
@@ -97,8 +97,8 @@
 	for range draws {
 		c.draw(true, random())
 	}
-	d := Decision{Index: c.best, KnowsFree: knowsFree}
-	if l := pool[c.best].Load; l.isCurrent(now) {
+	d := Decision{Index: max(c.best, 0), KnowsFree: knowsFree} // no server can be drawn if limits leave no slots
+	if l := pool[d.Index].Load; l.isCurrent(now) {
 		d.ReportAge = now.Sub(l.ReportedAt)
 	}
 	return d
--- a/papayapass/internal/selector/selector_test.go
+++ b/papayapass/internal/selector/selector_test.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	sent.InFlight, sent.Load.InFlight = 9, 1
 	limited.Load.RateLimit = 100
 	warming.Load.WarmingUp = true
+	blocked := limited
+	blocked.Load.RateLimit = math.SmallestNonzeroFloat64
 	for name, c := range map[string]struct {
 		pool               []Candidate
 		retry              bool
@@ -40,6 +43,7 @@
 		"rate-limited server with few slots":   {pool: []Candidate{reported(1, 20*ms), reported(1, 20*ms), limited}, retry: true, minShare: 0.05, maxShare: 0.2},
 		"warming up":                           {pool: []Candidate{reported(4, 20*ms), reported(4, 20*ms), warming}, minShare: 0, maxShare: 0.05},
 		"only one server, however loaded":      {pool: []Candidate{reported(100, 20*ms)}, minShare: 1, maxShare: 1},
+		"limit that leaves no slots":           {pool: []Candidate{blocked}, minShare: 1, maxShare: 1},
 		"only an unknown server in other zone": {pool: []Candidate{remote}, minShare: 1, maxShare: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
