--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -55,6 +55,8 @@
 	Kind string
 	// Priority ranks the request; zero is the most urgent.
 	Priority int
+	// Nested is set for a call of a backend server that runs another request.
+	Nested bool
 	// Objective is the latency within which an answer has its full value.
 	Objective time.Duration
 	// Deadline is the instant after which an answer is useless.
@@ -96,6 +98,7 @@
 	startsUnknownUntil timer.Instant
 	// limit is the rate that the backend server accepts.
 	limit rateLimit
+	calls callLoad
 }
 
 // NewAdmitter returns an admitter of a process that started at an instant. It admits nothing until its
@@ -197,16 +200,17 @@
 func (a *Admitter) Offer(r Request, now timer.Instant, queue bool) (t *Ticket, d Decision, retry time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.calls.observe(r, a.slots)
 	t = &Ticket{Request: r, arrived: now, admitted: make(chan bool, 1)}
 	if len(a.queue) == 0 && a.canStart(now) {
 		a.start(t, now)
 		return t, Start, 0
 	}
+	t.planned = a.planned(r.Kind, now)
 	wait := a.expectedWait(t, now)
-	if !queue {
+	if !queue && !r.mayQueueAtOnce(wait) {
 		return nil, Busy, wait
 	}
-	t.planned = a.planned(r.Kind, now)
 	excess := max(wait-a.maxWait(r, now), now.Add(wait+t.planned).Sub(r.Deadline))
 	if late := now.Add(wait + a.mean(r.Kind)).Sub(r.Deadline); late > 0 {
 		if t.isTry = true; a.hasWaitingTry(r.Kind) {
@@ -220,6 +224,12 @@
 	return t, Wait, 0
 }
 
+// mayQueueAtOnce reports whether a request waits rather than look for a free slot elsewhere.
+// A nested call passes customers' requests in the queue, and the search costs it more time.
+func (r Request) mayQueueAtOnce(wait time.Duration) bool {
+	return r.Nested && float64(wait) <= minWaitShare*float64(r.Objective)
+}
+
 // mean returns the mean duration of a kind, or zero when none has ended.
 func (a *Admitter) mean(kind string) time.Duration {
 	if m, ok := a.means[kind]; ok {
@@ -255,15 +265,16 @@
 }
 
 // expectedWait predicts how long a request waits: the slots first run the requests ahead
-// of it at the mean duration, and all of them keep to the rates.
+// of it, and nested calls that come meanwhile; all of them keep to the rates.
 func (a *Admitter) expectedWait(t *Ticket, now timer.Instant) time.Duration {
-	before := 1
+	before, work := 1, a.allWork.Value()
 	for _, q := range a.queue {
 		if !t.before(q) {
 			before++
+			work += cmp.Or(a.mean(q.Kind), a.allWork.Value())
 		}
 	}
-	wait := time.Duration(float64(a.allWork.Value()) * float64(before) / float64(max(a.slots, 1)))
+	wait := time.Duration(float64(work) / float64(max(a.slots, 1)) / (1 - a.calls.shareBefore(t.Request)))
 	if now < a.warmUpUntil {
 		warmUpWait := time.Duration(float64(before) / max(a.warmUpRate, 1) * float64(time.Second))
 		wait = max(wait, min(max(warmUpWait, a.startsUnknownUntil.Sub(now)), a.warmUpUntil.Sub(now)))
@@ -284,6 +295,7 @@
 
 func (a *Admitter) start(t *Ticket, now timer.Instant) {
 	a.running++
+	a.calls.start(t.Request)
 	t.started = now
 	kind, ok := a.means[t.Kind]
 	if !ok {
@@ -302,6 +314,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.running--
+	a.calls.end(t.Request)
 	kind := a.means[t.Kind]
 	if d := now.Sub(t.started); ran {
 		kind.End(d, now)
@@ -365,36 +378,3 @@
 	}
 	heap.Init(&a.queue)
 }
-
-// queue orders requests by priority, then by arrival.
-type queue []*Ticket
-
-func (t *Ticket) before(o *Ticket) bool {
-	if t.Priority != o.Priority {
-		return t.Priority < o.Priority
-	}
-	return t.arrived < o.arrived
-}
-
-func (q queue) Len() int           { return len(q) }
-func (q queue) Less(i, j int) bool { return q[i].before(q[j]) }
-func (q queue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-
-// Push adds a request; it implements heap.Interface.
-func (q *queue) Push(x any) {
-	t := x.(*Ticket)
-	t.index = len(*q)
-	*q = append(*q, t)
-}
-
-// Pop removes the last request; it implements heap.Interface.
-func (q *queue) Pop() any {
-	old := *q
-	t := old[len(old)-1]
-	*q = old[:len(old)-1]
-	t.index = -1
-	return t
-}
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -20,6 +20,10 @@
 	f.recallNotice(c.Notice)
 	res := f.serve(ctx, c)
 	res.Notice = f.currentNotice()
+	if c.WantsLoad {
+		running, waiting := f.admitter.Counts()
+		res.Load = &dispatcher.Load{Running: running, Waiting: waiting, MeanDuration: f.admitter.Mean()}
+	}
 	return res
 }
 
@@ -52,7 +56,15 @@
 
 // admit waits for admission. Without it, the result says why.
 func (f *Forwarder) admit(ctx context.Context, c *dispatcher.Call) (*admitter.Ticket, dispatcher.Result, bool) {
-	r := admitter.Request{Kind: c.Route, Priority: c.Priority, Objective: c.Objective, Deadline: c.Deadline}
+	nested, changed := f.classifier.Observe(c.Route, c.Caller)
+	if changed {
+		f.logger.Info().Str("route", c.Route).Str("caller", c.Caller).Bool("nested", nested).
+			Msg("callers of a route changed, nested calls are admitted before customers' requests of their priority")
+	}
+	r := admitter.Request{
+		Kind: c.Route, Priority: c.Priority, Nested: nested,
+		Objective: c.Objective, Deadline: c.Deadline,
+	}
 	ticket, decision, retry := f.admitter.Offer(r, f.clock.Now(), !c.NoQueue)
 	switch decision {
 	case admitter.Start:
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -200,6 +200,8 @@
 	} {
 		n.meter.Gauge(`papayapass_quota_charges{result="`+result+`"}`, func() float64 { return float64(read(n.participant.QuotaStats())) })
 	}
+	n.meter.Gauge("papayapass_pool_report_age_seconds", func() float64 { return n.participant.PoolReportAge().Seconds() })
+	n.meter.Gauge("papayapass_pool_misses", func() float64 { return float64(n.participant.PoolMisses()) })
 	n.meter.Gauge("papayapass_body_bytes", func() float64 { return float64(n.memory.Used()) })
 	n.meter.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 }
