Refuse customers' keys while the configuration may be too old to know of their removal

Change: participant.configurationAge keeps the instant up to which no newer configuration can have been acknowledged: the start of a reading of the store, or at a follower the sending of a heartbeat less the age in the coordinator's reply. It counts only if the version in force is the one read or heard of. An undecodable configuration, a stale copy and a store that was just restored do not advance it; after a restore, readings count when a newer version was written or after restoreSettleTime. The setting bounds.revocation (zero is off) less 5 % is the greatest age at which keys are accepted; an unknown key gets 401 only within bounds.apply, else 503. The dispatcher determines the age before it loads the configuration: a pause between the two, or after them, then makes no request of later than the bound run. Replies carry the age only where the configuration requires keys.

--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -177,6 +177,7 @@
 	gauge("papayapass_epoch", func(s participant.Status) float64 { return float64(s.Epoch) })
 	gauge("papayapass_table_version", func(s participant.Status) float64 { return float64(s.TableVersion) })
 	gauge("papayapass_configuration_version", func(s participant.Status) float64 { return float64(s.ConfigurationVersion) })
+	gauge("papayapass_configuration_age_seconds", func(s participant.Status) float64 { return s.ConfigurationAge.Seconds() })
 	gauge("papayapass_store_era", func(s participant.Status) float64 { return float64(s.StoreEra) })
 	gauge("papayapass_coordinates", func(s participant.Status) float64 { return boolToFloat(s.IsCoordinator) })
 	gauge("papayapass_coordinator_silent_seconds", func(s participant.Status) float64 { return s.CoordinatorSilence.Seconds() })
--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -51,6 +51,7 @@
 		Grace       duration `toml:"grace"`
 		ZoneOut     duration `toml:"zoneOut"`
 		Apply       duration `toml:"apply"`
+		Revocation  duration `toml:"revocation"`
 		HoldMax     duration `toml:"holdMax"`
 		RetryRatio  float64  `toml:"retryRatio"`
 		RetryWindow duration `toml:"retryWindow"`
@@ -121,6 +122,8 @@
 		return errors.New("settings node.id, node.zone and node.service are required")
 	case s.Node.Grants != descriptor.GrantByCall && s.Node.Grants != descriptor.GrantByHeartbeat:
 		return errors.Newf("setting node.grants is %q, not %q or %q", s.Node.Grants, descriptor.GrantByCall, descriptor.GrantByHeartbeat)
+	case s.Bounds.Revocation < 0:
+		return errors.New("setting bounds.revocation must not be below zero")
 	case s.Node.MemoryMB <= 0 || s.Node.Cores < 0:
 		return errors.New("setting node.memoryMB must be above zero, node.cores not below")
 	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
@@ -137,6 +140,7 @@
 	return participant.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
 		ZoneOutTimeout: time.Duration(s.Bounds.ZoneOut), ApplyTimeout: time.Duration(s.Bounds.Apply), HeartbeatInterval: time.Duration(s.Bounds.Heartbeat),
+		Revocation: time.Duration(s.Bounds.Revocation),
 	}
 }
 
--- a/papayapass/internal/overseer/message.go
+++ b/papayapass/internal/overseer/message.go
@@ -106,6 +106,10 @@
 	TakeOver bool `json:"takeOver,omitempty"`
 	// Configuration is the encoded configuration, set when it is newer than the node's.
 	Configuration []byte `json:"configuration,omitempty"`
+	// ConfigurationAge is the greatest age of the coordinator's configuration, of ConfigurationVersion: no
+	// newer one was acknowledged so long ago. The version is zero if the age is not known or not needed.
+	ConfigurationAge     time.Duration `json:"configurationAge,omitempty"`
+	ConfigurationVersion uint64        `json:"configurationVersion,omitempty"`
 	// ZonesOut lists the zones that operators took out of service, as read from the
 	// store at ZonesRevision of ZonesEra.
 	ZonesOut      []string `json:"zonesOut,omitempty"`
--- a/papayapass/internal/participant/follow.go
+++ b/papayapass/internal/participant/follow.go
@@ -174,6 +174,7 @@
 			p.logger.Warn().Err(err).Msg("cannot decode the configuration from the coordinator")
 		}
 	}
+	p.age.hear(sent, r.ConfigurationAge, r.ConfigurationVersion, p.versionInForce())
 	return nil
 }
 
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -62,6 +62,9 @@
 	ZoneOutTimeout time.Duration
 	// ApplyTimeout is the time within which a configuration must be in force.
 	ApplyTimeout time.Duration
+	// Revocation is the time after which a key that was taken away is refused everywhere, also by nodes
+	// that are out of touch; zero if those may accept it for longer.
+	Revocation time.Duration
 	// HeartbeatInterval is the time between two heartbeats of a backend server.
 	HeartbeatInterval time.Duration
 }
@@ -86,9 +89,11 @@
 	stopping              atomic.Bool
 
 	configuration atomic.Pointer[descriptor.Configuration]
-	// configurationRead is the state of the store with the last configuration read.
-	configurationRead atomic.Pointer[descriptor.StoreState]
-	zonesOut          atomic.Pointer[map[string]bool]
+	// lastRead is the last configuration read.
+	lastRead atomic.Pointer[readVersion]
+	// age is that of the configuration in force.
+	age      configurationAge
+	zonesOut atomic.Pointer[map[string]bool]
 	// storeEra is the highest era of the store that this node has seen.
 	storeEra atomic.Uint64
 	// keysServedUntil is the instant until which requests with keys are still served after
--- a/papayapass/internal/participant/poll.go
+++ b/papayapass/internal/participant/poll.go
@@ -68,6 +68,13 @@
 
 func scale(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
 
+// readVersion is the version of the configuration that was read in a state of the store.
+type readVersion struct {
+	descriptor.StoreState
+
+	version uint64
+}
+
 // desiredState is the state that operators asked for, as read from the store.
 type desiredState struct {
 	readAt timer.Instant // start of the reading, by this node's clock; zero if it failed
@@ -134,6 +141,7 @@
 }
 
 func (p *Participant) readConfiguration(ctx context.Context) bool {
+	reading, before := configurationReading{started: p.timers.Now()}, p.versionInForce()
 	ctx, cancel := context.WithTimeout(ctx, p.bounds.Load().pollTimeout())
 	defer cancel()
 	o, err := p.store.Get(ctx, p.layout.ConfigurationKind, p.layout.ConfigurationName)
@@ -149,7 +157,10 @@
 		return false
 	}
 	read := descriptor.StoreState{Era: o.Era, Revision: o.Revision}
-	if last := p.configurationRead.Load(); last != nil && *last == read {
+	reading.ended, reading.era = p.timers.Now(), o.Era
+	if last := p.lastRead.Load(); last != nil && last.StoreState == read {
+		reading.version = last.version
+		p.age.read(reading, before, p.versionInForce())
 		return true
 	}
 	cfg, err := p.decodeConfiguration(o.Spec)
@@ -158,8 +169,10 @@
 		return true // the previous one stays in force
 	}
 	p.logRejected(p.layout.ConfigurationKind, nil)
-	p.configurationRead.Store(&read)
+	p.lastRead.Store(&readVersion{read, cfg.Version})
 	p.applyConfiguration(cfg, "store")
+	reading.version = cfg.Version
+	p.age.read(reading, before, p.versionInForce())
 	return true
 }
 
@@ -234,6 +247,7 @@
 // fillReply adds the desired state to a reply. The caller holds p.mu.
 func (p *Participant) fillReply(r *overseer.HeartbeatReply, h overseer.Heartbeat) {
 	r.ZonesOut, r.ZonesEra, r.ZonesRevision = p.desired.zonesOut, p.desired.zonesRead.Era, p.desired.zonesRead.Revision
+	p.fillAge(r)
 	r.StoreFresh = p.desired.readAt > 0 && p.timers.Now().Sub(p.desired.readAt) <= p.bounds.Load().freshness()
 	if cfg := p.Configuration(); cfg != nil && cfg.Version > h.ConfigurationVersion {
 		r.Configuration = cfg.Source
