--- a/papayapass/internal/dispatcher/dispatcher_test.go
+++ b/papayapass/internal/dispatcher/dispatcher_test.go
@@ -378,7 +378,7 @@
 			p := NewPeer(strings.TrimPrefix(l.URL, "http://"), clock, testEnveloper)
 			c := &Call{
 				ID: "1", Method: http.MethodPost, URI: "/x?y", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte("body"),
-				Route: "r", Service: "s", Divided: true, Key: 9, Idempotent: true, Priority: 2, Objective: time.Second, Caller: "c",
+				Route: "r", Service: "s", Divided: true, Key: 9, Idempotent: true, Priority: 2, Customer: "acme", ConfigurationVersion: 9, Objective: time.Second, Caller: "c",
 				Deadline: clock.Now().Add(time.Second), NoQueue: true,
 			}
 			got := p.Serve(context.Background(), c)
