Log when the age of the configuration changes which keys are accepted

Cause: a node that begins to refuse keyed requests for the age of its configuration said so only in metrics.

--- a/papayapass/internal/dispatcher/freshness.go
+++ b/papayapass/internal/dispatcher/freshness.go
@@ -12,3 +12,15 @@
 	// Current means that there are no other keys.
 	Current
 )
+
+// String returns the name in logs.
+func (f Freshness) String() string {
+	switch f {
+	case Current:
+		return "current"
+	case Usable:
+		return "usable"
+	default:
+		return "outdated"
+	}
+}
--- a/papayapass/internal/participant/configurationage.go
+++ b/papayapass/internal/participant/configurationage.go
@@ -89,7 +89,14 @@
 // ConfigurationFreshness returns the freshness of the configuration in force.
 func (p *Participant) ConfigurationFreshness() dispatcher.Freshness {
 	age, known := p.age.age(p.timers.Now())
-	return freshness(age, known, p.bounds.Load())
+	fresh := freshness(age, known, p.bounds.Load())
+	if cfg := p.Configuration(); cfg != nil && cfg.RequiresKeys() {
+		if before := dispatcher.Freshness(p.lastFreshness.Swap(int32(fresh))); before != fresh {
+			p.logger.Info().Stringer("freshness", fresh).Stringer("before", before).Dur("age", age).Bool("known", known).Uint64("version", cfg.Version).
+				Msg("age of the configuration changes which keys are accepted")
+		}
+	}
+	return fresh
 }
 
 // fillAge adds the age of this node's configuration to a reply, where keys depend on it.
--- a/papayapass/internal/participant/participant.go
+++ b/papayapass/internal/participant/participant.go
@@ -92,8 +92,10 @@
 	// lastRead is the last configuration read.
 	lastRead atomic.Pointer[readVersion]
 	// age is that of the configuration in force.
-	age      configurationAge
-	zonesOut atomic.Pointer[map[string]bool]
+	age configurationAge
+	// lastFreshness is the freshness at the last request, for the log.
+	lastFreshness atomic.Int32
+	zonesOut      atomic.Pointer[map[string]bool]
 	// storeEra is the highest era of the store that this node has seen.
 	storeEra atomic.Uint64
 	// keysServedUntil is the instant until which requests with keys are still served after
