--- a/papayapass/internal/launcher/settings.go
+++ b/papayapass/internal/launcher/settings.go
@@ -55,6 +55,7 @@
 		Grace       duration `toml:"grace"`
 		ZoneOut     duration `toml:"zoneOut"`
 		Apply       duration `toml:"apply"`
+		Revocation  duration `toml:"revocation"`
 		HoldMax     duration `toml:"holdMax"`
 		RetryRatio  float64  `toml:"retryRatio"`
 		RetryWindow duration `toml:"retryWindow"`
@@ -128,6 +129,8 @@
 		return errors.New("settings node.id, node.zone and node.service are required")
 	case s.Node.Grants != descriptor.GrantByCall && s.Node.Grants != descriptor.GrantByHeartbeat:
 		return errors.Newf("setting node.grants is %q, not %q or %q", s.Node.Grants, descriptor.GrantByCall, descriptor.GrantByHeartbeat)
+	case s.Bounds.Revocation < 0:
+		return errors.New("setting bounds.revocation must not be below zero")
 	case s.Node.MemoryMB <= 0 || s.Node.Cores < 0 || s.Node.Descriptors < 0:
 		return errors.New("setting node.memoryMB must be above zero, node.cores and node.descriptors not below")
 	case s.Listen.Peers <= 0 || s.Listen.Metrics <= 0:
@@ -146,7 +149,8 @@
 	return participant.Bounds{
 		RetryRatio: s.Bounds.RetryRatio, RetryWindow: time.Duration(s.Bounds.RetryWindow), RetrySlack: s.Bounds.RetrySlack,
 		ZoneOutTimeout: time.Duration(s.Bounds.ZoneOut), ApplyTimeout: time.Duration(s.Bounds.Apply), HeartbeatInterval: time.Duration(s.Bounds.Heartbeat),
-		Quota: accountant.Bounds{Window: time.Duration(s.Bounds.QuotaWindow), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
+		Quota:      accountant.Bounds{Window: time.Duration(s.Bounds.QuotaWindow), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack},
+		Revocation: time.Duration(s.Bounds.Revocation),
 	}
 }
 
