--- a/papayapass/internal/charger/charger.go
+++ b/papayapass/internal/charger/charger.go
@@ -33,6 +33,8 @@
 	batchShare = 0.5
 	// demandTimeConstant is the time constant of the measured demand.
 	demandTimeConstant = 2 * time.Second
+	// reportInterval is the shortest time between two reports of rejected requests of a customer.
+	reportInterval = 5 * time.Second
 )
 
 // Target is an accountant to ask.
@@ -61,6 +63,9 @@
 	// demand is the smoothed number of requests in demandTimeConstant.
 	demand   float64
 	demandAt timer.Instant
+	// rejected counts the requests that were rejected since the last report.
+	rejected   int
+	reportedAt timer.Instant
 }
 
 // Charger holds the credits of a node.
@@ -149,6 +154,21 @@
 	return false
 }
 
+// Reject counts a request that is rejected since the limit of its customer is used up. From time to time,
+// it returns how many there were.
+func (c *Charger) Reject(customer string, now timer.Instant) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.account(customer)
+	a.rejected++
+	if a.reportedAt > 0 && now.Sub(a.reportedAt) < reportInterval {
+		return 0
+	}
+	n := a.rejected
+	a.rejected, a.reportedAt = 0, now
+	return n
+}
+
 // BatchSize returns how many credits to ask for: one for each waiting request, or those for a part of
 // the time in which they can be used.
 func (c *Charger) BatchSize(customer string) int {
--- a/papayapass/internal/participant/quota.go
+++ b/papayapass/internal/participant/quota.go
@@ -111,6 +111,10 @@
 		round, retry, denied := q.joinRound(ctx, c, now)
 		if round == nil {
 			if denied {
+				if n := q.charger.Reject(c.Name, now); n > 0 {
+					q.logger.Info().Str("customer", c.Name).Int("requests", n).Float64("rate", c.Rate).Float64("burst", c.Burst).Dur("retry", retry).
+						Msg("customer limited")
+				}
 				return dispatcher.ReasonQuota, retry
 			}
 			return dispatcher.ReasonNoQuota, retry
