Ask accountants that refuse connections once for each request

Cause: while none could be reached, a request started one round of calls after the other until its 150 ms were over, since the accountants that have just failed are asked again when there are no others. Change: a request does not ask an accountant again whose call has failed since the request came.

--- a/papayapass/internal/charger/charger.go
+++ b/papayapass/internal/charger/charger.go
@@ -74,9 +74,10 @@
 	// rotation spreads the nodes without an accountant in their zone over the others.
 	rotation int
 
-	mu          sync.Mutex
-	bounds      accountant.Bounds
-	accounts    map[string]*account
+	mu       sync.Mutex
+	bounds   accountant.Bounds
+	accounts map[string]*account
+	// unreachable has when the last call to an accountant failed, until its next answer.
 	unreachable map[partitioner.NodeID]timer.Instant
 }
 
@@ -179,9 +180,9 @@
 	return max(1, a.waiting, int(batchShare*perSecond*c.bounds.CreditLifetime().Seconds()))
 }
 
-// Targets returns the accountants to ask for credits of a customer, those in the node's zone first. If
-// there are none, it returns why and when to try again.
-func (c *Charger) Targets(customer *descriptor.Customer, t *partitioner.Table, now timer.Instant) (list []Target, denied bool, retry time.Duration) {
+// Targets returns the accountants to ask for credits of a customer, those in the node's zone first, for a
+// request that arrived at the given instant. If there are none, it returns why and when to try again.
+func (c *Charger) Targets(customer *descriptor.Customer, t *partitioner.Table, arrived, now timer.Instant) (list []Target, denied bool, retry time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a, groups := c.account(customer.Name), c.bounds.GroupsOf(customer)
@@ -193,10 +194,12 @@
 		if !ok {
 			continue
 		}
-		switch until := c.unreachable[m.ID]; {
+		failedAt, hasFailed := c.unreachable[m.ID]
+		switch {
 		case now < a.pauses[group].until:
 			denied, next = denied || a.pauses[group].isDenied, min(next, a.pauses[group].until)
-		case now < until:
+		case hasFailed && failedAt >= arrived: // each request tries it once
+		case hasFailed && now.Sub(failedAt) < unreachablePause:
 			unreachable = append(unreachable, Target{Group: group, Owner: m})
 		default:
 			list = append(list, Target{Group: group, Owner: m})
@@ -255,6 +258,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, known := c.unreachable[id]
-	c.unreachable[id] = now.Add(unreachablePause)
+	c.unreachable[id] = now
 	return !known
 }
--- a/papayapass/internal/charger/charger_test.go
+++ b/papayapass/internal/charger/charger_test.go
@@ -44,17 +44,19 @@
 	for _, id := range s.ids {
 		m, _ := s.table.Member(id)
 		c := NewCharger(m, replayBounds)
-		targets, _, _ := c.Targets(customer, s.table, now)
+		targets, _, _ := c.Targets(customer, s.table, now.Add(1), now.Add(1))
 		require.Len(t, targets, partitioner.QuotaGroups)
 		require.Equal(t, m.Zone, targets[0].Owner.Zone)
 		require.True(t, c.HandleFailure(targets[0].Owner.ID, now))
 		require.False(t, c.HandleFailure(targets[0].Owner.ID, now), "one log line")
-		left, _, _ := c.Targets(customer, s.table, now)
+		left, _, _ := c.Targets(customer, s.table, now.Add(1), now.Add(1))
 		require.Equal(t, targets[1:], left)
 		for _, target := range left {
 			c.HandleFailure(target.Owner.ID, now)
 		}
-		again, _, _ := c.Targets(customer, s.table, now)
+		again, _, _ := c.Targets(customer, s.table, now.Add(1), now.Add(1))
 		require.Len(t, again, partitioner.QuotaGroups, "perhaps this node stalled")
+		again, _, _ = c.Targets(customer, s.table, now, now.Add(1))
+		require.Empty(t, again, "a request that came before does not try them again")
 	}
 }
--- a/papayapass/internal/charger/replay_test.go
+++ b/papayapass/internal/charger/replay_test.go
@@ -111,7 +111,7 @@
 	n.charger.Arrive(c.Name, s.now)
 	defer n.charger.Leave(c.Name)
 	if !n.charger.Take(c.Name, s.now, s.now) {
-		targets, _, _ := n.charger.Targets(c, n.table, s.now)
+		targets, _, _ := n.charger.Targets(c, n.table, s.now, s.now)
 		for _, t := range targets {
 			o := s.nodes[t.Owner.ID]
 			s.calls++
--- a/papayapass/internal/participant/quota.go
+++ b/papayapass/internal/participant/quota.go
@@ -108,7 +108,7 @@
 		if q.charger.Take(c.Name, arrived, now) {
 			return dispatcher.ReasonNone, 0
 		}
-		round, retry, denied := q.joinRound(ctx, c, now)
+		round, retry, denied := q.joinRound(ctx, c, arrived, now)
 		if round == nil {
 			if denied {
 				if n := q.charger.Reject(c.Name, now); n > 0 {
@@ -128,10 +128,10 @@
 
 // joinRound returns the customer's round of calls, which is closed at its end. Without a group to ask, or
 // time to do so, it returns none, whether a group has denied credits, and when to retry.
-func (q *quota) joinRound(ctx context.Context, c *descriptor.Customer, now timer.Instant) (round chan struct{}, retry time.Duration, denied bool) {
+func (q *quota) joinRound(ctx context.Context, c *descriptor.Customer, arrived, now timer.Instant) (round chan struct{}, retry time.Duration, denied bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	targets, denied, retry := q.charger.Targets(c, q.p.table.Load(), now)
+	targets, denied, retry := q.charger.Targets(c, q.p.table.Load(), arrived, now)
 	if len(targets) == 0 || ctx.Err() != nil {
 		return nil, retry, denied
 	}
--- a/papayapass/internal/participant/quota_test.go
+++ b/papayapass/internal/participant/quota_test.go
@@ -71,7 +71,7 @@
 		"two accountants are lost":         {answers: map[string]accountant.Answer{"b": granted}, table: quotaTable(), calls: -1},
 		"all groups deny":                  {answers: map[string]accountant.Answer{"a": denied, "b": denied, "c": denied}, table: quotaTable(), reason: dispatcher.ReasonQuota, retry: denied.Retry, calls: 3},
 		"an accountant is lost, two deny":  {answers: map[string]accountant.Answer{"a": denied, "c": denied}, table: quotaTable(), reason: dispatcher.ReasonQuota, retry: denied.Retry, calls: 3},
-		"no accountant is reached":         {table: quotaTable(), reason: dispatcher.ReasonNoQuota, retry: time.Second, calls: -1},
+		"no accountant is reached":         {table: quotaTable(), reason: dispatcher.ReasonNoQuota, retry: time.Second, calls: 3},
 		"no accountant knows the customer": {answers: map[string]accountant.Answer{"a": {Outcome: accountant.UnknownCustomer}, "b": {Outcome: accountant.NotOwner}, "c": {Outcome: accountant.NotOwner}}, table: quotaTable(), reason: dispatcher.ReasonNoQuota, retry: 100 * time.Millisecond, calls: 3},
 		"the table has no accountants":     {table: &partitioner.Table{Epoch: 1}, reason: dispatcher.ReasonNoQuota, retry: time.Second},
 		"the node is the only one reached": {table: ownTable(), calls: 0},
@@ -124,10 +124,10 @@
 	}
 	round := make(chan struct{})
 	p.quota.rounds[limited.Name] = round
-	joined, _, _ := p.quota.joinRound(context.Background(), limited, now)
+	joined, _, _ := p.quota.joinRound(context.Background(), limited, now, now)
 	require.Equal(t, round, joined)
 	require.Zero(t, c.calls.Load())
-	targets, _, _ := p.quota.charger.Targets(limited, p.table.Load(), now)
+	targets, _, _ := p.quota.charger.Targets(limited, p.table.Load(), now, now)
 	p.quota.runRound(limited.Name, targets, round)
 	<-joined
 	for range requests {
