Close repeated connections only from the ninth on

Change: the oldest is closed when 8 idle connections have all carried the id. The test stays as it was; TestRepeatedIDsAddNoConnections expects 8 of 20.

Result: go test -race ./internal/exchanger passes.

--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -48,6 +48,8 @@
 	// maxIDs is the number of ids that a connection carries before it is closed; it bounds
 	// the memory for them.
 	maxIDs = 100
+	// maxRepeats is the number of idle connections that have all carried the same id.
+	maxRepeats = 8
 	// maxFraming is how much more than its body a chunked body may take on the wire, as a
 	// multiple of the largest body.
 	maxFraming = 2
@@ -206,8 +208,8 @@
 }
 
 // takeIdle removes and returns the idle connection that was used last, of those that have
-// not carried the id; nil if there is none. Then it closes the oldest one: otherwise requests that
-// repeat an id would add connections without end.
+// not carried the id; nil if there is none. If many have carried it, it closes the oldest one: otherwise
+// requests that repeat an id would add connections without end.
 func (e *Exchanger) takeIdle(id string) *conn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -217,7 +219,7 @@
 			return c
 		}
 	}
-	if len(e.idle) > 0 {
+	if len(e.idle) >= maxRepeats {
 		_ = e.idle[0].Close() // no data is pending on an idle connection
 		e.idle = slices.Delete(e.idle, 0, 1)
 	}
