Hold the spread over shared pools to the targets set before

The replay's bounds had been raised to what the built choice reaches. The test checks the targets again, and besides that the choice has at most a quarter of the tries and waits and half of the deviation of the former one.

--- a/papayapass/internal/selector/replay_test.go
+++ b/papayapass/internal/selector/replay_test.go
@@ -271,24 +271,32 @@
 
 // Nodes with equally old loads overran the same server, while others of the pool were idle.
 func TestOldLoadsSpreadRequests(t *testing.T) {
+	type measures struct{ tries, waits, deviation float64 }
 	for name, c := range map[string]struct {
-		seed                        uint64
-		use                         float64
-		maxMissed, maxWaited, maxSD float64
+		seed   uint64
+		use    float64
+		target measures
+		// former are the measures of the choice of the least estimated cost among all servers.
+		former measures
 	}{
-		"half of the slots busy": {seed: 1, use: 0.5, maxMissed: 0.15, maxWaited: 0.01, maxSD: 0.35},
-		"most slots busy":        {seed: 2, use: 0.75, maxMissed: 0.45, maxWaited: 0.07, maxSD: 0.35},
+		"half of the slots busy": {seed: 1, use: 0.5, target: measures{0.1, 0.02, 0.25}, former: measures{1.52, 0.359, 0.63}},
+		"most slots busy":        {seed: 2, use: 0.75, target: measures{0.3, 0.05, 0.3}, former: measures{2.26, 0.639, 0.81}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newReplay(c.seed, c.use)
 			r.play()
 			n := float64(r.requests)
-			missed, waited, spread := float64(r.missed)/n, float64(r.waited+r.rejected)/n, r.spread/float64(r.windows)
+			got := measures{float64(r.missed) / n, float64(r.waited+r.rejected) / n, r.spread / float64(r.windows)}
 			t.Logf("%d requests: %.4f tries missed, %.4f waited, %.4f rejected while another server was free; deviation %.3f; to other zones %.3f; mean %v, age %v",
-				r.requests, missed, float64(r.waited)/n, float64(r.rejected)/n, spread, float64(r.remote)/n, r.duration/time.Duration(r.requests), r.age/time.Duration(r.requests))
-			require.LessOrEqual(t, missed, c.maxMissed)
-			require.LessOrEqual(t, waited, c.maxWaited)
-			require.LessOrEqual(t, spread, c.maxSD)
+				r.requests, got.tries, float64(r.waited)/n, float64(r.rejected)/n, got.deviation, float64(r.remote)/n, r.duration/time.Duration(r.requests), r.age/time.Duration(r.requests))
+			t.Run("target of tries", func(t *testing.T) { require.LessOrEqual(t, got.tries, c.target.tries) })
+			t.Run("target of waits", func(t *testing.T) { require.LessOrEqual(t, got.waits, c.target.waits) })
+			t.Run("target of the deviation", func(t *testing.T) { require.LessOrEqual(t, got.deviation, c.target.deviation) })
+			t.Run("gain over the former choice", func(t *testing.T) {
+				require.LessOrEqual(t, got.tries, c.former.tries/4)
+				require.LessOrEqual(t, got.waits, c.former.waits/4)
+				require.LessOrEqual(t, got.deviation, c.former.deviation/2)
+			})
 		})
 	}
 }
