Use refunded credits again, and charge after the node's own refusals

Cause: a request that the node refused itself (stopping, quarantined) was charged first, and Refund did nothing, so that credits of requests that had not run were lost. Change: the charge, and the count for the retry budget after it, follow limitToStop and IsQuarantined. Charge returns a Credit with the instant at which it was asked for; Refund puts it back into the node's charger with that instant, so that it lives no longer than one that was never taken. Tests: TestQuotaIsChargedAndRefunded now expects that a quarantined request is neither charged nor counted, since the order has changed.

--- a/papayapass/internal/charger/charger.go
+++ b/papayapass/internal/charger/charger.go
@@ -57,6 +57,7 @@
 
 // account is what the node knows of a customer.
 type account struct {
+	// batches are ordered by when they were asked for, so that the oldest are used first.
 	batches []batch
 	pauses  [partitioner.QuotaGroups]pause
 	waiting int
@@ -140,8 +141,9 @@
 }
 
 // Take takes a credit for a request that arrived at the given instant. A credit that was asked for after
-// that counts within the window of the request in any case; others are used only in their lifetime.
-func (c *Charger) Take(customer string, arrived, now timer.Instant) bool {
+// that counts within the window of the request in any case; others are used only in their lifetime. It
+// returns when the credit was asked for.
+func (c *Charger) Take(customer string, arrived, now timer.Instant) (asked timer.Instant, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a, lifetime := c.account(customer), c.bounds.CreditLifetime()
@@ -149,10 +151,26 @@
 	for i := range a.batches {
 		if b := &a.batches[i]; b.asked >= arrived || now.Sub(b.asked) <= lifetime {
 			b.left--
-			return true
+			return b.asked, true
 		}
 	}
-	return false
+	return 0, false
+}
+
+// Refund gives back a credit that was asked for at the given instant and whose request has not run. It is
+// as old as before, so that it lives no longer than one that was never taken.
+func (c *Charger) Refund(customer string, asked, now timer.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a, ok := c.accounts[customer]
+	if !ok || now.Sub(asked) > max(c.bounds.CreditLifetime(), Timeout) {
+		return
+	}
+	i, found := slices.BinarySearchFunc(a.batches, asked, func(b batch, at timer.Instant) int { return cmp.Compare(b.asked, at) })
+	if !found {
+		a.batches = slices.Insert(a.batches, i, batch{asked: asked})
+	}
+	a.batches[i].left++
 }
 
 // Reject counts a request that is rejected since the limit of its customer is used up. From time to time,
@@ -243,7 +261,8 @@
 	switch r.Outcome {
 	case accountant.Granted:
 		if r.Count > 0 && now.Sub(asked) <= Timeout {
-			a.batches = append(a.batches, batch{left: r.Count, asked: asked})
+			i, _ := slices.BinarySearchFunc(a.batches, asked, func(b batch, at timer.Instant) int { return cmp.Compare(b.asked, at) })
+			a.batches = slices.Insert(a.batches, i, batch{left: r.Count, asked: asked})
 		}
 	case accountant.Denied:
 		a.pauses[target.Group] = pause{until: now.Add(r.Retry), isDenied: true}
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -156,28 +156,27 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.Deadline.Sub(arrived)+responseSlack)
 	defer cancel()
-	// A request whose body never arrives costs its customer nothing, so that the quota is charged only here.
-	if reason, retry := d.charge(ctx, enter.customer); reason != ReasonNone {
-		d.respond(w, c, Result{Outcome: NotRun, Reason: reason, Retry: retry}, arrived, &attemptLog{start: arrived})
-		return
-	}
-	d.cluster.CountRequest(c.Service)
 	if !d.limitToStop(c) {
-		d.refund(enter.customer)
 		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonStopping}, arrived, &attemptLog{start: arrived})
 		return
 	}
 	if d.cluster.IsQuarantined(c) {
-		d.refund(enter.customer)
 		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonQuarantined}, arrived, &attemptLog{start: arrived})
 		return
 	}
+	// What the node itself refuses, or whose body never arrives, costs its customer nothing.
+	credit, reason, retry := d.charge(ctx, enter.customer)
+	if reason != ReasonNone {
+		d.respond(w, c, Result{Outcome: NotRun, Reason: reason, Retry: retry}, arrived, &attemptLog{start: arrived})
+		return
+	}
+	d.cluster.CountRequest(c.Service)
 	ctx, span, parent := d.tracer.Start(ctx, "request", r.Header.Get("Traceparent"), trace.SpanKindServer)
 	defer span.End()
 	c.Trace = parent
 	res, attempts := d.run(ctx, c, route, &enter)
 	if res.Outcome == NotRun {
-		d.refund(enter.customer)
+		d.refund(enter.customer, credit)
 	}
 	if r.Context().Err() != nil {
 		res.Reason = ReasonCanceled
--- a/papayapass/internal/participant/quota.go
+++ b/papayapass/internal/participant/quota.go
@@ -86,18 +86,19 @@
 }
 
 // Charge takes a credit of a customer.
-func (p *Participant) Charge(ctx context.Context, c *descriptor.Customer) (dispatcher.Reason, time.Duration) {
+func (p *Participant) Charge(ctx context.Context, c *descriptor.Customer) (dispatcher.Credit, dispatcher.Reason, time.Duration) {
 	if c.Rate <= 0 {
-		return dispatcher.ReasonNone, 0
+		return dispatcher.Credit{}, dispatcher.ReasonNone, 0
 	}
 	return p.quota.charge(ctx, c)
 }
 
-// Refund does nothing yet: the credit of a request that has not run is lost. To use it again, its age
-// must be known.
-func (p *Participant) Refund(*descriptor.Customer) {}
+// Refund gives back the credit of a request that has not run, for other requests at this node.
+func (p *Participant) Refund(c *descriptor.Customer, credit dispatcher.Credit) {
+	p.quota.charger.Refund(c.Name, credit.Asked, p.timers.Now())
+}
 
-func (q *quota) charge(ctx context.Context, c *descriptor.Customer) (dispatcher.Reason, time.Duration) {
+func (q *quota) charge(ctx context.Context, c *descriptor.Customer) (dispatcher.Credit, dispatcher.Reason, time.Duration) {
 	arrived := q.p.timers.Now()
 	q.charger.Arrive(c.Name, arrived)
 	defer q.charger.Leave(c.Name)
@@ -105,8 +106,8 @@
 	defer cancel()
 	for {
 		now := q.p.timers.Now()
-		if q.charger.Take(c.Name, arrived, now) {
-			return dispatcher.ReasonNone, 0
+		if asked, ok := q.charger.Take(c.Name, arrived, now); ok {
+			return dispatcher.Credit{Asked: asked}, dispatcher.ReasonNone, 0
 		}
 		round, retry, denied := q.joinRound(ctx, c, arrived, now)
 		if round == nil {
@@ -115,9 +116,9 @@
 					q.logger.Info().Str("customer", c.Name).Int("requests", n).Float64("rate", c.Rate).Float64("burst", c.Burst).Dur("retry", retry).
 						Msg("customer limited")
 				}
-				return dispatcher.ReasonQuota, retry
+				return dispatcher.Credit{}, dispatcher.ReasonQuota, retry
 			}
-			return dispatcher.ReasonNoQuota, retry
+			return dispatcher.Credit{}, dispatcher.ReasonNoQuota, retry
 		}
 		select {
 		case <-round:
