--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -164,6 +164,11 @@
 		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonQuarantined}, arrived, &attemptLog{start: arrived})
 		return
 	}
+	// The configuration may have become too old while the body was read.
+	if enter.customer != nil && d.cluster.ConfigurationFreshness() == Outdated {
+		d.respond(w, c, Result{Outcome: NotRun, Reason: ReasonStale}, arrived, &attemptLog{start: arrived})
+		return
+	}
 	// What the node itself refuses, or whose body never arrives, costs its customer nothing.
 	credit, reason, retry := d.charge(ctx, enter.customer)
 	if reason != ReasonNone {
