--- a/papayapass/internal/dispatcher/early.go
+++ b/papayapass/internal/dispatcher/early.go
@@ -5,11 +5,11 @@
 	"strings"
 )
 
-// MayStartEarly reports whether a request may run before the responses to earlier requests of its
-// connection are written. Its customer may repeat it, so it must be idempotent.
+// MayStartEarly reports whether a request may run beside others of its connection. It must only read,
+// and its customer may repeat it, so its route must be idempotent.
 func (d *Dispatcher) MayStartEarly(r *http.Request) bool {
 	cfg := d.cluster.Configuration()
-	if cfg == nil || d.stopAt.Load() != 0 {
+	if cfg == nil || d.stopAt.Load() != 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
 		return false
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
--- a/papayapass/internal/drainer/conn.go
+++ b/papayapass/internal/drainer/conn.go
@@ -195,6 +195,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inRequest, c.movedBefore = true, c.moved.Load()
+	if c.ended { // the head was in the server's buffer
+		c.ended, c.busy = false, true
+		_ = c.Conn.SetReadDeadline(time.Time{}) // a broken connection fails at its next use
+	}
 }
 
 // markIdle records that the last response has been sent.
--- a/papayapass/internal/drainer/drainer_test.go
+++ b/papayapass/internal/drainer/drainer_test.go
@@ -150,3 +150,25 @@
 	close(end)
 	require.Equal(t, http.StatusNoContent, c.receive().StatusCode)
 }
+
+// deadlineConn records its read deadline.
+type deadlineConn struct {
+	net.Conn
+
+	readDeadline time.Time
+}
+
+func (d *deadlineConn) SetReadDeadline(t time.Time) error { d.readDeadline = t; return nil }
+
+// A request that was in the server's buffer when the drain ended its connection was canceled at once.
+func TestRequestInTheBufferIsServed(t *testing.T) {
+	raw := &deadlineConn{}
+	c := &conn{Conn: raw, busy: true}
+	c.markIdle()
+	c.endIfIdle()
+	require.Equal(t, past, raw.readDeadline)
+	c.markActive()
+	require.Zero(t, raw.readDeadline)
+	c.endIfIdle()
+	require.Zero(t, raw.readDeadline, "the connection is busy")
+}
--- a/papayapass/internal/launcher/doors.go
+++ b/papayapass/internal/launcher/doors.go
@@ -29,6 +29,8 @@
 	// innerMemoryShare and innerDescriptorShare are for each of ready, heartbeats and metrics.
 	innerMemoryShare     = 0.02
 	innerDescriptorShare = 0.03
+	// earlyShare is the part of a listener's memory for requests that start early.
+	earlyShare = 0.25
 	// minDoorMemory is the least memory of a listener, in bytes: a few of the largest heads.
 	minDoorMemory = 2 << 20
 	// customerBodyShare is the part of the memory for bodies that customers may take; other nodes'
@@ -89,6 +91,12 @@
 	}
 }
 
+// early returns the memory for requests that start early. What does not fit there waits for its turn, and
+// makes no listener crowded.
+func (d *door) early() *budgeter.Budget {
+	return d.guard.Memory.Part(int64(earlyShare * float64(d.guard.Memory.Limit())))
+}
+
 // descriptors returns the number of descriptors for connections.
 func (s *Settings) descriptors() int {
 	n := s.Node.Descriptors
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -225,7 +225,7 @@
 	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.doors.customers.guard.Bodies, n.tracer, n.logger)
 	n.dispatcher.SetQuota(n.participant)
 	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
-	ahead := pipeliner.NewPipeliner(n.dispatcher, n.dispatcher.MayStartEarly, n.doors.customers.guard.Memory, n.logger)
+	ahead := pipeliner.NewPipeliner(n.dispatcher, n.dispatcher.MayStartEarly, n.doors.customers.early(), n.logger)
 	if err := n.listen(requests, g, n.doors.customers, n.settings.Listen.Customers, ahead, ahead.Listener); err != nil {
 		return err
 	}
--- a/papayapass/internal/overseer/plan.go
+++ b/papayapass/internal/overseer/plan.go
@@ -32,7 +32,6 @@
 	}
 	p.Assign()
 	p.Evacuate()
-	p.MoveOverloadedKeys()
 	p.Balance()
 	p.Merge()
 	p.Compact()
--- a/papayapass/internal/partitioner/loads.go
+++ b/papayapass/internal/partitioner/loads.go
@@ -7,8 +7,6 @@
 	// changes.
 	prefixSums []float64
 	sumsStale  bool
-	// hottest is the key with the most work; it is recomputed with prefixSums.
-	hottest uint16
 	// hasWork is set once any work was added.
 	hasWork bool
 }
@@ -49,15 +47,7 @@
 	return l.prefixSums[int(last)+1] - l.prefixSums[first] + baseKeyWork*float64(int(last)-int(first)+1)
 }
 
-// HottestKey returns the key with the most work.
-func (l *Loads) HottestKey() (key uint16, work float64) {
-	if l.sumsStale {
-		l.computeSums()
-	}
-	return l.hottest, float64(l.perKey[l.hottest])
-}
-
-// computeSums recomputes prefixSums and hottest.
+// computeSums recomputes prefixSums.
 func (l *Loads) computeSums() {
 	if l.prefixSums == nil {
 		l.prefixSums = make([]float64, KeyCount+1)
@@ -66,9 +56,6 @@
 	for k, work := range l.perKey {
 		l.prefixSums[k] = sum
 		sum += float64(work)
-		if work > l.perKey[l.hottest] {
-			l.hottest = uint16(k)
-		}
 	}
 	l.prefixSums[KeyCount] = sum
 	l.sumsStale = false
--- a/papayapass/internal/pipeliner/conn.go
+++ b/papayapass/internal/pipeliner/conn.go
@@ -44,8 +44,9 @@
 	// current is the one among them that the server serves, or nil.
 	started []*started
 	current *started
-	// isServing is set from the end of a bodiless head until its response.
-	isServing bool
+	// isServing is set from the end of a bodiless head until its response, and mayFollow once it is
+	// known that later requests may overtake the one being served.
+	isServing, mayFollow bool
 	// isOpaque is set once the start of the next request is not certain.
 	isOpaque bool
 	// noMore is set once no request starts early before the next response, and isEnding once none
@@ -196,7 +197,7 @@
 // startPending starts the requests in pending that have arrived whole and may start early. The
 // caller holds c.mu.
 func (c *conn) startPending() {
-	for c.isServing && !c.noMore && len(c.started) < maxStarted {
+	for c.isServing && c.mayFollow && !c.noMore && len(c.started) < maxStarted {
 		n, f := frame(c.pending[c.looked:])
 		if f != bodiless {
 			c.noMore = c.noMore || f == opaque
@@ -227,10 +228,18 @@
 	return s
 }
 
+// serving records that the server serves a request, and starts those behind it if they may overtake it.
+func (c *conn) serving(mayFollow bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mayFollow = mayFollow
+	c.startPending()
+}
+
 // responded records that the response to the present request has been written.
 func (c *conn) responded() {
 	c.mu.Lock()
-	c.isServing = false
+	c.isServing, c.mayFollow = false, false
 	c.noMore = c.isOpaque || c.isEnding
 	c.mu.Unlock()
 }
--- a/papayapass/internal/pipeliner/conn_test.go
+++ b/papayapass/internal/pipeliner/conn_test.go
@@ -45,6 +45,7 @@
 	}
 	b := make([]byte, 4096)
 	n, err := c.Read(b)
+	c.serving(true)
 	require.NoError(t, err)
 	require.Equal(t, first, string(b[:n]))
 	n, err = c.Read(b[:1])
--- a/papayapass/internal/pipeliner/pipeliner.go
+++ b/papayapass/internal/pipeliner/pipeliner.go
@@ -16,8 +16,8 @@
 // Pipeliner wraps a server's listener and its handler.
 type Pipeliner struct {
 	handler http.Handler
-	// mayStartEarly reports whether a request may run although its connection may end before
-	// its response is due.
+	// mayStartEarly reports whether a request may run beside others of its connection, and although
+	// the connection may end before its response is due.
 	mayStartEarly func(*http.Request) bool
 	// memory is for what is read ahead and for requests that started early; nil has no limit.
 	memory *budgeter.Budget
@@ -74,8 +74,10 @@
 	defer c.responded()
 	guarded := &guardedWriter{ResponseWriter: w, conn: c}
 	if s := c.takeCurrent(); s != nil {
+		c.serving(true)
 		s.respond(r.Context(), guarded)
 		return
 	}
+	c.serving(p.mayStartEarly(r))
 	p.handler.ServeHTTP(guarded, r)
 }
--- a/papayapass/internal/pipeliner/pipeliner_test.go
+++ b/papayapass/internal/pipeliner/pipeliner_test.go
@@ -260,3 +260,34 @@
 	s.awaitRunning("/3")
 	require.Zero(t, memory.Used())
 }
+
+// A read that was sent behind a deletion got the state before it.
+func TestRequestsDoNotOvertakeChanges(t *testing.T) {
+	s := newSite(t, nil)
+	c := s.connect()
+	c.send("DELETE /1 HTTP/1.1\r\nHost: a\r\n\r\n" + get("/2") + get("/3"))
+	s.awaitRunning("/1")
+	close(s.gate("/1"))
+	c.receive("/1")
+	s.awaitRunning("/2", "/3") // the third beside the second
+	close(s.gate("/2"))
+	close(s.gate("/3"))
+	c.receive("/2")
+	c.receive("/3")
+}
+
+// What had arrived while the limit was reached waited for its turn, although there was room again.
+func TestRequestsThatHaveArrivedStartWhenThereIsRoom(t *testing.T) {
+	s := newSite(t, nil)
+	c := s.connect()
+	close(s.gate("/open"))
+	c.send(strings.Repeat(get("/open"), maxStarted+1) + get("/wait") + strings.Repeat(get("/open"), 2))
+	for range maxStarted + 1 {
+		c.receive("/open")
+	}
+	for range maxStarted + 4 {
+		<-s.running
+	}
+	close(s.gate("/wait"))
+	c.receive("/wait")
+}
