Put customers' priorities before routes', with turns for the less urgent

Cause: a customer's priority was read from the configuration, but requests were ordered by the priority of their route only. Change: calls carry the customer's priority to the admitter, which orders by it first; requests without a key count as most urgent. So that urgent customers do not shut out the others at a full backend server, each less urgent priority keeps a third of its share of the starts (admitter.turns), and waits are predicted with these turns. Without customers there is one priority, and order and predictions are as before. TestKeysOfCustomers also checks the priority of the call, TestQueueOrder the order.

--- a/papayapass/internal/admitter/admitter.go
+++ b/papayapass/internal/admitter/admitter.go
@@ -53,6 +53,8 @@
 type Request struct {
 	// Kind groups requests of similar duration.
 	Kind string
+	// CustomerPriority ranks the customer; it precedes Priority, and zero is the most urgent.
+	CustomerPriority int
 	// Priority ranks the request; zero is the most urgent.
 	Priority int
 	// Nested is set for a call of a backend server that runs another request.
@@ -99,6 +101,7 @@
 	// limit is the rate that the backend server accepts.
 	limit rateLimit
 	calls callLoad
+	turns turns
 }
 
 // NewAdmitter returns an admitter of a process that started at an instant. It admits nothing until its
@@ -201,6 +204,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.calls.observe(r, a.slots)
+	a.turns.observe(a.queue, r)
 	t = &Ticket{Request: r, arrived: now, admitted: make(chan bool, 1)}
 	if len(a.queue) == 0 && a.canStart(now) {
 		a.start(t, now)
@@ -211,7 +215,7 @@
 	if !queue && !r.mayQueueAtOnce(wait) {
 		return nil, Busy, wait
 	}
-	excess := max(wait-a.maxWait(r, now), now.Add(wait+t.planned).Sub(r.Deadline))
+	excess := max(wait-max(a.maxWait(r, now), a.turnWait(t, wait)), now.Add(wait+t.planned).Sub(r.Deadline))
 	if late := now.Add(wait + a.mean(r.Kind)).Sub(r.Deadline); late > 0 {
 		if t.isTry = true; a.hasWaitingTry(r.Kind) {
 			excess = max(excess, late)
@@ -267,13 +271,7 @@
 // expectedWait predicts how long a request waits: the slots first run the requests ahead
 // of it, and nested calls that come meanwhile; all of them keep to the rates.
 func (a *Admitter) expectedWait(t *Ticket, now timer.Instant) time.Duration {
-	before, work := 1, a.allWork.Value()
-	for _, q := range a.queue {
-		if !t.before(q) {
-			before++
-			work += cmp.Or(a.mean(q.Kind), a.allWork.Value())
-		}
-	}
+	before, work := a.workUntil(t)
 	wait := time.Duration(float64(work) / float64(max(a.slots, 1)) / (1 - a.calls.shareBefore(t.Request)))
 	if now < a.warmUpUntil {
 		warmUpWait := time.Duration(float64(before) / max(a.warmUpRate, 1) * float64(time.Second))
@@ -349,7 +347,7 @@
 func (a *Admitter) admit(now timer.Instant) {
 	a.rejectOverdue(now)
 	for len(a.queue) > 0 && a.canStart(now) {
-		t := heap.Pop(&a.queue).(*Ticket)
+		t := heap.Remove(&a.queue, a.turns.next(a.queue)).(*Ticket)
 		a.start(t, now)
 		t.admitted <- true
 	}
--- a/papayapass/internal/admitter/callload.go
+++ b/papayapass/internal/admitter/callload.go
@@ -13,12 +13,14 @@
 	running  int
 	share    float64
 	priority int
+	// customerPriority is that of the calls, zero in practice since they have no key.
+	customerPriority int
 }
 
 // observe counts the running calls when a request is offered.
 func (l *callLoad) observe(r Request, slots int) {
 	if r.Nested {
-		l.priority = r.Priority
+		l.priority, l.customerPriority = r.Priority, r.CustomerPriority
 	}
 	share := min(float64(l.running)/float64(max(slots, 1)), maxCallShare)
 	l.share += callSmoothing * (share - l.share)
@@ -26,7 +28,7 @@
 
 // shareBefore returns the share of the slots that go to calls before a request.
 func (l *callLoad) shareBefore(r Request) float64 {
-	if r.Nested || r.Priority < l.priority {
+	if r.Nested || r.CustomerPriority < l.customerPriority || (r.CustomerPriority == l.customerPriority && r.Priority < l.priority) {
 		return 0
 	}
 	return l.share
--- a/papayapass/internal/admitter/queue.go
+++ b/papayapass/internal/admitter/queue.go
@@ -1,6 +1,6 @@
 package admitter
 
-// queue orders requests by priority, nested calls first, then by arrival.
+// queue orders requests by their customers' priority, then by their own, nested calls first, then by arrival.
 type queue []*Ticket
 
 // before reports whether a request starts before another. Of the same priority, nested calls
@@ -8,6 +8,8 @@
 // holds a slot until they end.
 func (t *Ticket) before(o *Ticket) bool {
 	switch {
+	case t.CustomerPriority != o.CustomerPriority:
+		return t.CustomerPriority < o.CustomerPriority
 	case t.Priority != o.Priority:
 		return t.Priority < o.Priority
 	case t.Nested != o.Nested:
--- a/papayapass/internal/admitter/queue_test.go
+++ b/papayapass/internal/admitter/queue_test.go
@@ -12,9 +12,10 @@
 
 func TestQueueOrder(t *testing.T) {
 	tests := map[string]struct{ first, second Ticket }{
-		"priority before nested": {Ticket{Request: Request{Priority: 0}}, Ticket{Request: Request{Priority: 1, Nested: true}}},
-		"nested before earlier":  {Ticket{Request: Request{Nested: true}, arrived: 2}, Ticket{arrived: 1}},
-		"earlier before later":   {Ticket{arrived: 1}, Ticket{arrived: 2}},
+		"customer's priority first": {Ticket{Request: Request{Priority: 9}}, Ticket{Request: Request{CustomerPriority: 1, Nested: true}}},
+		"priority before nested":    {Ticket{Request: Request{Priority: 0}}, Ticket{Request: Request{Priority: 1, Nested: true}}},
+		"nested before earlier":     {Ticket{Request: Request{Nested: true}, arrived: 2}, Ticket{arrived: 1}},
+		"earlier before later":      {Ticket{arrived: 1}, Ticket{arrived: 2}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -28,6 +28,9 @@
 	Key        uint16
 	Idempotent bool
 	Priority   int
+	// CustomerPriority is the priority of the customer, which precedes that of the route; zero, the most
+	// urgent, for requests without a key, as those of backend servers.
+	CustomerPriority int
 	// Customer is the name of the customer, or empty if the request needs no key.
 	Customer string
 	// ConfigurationVersion is that of the configuration which names the customer.
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -145,7 +145,7 @@
 	c := d.newCall(r, route, body, arrived)
 	c.Memory = memory
 	if c.Customer = enter.customerName(); c.Customer != "" {
-		c.ConfigurationVersion = cfg.Version
+		c.ConfigurationVersion, c.CustomerPriority = cfg.Version, enter.customer.Priority
 	}
 	if s, ok := cfg.Services[c.Service]; ok && s.Divided {
 		c.Divided = true
--- a/papayapass/internal/dispatcher/entrance_test.go
+++ b/papayapass/internal/dispatcher/entrance_test.go
@@ -65,7 +65,7 @@
 
 // Which requests enter, by key, route and freshness of the configuration.
 func TestKeysOfCustomers(t *testing.T) {
-	known := []descriptor.Customer{{Name: "acme", Keys: []string{"k1", "k2"}, Rate: 1}, {Name: "birch", Keys: []string{"k3"}}}
+	known := []descriptor.Customer{{Name: "acme", Keys: []string{"k1", "k2"}, Rate: 1}, {Name: "birch", Keys: []string{"k3"}, Priority: 3}}
 	long := string(bytes.Repeat([]byte("k"), 10_000))
 	cases := map[string]struct {
 		path     string
@@ -123,6 +123,8 @@
 			require.Len(t, server.calls, 1)
 			c := server.calls[0]
 			require.Equal(t, tt.customer, c.Customer)
+			require.Equal(t, tt.customer == "birch", c.CustomerPriority == 3)
+			require.Zero(t, c.CustomerPriority%3)
 			require.NotContains(t, c.Header, "Customer-Key")
 			require.NotContains(t, c.Header, "Customer", "the sender named a customer")
 		})
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -37,27 +37,28 @@
 
 // callHead is the head of a call between nodes; the request's body follows it.
 type callHead struct {
-	ID         string      `json:"id"`
-	Method     string      `json:"method"`
-	URI        string      `json:"uri"`
-	Host       string      `json:"host"`
-	Header     http.Header `json:"header"`
-	Route      string      `json:"route"`
-	Service    string      `json:"service"`
-	Divided    bool        `json:"divided,omitempty"`
-	Key        uint16      `json:"key,omitempty"`
-	Idempotent bool        `json:"idempotent,omitempty"`
-	Priority   int         `json:"priority,omitempty"`
-	Customer   string      `json:"customer,omitempty"`
-	Version    uint64      `json:"version,omitempty"` // of the configuration that names the customer
-	Objective  int64       `json:"objectiveMillis,omitempty"`
-	Caller     string      `json:"caller"`
-	Left       int64       `json:"leftMillis"` // until the deadline
-	NoQueue    bool        `json:"impatient,omitempty"`
-	Trace      string      `json:"trace,omitempty"`
-	Notice     *Notice     `json:"notice,omitempty"`
-	IsSuspect  bool        `json:"suspect,omitempty"`
-	WantsLoad  bool        `json:"load,omitempty"`
+	ID               string      `json:"id"`
+	Method           string      `json:"method"`
+	URI              string      `json:"uri"`
+	Host             string      `json:"host"`
+	Header           http.Header `json:"header"`
+	Route            string      `json:"route"`
+	Service          string      `json:"service"`
+	Divided          bool        `json:"divided,omitempty"`
+	Key              uint16      `json:"key,omitempty"`
+	Idempotent       bool        `json:"idempotent,omitempty"`
+	Priority         int         `json:"priority,omitempty"`
+	CustomerPriority int         `json:"customerPriority,omitempty"`
+	Customer         string      `json:"customer,omitempty"`
+	Version          uint64      `json:"version,omitempty"` // of the configuration that names the customer
+	Objective        int64       `json:"objectiveMillis,omitempty"`
+	Caller           string      `json:"caller"`
+	Left             int64       `json:"leftMillis"` // until the deadline
+	NoQueue          bool        `json:"impatient,omitempty"`
+	Trace            string      `json:"trace,omitempty"`
+	Notice           *Notice     `json:"notice,omitempty"`
+	IsSuspect        bool        `json:"suspect,omitempty"`
+	WantsLoad        bool        `json:"load,omitempty"`
 }
 
 // resultHead is the head of the result of a call; the response's body follows it.
@@ -166,7 +167,7 @@
 	defer p.addInFlight(-1)
 	body, err := p.enveloper.Pack(callHead{
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: c.Header, Route: c.Route, Service: c.Service,
-		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority, Customer: c.Customer, Version: c.ConfigurationVersion,
+		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority, CustomerPriority: c.CustomerPriority, Customer: c.Customer, Version: c.ConfigurationVersion,
 		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
 		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), NoQueue: c.NoQueue, Trace: c.Trace, Notice: p.knownNotice(),
 		IsSuspect: c.IsSuspect, WantsLoad: p.asksForLoad(c),
@@ -289,7 +290,7 @@
 	c := &Call{
 		ID: head.ID, Method: head.Method, URI: head.URI, Host: head.Host, Header: head.Header, Body: body,
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
-		Priority: head.Priority, Customer: head.Customer, ConfigurationVersion: head.Version, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
+		Priority: head.Priority, CustomerPriority: head.CustomerPriority, Customer: head.Customer, ConfigurationVersion: head.Version, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), NoQueue: head.NoQueue,
 		Trace: trace, Memory: memory, IsSuspect: head.IsSuspect, WantsLoad: head.WantsLoad,
 	}
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -62,7 +62,7 @@
 			Msg("callers of a route changed, nested calls are admitted before customers' requests of their priority")
 	}
 	r := admitter.Request{
-		Kind: c.Route, Priority: c.Priority, Nested: nested,
+		Kind: c.Route, CustomerPriority: c.CustomerPriority, Priority: c.Priority, Nested: nested,
 		Objective: c.Objective, Deadline: c.Deadline,
 	}
 	ticket, decision, retry := f.admitter.Offer(r, f.clock.Now(), !c.NoQueue)
