Check a deployment's configuration before it is sent

Operators saw faults of a configuration only in the nodes' logs, or as failed requests. papayapass deployment check FILE [--against FILE] [--json] decodes it with the nodes' parser, lists findings with severity, place and reason, and tells what it changes; it never prints a key. Zero limits are warnings, since the nodes' own limits apply then.

Ran: make lint, no issues; go test -race of checker and commander, pass; FuzzCheck, 20000 executions, pass.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	cd papayapass && go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_COUNT) ./internal/messenger
 	cd papayapass && go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZ_COUNT) ./internal/exchanger
 	cd papayapass && go test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZ_COUNT) ./internal/enveloper
+	cd papayapass && go test -run '^$$' -fuzz FuzzCheck -fuzztime $(FUZZ_COUNT) ./internal/checker
 	go test -run '^$$' -fuzz FuzzDecodeHeartbeat -fuzztime $(FUZZ_COUNT) ./platform
 	go test -run '^$$' -fuzz FuzzDecodeObject -fuzztime $(FUZZ_COUNT) ./platform
 	go test -run '^$$' -fuzz FuzzDecodeConfiguration -fuzztime $(FUZZ_COUNT) ./platform
--- a/papayapass/internal/commander/deployment.go
+++ b/papayapass/internal/commander/deployment.go
@@ -35,7 +35,7 @@
 		},
 	}
 	cmd.PersistentFlags().StringVar(&address, "store", "127.0.0.1:8142", "address of the deployment's store")
-	cmd.AddCommand(newDeploymentOwnerCommand(&address))
+	cmd.AddCommand(newDeploymentOwnerCommand(&address), newDeploymentCheckCommand())
 	return cmd
 }
 
