--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -104,9 +104,13 @@
 
 // NewPeer returns a peer at an IP address and port.
 func NewPeer(address string, clock timer.Clock, e *enveloper.Enveloper) *Peer {
+	return newPeer(address, clock, e, peerConnectTimeout)
+}
+
+func newPeer(address string, clock timer.Clock, e *enveloper.Enveloper, connectTimeout time.Duration) *Peer {
 	return &Peer{
 		clock: clock, enveloper: e, host: address,
-		exchanger: exchanger.NewExchanger(address, peerConnectTimeout, peerMaxIdle, maxBodyBytes, nil),
+		exchanger: exchanger.NewExchanger(address, connectTimeout, peerMaxIdle, maxBodyBytes, nil),
 	}
 }
 
