Limit what the kernel holds for connections at each listener

Seen: 300 clients sent bodies of 8 MiB that stopped short of their end to a node of 184 MB. It had 132 MB resident and 386 MB received and not read (TestCrowds/bodies of 8 MiB that stop/a route), and a crowd that read no answers had 51 MB resident and 66 MB not sent on 96 MB (large answers that nobody reads). The tests saw resident memory only.

Cause: the kernel tunes the buffers of each connection up to megabytes, and nothing counted them.

Change: listeners ask for small buffers, which their connections inherit, and the number of connections covers what they can receive unread. Answers are charged to a budget before they are written, by the length of the kernel's queue, and wait for room in it. A connection that the server closes before its client has read the answer keeps its place until then.

--- a/papayapass/internal/budgeter/budgeter.go
+++ b/papayapass/internal/budgeter/budgeter.go
@@ -100,6 +100,15 @@
 	return l.taken.Load()
 }
 
+// Return gives n bytes back.
+func (l *Lease) Return(n int64) {
+	if l == nil || n == 0 {
+		return
+	}
+	l.taken.Add(-n)
+	_ = l.budget.add(-n) // giving back does not fail
+}
+
 // Close gives the memory back.
 func (l *Lease) Close() {
 	if l == nil {
--- a/papayapass/internal/drainer/conn.go
+++ b/papayapass/internal/drainer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,8 @@
 	guard *Guard // nil without limits
 	own   *budgeter.Lease
 	watch shedder.Watch // used by Sweep only
+	// unsent accounts for what the kernel holds of the answers.
+	unsent *sendQueue
 	// moved counts the bytes read and written.
 	moved atomic.Int64
 
@@ -70,6 +73,9 @@
 	ended bool
 	// readCut and writeCut are set if no more is read or written.
 	readCut, writeCut bool
+	// dropped is set if answers that are not read yet may be lost, and lingering if the server has closed the
+	// connection and its client has not read them.
+	dropped, lingering bool
 	// inRequest is set from the end of a head to the end of the response.
 	inRequest bool
 	// reading is set while the rest of a body is awaited, and writing is what is left to write.
@@ -161,7 +167,11 @@
 		if done == len(b) {
 			return done, nil
 		}
-		n, err := c.Conn.Write(b[done:min(done+writePiece, len(b))])
+		piece := b[done:min(done+writePiece, len(b))]
+		if err := c.awaitRoom(int64(len(piece))); err != nil {
+			return done, err
+		}
+		n, err := c.Conn.Write(piece)
 		done += n
 		c.moved.Add(int64(n))
 		if err != nil {
@@ -170,6 +180,52 @@
 	}
 }
 
+// awaitRoom waits until the kernel may hold n more bytes of answers.
+func (c *conn) awaitRoom(n int64) error {
+	for {
+		changed := c.guard.Unsent.changed()
+		if c.unsent.add(n) {
+			return nil
+		}
+		c.mu.Lock()
+		cut := c.writeCut
+		c.mu.Unlock()
+		if cut {
+			return os.ErrDeadlineExceeded
+		}
+		<-changed
+	}
+}
+
+// Close closes the connection. One that is not cut stays open until its client has read the answers, so that
+// what the kernel holds of them stays accounted for; the sweeps end it.
+func (c *conn) Close() error {
+	if c.guard == nil {
+		return c.Conn.Close()
+	}
+	left := c.unsent.left()
+	c.mu.Lock()
+	cut := c.writeCut || c.dropped
+	c.writeCut, c.readCut = true, true
+	c.lingering = !cut && left > freeUnsent
+	lingering := c.lingering
+	c.mu.Unlock()
+	if lingering {
+		return c.unsent.tcp.CloseWrite()
+	}
+	return c.drop(left)
+}
+
+// drop closes the connection, and drops what its client has not read of the answers.
+func (c *conn) drop(left int64) error {
+	if left > freeUnsent {
+		_ = c.unsent.tcp.SetLinger(0) // it is closed in any case
+	}
+	c.unsent.close()
+	c.guard.Unsent.signal()
+	return c.Conn.Close()
+}
+
 // SetReadDeadline sets the read deadline unless the connection has been ended.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -203,23 +259,30 @@
 
 // markIdle records that the last response has been sent.
 func (c *conn) markIdle() {
+	if !c.takeNextHead() {
+		_ = c.Close() // a request sent ahead that is not served
+	}
+}
+
+// takeNextHead starts the account of the next head, and returns false if there is no memory for it.
+func (c *conn) takeNextHead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.inRequest, c.parsed = false, false, headCounter{}
 	c.requests++
 	if c.guard == nil {
-		return
+		return true
 	}
 	c.head.Close()
 	if c.ahead == 0 {
-		return
+		return true
 	}
 	// The head of the next request is in the server's buffer already.
 	if err := c.head.Take(int64(fieldBytes * c.ahead)); err != nil { // counted, and logged from the counts
 		c.guard.Count(shedder.ReasonMemory)
-		c.readCut = true
-		_ = c.Close() // a request sent ahead that is not served
+		return false
 	}
+	return true
 }
 
 // endIfIdle ends the connection unless a request has started.
@@ -278,7 +341,7 @@
 	}
 	c.guard.Count(reason)
 	if r.Phase == shedder.Idle {
-		c.ended = true
+		c.ended, c.dropped = true, c.unsent.held() > 0
 		_ = c.Conn.SetReadDeadline(past) // a broken connection has already ended
 		return
 	}
@@ -287,5 +350,6 @@
 	if r.Phase != shedder.Body {     // the server would answer a part of a head
 		c.writeCut = true
 		_ = c.Conn.SetWriteDeadline(past) // a broken connection has already ended
+		c.guard.Unsent.signal()
 	}
 }
--- a/papayapass/internal/drainer/drainer.go
+++ b/papayapass/internal/drainer/drainer.go
@@ -26,16 +26,19 @@
 	// crowded is set from a refusal until a sweep finds room again.
 	crowded atomic.Bool
 
-	mu        sync.Mutex
-	closing   bool
-	conns     map[*conn]struct{}
+	mu      sync.Mutex
+	closing bool
+	conns   map[*conn]struct{}
+	// lingering are connections that the server has closed, with the bytes that they had moved and the time
+	// since then.
+	lingering map[*conn]linger
 	allClosed chan struct{}
 }
 
 // NewDrainer returns a drainer for a server at a listener. It wraps the server's handler
 // and sets its ConnState hook.
 func NewDrainer(s *http.Server, l net.Listener) *Drainer {
-	d := &Drainer{server: s, listener: l, conns: make(map[*conn]struct{}), allClosed: make(chan struct{})}
+	d := &Drainer{server: s, listener: l, conns: make(map[*conn]struct{}), lingering: make(map[*conn]linger), allClosed: make(chan struct{})}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.keepAlivesDisabled.Load() || d.isCrowded() {
@@ -106,7 +109,7 @@
 		c.markIdle()
 	case http.StateClosed, http.StateHijacked:
 		delete(d.conns, c)
-		d.release(c)
+		d.closed(c)
 		d.signalIfEmpty()
 		return
 	case http.StateActive:
--- a/papayapass/internal/drainer/guard.go
+++ b/papayapass/internal/drainer/guard.go
@@ -26,6 +26,8 @@
 	Memory *budgeter.Budget
 	// Bodies is the budget that bodies of requests on the connections are taken from.
 	Bodies *budgeter.Budget
+	// Unsent is what the kernel may take for answers that clients have not read.
+	Unsent *SendBudget
 	// MaxConnections is the largest number of connections.
 	MaxConnections int
 	// Limits returns the limits in force.
@@ -43,7 +45,7 @@
 		return true
 	}
 	c.guard = d.guard
-	c.own, c.head = d.guard.Memory.Lease(), d.guard.Memory.Lease()
+	c.own, c.head, c.unsent = d.guard.Memory.Lease(), d.guard.Memory.Lease(), newSendQueue(d.guard.Unsent, c.Conn)
 	if d.open.Add(1) > int64(d.guard.MaxConnections) {
 		d.open.Add(-1)
 		d.full.Store(true)
@@ -69,6 +71,57 @@
 	defer c.mu.Unlock()
 	c.own.Close()
 	c.head.Close()
+	c.unsent.close()
+	c.guard.Unsent.signal()
+}
+
+// linger is the state of a connection whose client reads the rest of its answer.
+type linger struct {
+	left   int64
+	waited time.Duration
+}
+
+// lingerTimeout is how long a client may read nothing of the rest of an answer.
+const lingerTimeout = 10 * time.Second
+
+// shortLinger is the same while memory or descriptors are short.
+const shortLinger = time.Second
+
+// closed handles a connection that the server has closed. The caller holds d.mu.
+func (d *Drainer) closed(c *conn) {
+	if c.guard == nil {
+		return
+	}
+	c.mu.Lock()
+	lingering := c.lingering
+	c.mu.Unlock()
+	if lingering {
+		d.lingering[c] = linger{left: c.unsent.left()}
+		return
+	}
+	d.release(c)
+}
+
+// sweepLingering closes connections whose clients have read their answers, or read no more of them. The
+// caller holds d.mu.
+func (d *Drainer) sweepLingering(elapsed time.Duration, short bool) {
+	limit := lingerTimeout
+	if short {
+		limit = shortLinger
+	}
+	for c, l := range d.lingering {
+		left := c.unsent.left()
+		if l.waited += elapsed; left < l.left {
+			l = linger{left: left}
+		}
+		d.lingering[c] = l
+		if left > 0 && l.waited < limit {
+			continue
+		}
+		delete(d.lingering, c)
+		_ = c.drop(left) // nothing more is expected of it
+		d.release(c)
+	}
 }
 
 // Sweep closes connections that exceed a time limit, and if memory or descriptors were short since
@@ -81,6 +134,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c := range d.conns {
+		c.unsent.measure()
 		r := c.snapshot()
 		if reason := c.watch.Observe(r, elapsed, limits); reason != shedder.ReasonNone {
 			c.end(r, reason)
@@ -99,6 +153,12 @@
 	if d.guard.Bodies != nil && d.guard.Bodies.TakeRefusals() > 0 {
 		d.shed(excess(d.guard.Bodies), (*conn).heldBody)
 	}
+	short := d.guard.Unsent.budget.TakeRefusals() > 0
+	d.sweepLingering(elapsed, short || d.isFull())
+	if short {
+		d.shed(excess(d.guard.Unsent.budget), func(c *conn) int64 { return c.unsent.held() })
+	}
+	d.guard.Unsent.signal()
 }
 
 // isFull reports whether less is free than a sweep sets free.
--- a/papayapass/internal/drainer/guard_test.go
+++ b/papayapass/internal/drainer/guard_test.go
@@ -22,7 +22,7 @@
 	d := NewDrainer(&http.Server{Handler: h, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}, p)
 	counted := make(chan shedder.Reason, 100)
 	d.Limit(&Guard{
-		Memory: budgeter.NewBudget(memory), Bodies: budgeter.NewBudget(memory), MaxConnections: conns, Count: func(r shedder.Reason) { counted <- r },
+		Memory: budgeter.NewBudget(memory), Bodies: budgeter.NewBudget(memory), Unsent: NewSendBudget(memory), MaxConnections: conns, Count: func(r shedder.Reason) { counted <- r },
 		Limits: func() shedder.Limits {
 			return shedder.Limits{HeadBytes: 4 << 10, HeadTime: 3 * time.Second, IdleTime: 15 * time.Second}
 		},
--- a/papayapass/internal/launcher/doors.go
+++ b/papayapass/internal/launcher/doors.go
@@ -20,19 +20,29 @@
 
 // Shares of the process's memory for the connections and heads of each listener, and of its
 // descriptors for the connections. With bodyMemoryShare and controlMemoryShare they leave room for
-// the rest of the process, and none can take what another needs.
+// the rest of the process, and none can take what another needs. docs/design/crowds.md has the sum.
 const (
-	customerMemoryShare     = 0.15
+	customerMemoryShare     = 0.12
 	customerDescriptorShare = 0.4
-	peerMemoryShare         = 0.1
+	peerMemoryShare         = 0.08
 	peerDescriptorShare     = 0.35
 	// innerMemoryShare and innerDescriptorShare are for each of ready, heartbeats and metrics.
-	innerMemoryShare     = 0.02
+	innerMemoryShare     = 0.015
 	innerDescriptorShare = 0.03
+	// The unread shares are for what the kernel holds of what connections have received, and the unsent
+	// shares for what it holds of answers.
+	customerUnreadShare = 0.08
+	peerUnreadShare     = 0.06
+	innerUnreadShare    = 0.01
+	customerUnsentShare = 0.05
+	peerUnsentShare     = 0.02
+	innerUnsentShare    = 0.004
 	// earlyShare is the part of a listener's memory for requests that start early.
 	earlyShare = 0.25
 	// minDoorMemory is the least memory of a listener, in bytes: a few of the largest heads.
 	minDoorMemory = 2 << 20
+	// minUnsent is the least memory for answers in the kernel, in bytes: a few large ones.
+	minUnsent = 256 << 10
 	// customerBodyShare is the part of the memory for bodies that customers may take; other nodes'
 	// calls always have the rest.
 	customerBodyShare = 0.9
@@ -56,6 +66,9 @@
 // doors are the listeners of a node.
 type doors struct{ customers, ready, heartbeats, metrics, peers *door }
 
+// doorShares are the shares of a listener in the memory and the descriptors of the process.
+type doorShares struct{ memory, descriptors, unread, unsent float64 }
+
 // door limits the connections of one listener and counts what was refused or closed.
 type door struct {
 	name  string
@@ -68,26 +81,29 @@
 
 func (n *node) newDoors() *doors {
 	descriptors := n.settings.descriptors()
-	newDoor := func(name string, memoryShare, descriptorShare float64, bodies *budgeter.Budget, limits func() shedder.Limits) *door {
+	memory := float64(n.settings.Node.MemoryMB) * (1 << 20)
+	newDoor := func(name string, s doorShares, bodies *budgeter.Budget, limits func() shedder.Limits) *door {
 		d := &door{name: name, counts: make(map[shedder.Reason]int), logged: make(map[shedder.Reason]int)}
-		memory := max(int64(memoryShare*float64(n.settings.Node.MemoryMB)*(1<<20)), minDoorMemory)
 		d.guard = drainer.Guard{
-			Memory: budgeter.NewBudget(memory), Bodies: bodies, Limits: limits, Count: d.count,
-			MaxConnections: max(int(descriptorShare*float64(descriptors)), minConnections),
+			Memory: budgeter.NewBudget(max(int64(s.memory*memory), minDoorMemory)), Bodies: bodies, Limits: limits, Count: d.count,
+			Unsent:         drainer.NewSendBudget(max(int64(s.unsent*memory), minUnsent)),
+			MaxConnections: max(min(int(s.descriptors*float64(descriptors)), int(s.unread*memory)/drainer.MaxUnread), minConnections),
 		}
 		label := `{door="` + name + `"}`
 		n.meter.Gauge("papayapass_connection_bytes"+label, func() float64 { return float64(d.guard.Memory.Used()) })
+		n.meter.Gauge("papayapass_unsent_bytes"+label, func() float64 { return float64(d.guard.Unsent.Used()) })
 		for _, r := range shedder.Reasons() {
 			n.meter.Gauge(`papayapass_connections_refused_total{door="`+name+`",reason="`+string(r)+`"}`, func() float64 { return float64(d.counted(r)) })
 		}
 		return d
 	}
+	inner := doorShares{innerMemoryShare, innerDescriptorShare, innerUnreadShare, innerUnsentShare}
 	return &doors{
-		customers:  newDoor("customers", customerMemoryShare, customerDescriptorShare, n.memory.Part(int64(customerBodyShare*float64(n.memory.Limit()))), n.customerLimits),
-		peers:      newDoor("peers", peerMemoryShare, peerDescriptorShare, n.memory, innerLimits),
-		ready:      newDoor("ready", innerMemoryShare, innerDescriptorShare, nil, innerLimits),
-		heartbeats: newDoor("heartbeats", innerMemoryShare, innerDescriptorShare, nil, innerLimits),
-		metrics:    newDoor("metrics", innerMemoryShare, innerDescriptorShare, nil, innerLimits),
+		customers:  newDoor("customers", doorShares{customerMemoryShare, customerDescriptorShare, customerUnreadShare, customerUnsentShare}, n.memory.Part(int64(customerBodyShare*float64(n.memory.Limit()))), n.customerLimits),
+		peers:      newDoor("peers", doorShares{peerMemoryShare, peerDescriptorShare, peerUnreadShare, peerUnsentShare}, n.memory, innerLimits),
+		ready:      newDoor("ready", inner, nil, innerLimits),
+		heartbeats: newDoor("heartbeats", inner, nil, innerLimits),
+		metrics:    newDoor("metrics", inner, nil, innerLimits),
 	}
 }
 
@@ -128,7 +144,7 @@
 
 // listen serves a handler at an address; wrap, if any, wraps the listener.
 func (n *node) listen(requests context.Context, g *errgroup.Group, door *door, address string, h http.Handler, wrap func(net.Listener) net.Listener) error {
-	l, err := net.Listen("tcp", address)
+	l, err := drainer.Listen(requests, address)
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", address)
 	}
