Pass large bodies on while they arrive

Seen: one body of 32 MiB was served by nodes of 184 MB; 48 and 64 MiB got 503 in calm although maxBodyBytes is 64 MiB, at the owner's node and through another one (TestLargestBodiesAreServedInCalm failed on both).

Cause: a body was kept whole, and customers' bodies share 33 MB.

Change: a body above a quarter of that share is passed on while it arrives, over both hops. Its first part is kept, so that a rejection before the rest is read still allows another try; after that there is none. Such requests have four places at a node and a quarter of the slots of a backend server, so that slow senders leave the rest to others. Reading a body ends at the deadline of its request. Bodies between nodes are no longer copied into their envelopes, and a large body raises the receive buffer of its connection if there is memory for it.

--- a/papayapass/internal/budgeter/budgeter.go
+++ b/papayapass/internal/budgeter/budgeter.go
@@ -119,6 +119,12 @@
 	}
 }
 
+// ReadFirst reads the first n bytes of a body, or all of it if it ends before; ended tells which.
+func (l *Lease) ReadFirst(r io.Reader, n int64) (b []byte, ended bool, err error) {
+	b, err = l.ReadAll(io.LimitReader(r, n), n, -1)
+	return b, err == nil && int64(len(b)) < n, err
+}
+
 // ReadAll reads a body of at most limit bytes until its end; expected is its announced
 // length, or negative.
 func (l *Lease) ReadAll(r io.Reader, limit, expected int64) ([]byte, error) {
--- a/papayapass/internal/dispatcher/call.go
+++ b/papayapass/internal/dispatcher/call.go
@@ -16,12 +16,14 @@
 
 // Call is a request on its way to a backend server.
 type Call struct {
-	ID         string
-	Method     string
-	URI        string
-	Host       string
-	Header     http.Header
-	Body       []byte
+	ID     string
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Stream is the body, in place of Body, if it is passed on while it arrives.
+	Stream     *exchanger.Stream
 	Route      string
 	Service    string
 	Divided    bool
@@ -53,7 +55,7 @@
 	IsSuspect bool
 }
 
-// Fingerprint returns the fingerprint of the request.
+// Fingerprint returns the fingerprint of the request, without a body that is passed on while it arrives.
 func (c *Call) Fingerprint() fingerprinter.Fingerprint {
 	return fingerprinter.Sum(fingerprinter.Request{Caller: c.Caller, Method: c.Method, Host: c.Host, URI: c.URI, Key: c.Key, Body: c.Body})
 }
--- a/papayapass/internal/dispatcher/dispatcher.go
+++ b/papayapass/internal/dispatcher/dispatcher.go
@@ -86,6 +86,8 @@
 	splitter *splitter
 	// quota is nil if customers are not limited.
 	quota Quota
+	// large are the bodies that are passed on while they arrive.
+	large largeBodies
 	// stopAt is when a stopping node gives up what is still in flight; zero while it runs.
 	stopAt atomic.Int64
 }
@@ -137,13 +139,23 @@
 	memory := d.memory.Lease()
 	defer memory.Close()
 	limit := max(cfg.Limits.BodyBytes, 1)
-	body, err := memory.ReadAll(http.MaxBytesReader(w, r.Body, limit), limit, r.ContentLength)
+	left := d.timeLeft(r.Header, route.Timeout)
+	lift := limitRead(w, r, left)
+	body, err := d.readBody(w, r, memory, limit)
+	defer body.close()
 	if err != nil {
-		d.rejectBody(w, err)
+		d.rejectBody(w, err, left)
+		limitRest(w)
 		return
 	}
-	c := d.newCall(r, route, body, arrived)
-	c.Memory = memory
+	if body.stream == nil {
+		lift()
+	} else {
+		w.Header().Set("Connection", "close") // the rest of the body may never be read
+		defer limitRest(w)
+	}
+	c := d.newCall(r, route, body.whole, arrived.Add(left))
+	c.Memory, c.Stream = memory, body.stream
 	if c.Customer = enter.customerName(); c.Customer != "" {
 		c.ConfigurationVersion, c.CustomerPriority = cfg.Version, enter.customer.Priority
 	}
@@ -189,23 +201,15 @@
 	d.respond(w, c, res, arrived, attempts)
 }
 
-func (d *Dispatcher) newCall(r *http.Request, route *descriptor.Route, body []byte, arrived timer.Instant) *Call {
+func (d *Dispatcher) newCall(r *http.Request, route *descriptor.Route, body []byte, deadline timer.Instant) *Call {
 	header := endToEnd(r.Header)
 	d.codec.RemoveCustomer(header)
-	c := &Call{
+	return &Call{
 		ID: d.codec.RequestID(r.Header), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: header, Body: body, Route: route.Name, Service: d.splitter.pick(route),
 		Idempotent: route.Idempotent, Priority: route.Priority, Objective: route.Objective, Caller: d.caller,
+		Deadline: deadline,
 	}
-	wait := route.Timeout
-	if wait <= 0 {
-		wait = defaultTimeout
-	}
-	if left, ok := d.codec.Deadline(r.Header); ok {
-		wait = min(wait, left)
-	}
-	c.Deadline = arrived.Add(wait)
-	return c
 }
 
 // run tries backend servers until the outcome of the call is final.
@@ -279,7 +283,7 @@
 // mayRetry reports whether a call may be tried again after a result.
 func (d *Dispatcher) mayRetry(c *Call, route *descriptor.Route, res Result, sent int) bool {
 	left := c.Deadline.Sub(d.clock.Now())
-	if left <= 0 {
+	if left <= 0 || (c.Stream != nil && c.Stream.Consumed()) {
 		return false
 	}
 	if !res.Sent {
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,8 +20,11 @@
 	"papayapass.dev/shared/descriptor"
 )
 
-// CallPath is the path of calls from other nodes.
-const CallPath = "/call"
+// Paths of calls from other nodes. The bodies of those to StreamPath are passed on while they arrive.
+const (
+	CallPath   = "/call"
+	StreamPath = "/call/stream"
+)
 
 const (
 	// peerConnectTimeout limits connecting to a peer: a few round trips between zones.
@@ -169,18 +173,23 @@
 	}
 	p.addInFlight(1)
 	defer p.addInFlight(-1)
-	body, err := p.enveloper.Pack(callHead{
+	head, err := p.enveloper.PackHead(callHead{
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: c.Header, Route: c.Route, Service: c.Service,
 		Divided: c.Divided, Key: c.Key, Idempotent: c.Idempotent, Priority: c.Priority, CustomerPriority: c.CustomerPriority, Customer: c.Customer, Version: c.ConfigurationVersion,
 		Objective: c.Objective.Milliseconds(), Caller: c.Caller,
 		Left: c.Deadline.Sub(p.clock.Now()).Milliseconds(), NoQueue: c.NoQueue, Trace: c.Trace, Notice: p.knownNotice(),
 		IsSuspect: c.IsSuspect, WantsLoad: p.asksForLoad(c),
-	}, c.Body)
+	})
 	if err != nil {
 		return Result{Outcome: NotRun, Reason: ReasonBroken}
 	}
+	path := CallPath
+	if c.Stream != nil {
+		path = StreamPath
+	}
 	response, err := p.exchanger.Do(ctx, exchanger.Request{
-		Method: http.MethodPost, URI: CallPath, Host: p.host, Header: http.Header{}, Body: body, MaxIdle: peerMaxIdle, Memory: c.Memory,
+		Method: http.MethodPost, URI: path, Host: p.host, Header: http.Header{}, Body: head, Tail: c.Body, Stream: c.Stream,
+		MaxIdle: peerMaxIdle, Memory: c.Memory,
 	})
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
@@ -285,6 +294,53 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	p.serve(w, r, &head, body, nil, memory)
+}
+
+// ServeStream serves one call of another node whose body is passed on while it arrives.
+func (p *PeerHandler) ServeStream(w http.ResponseWriter, r *http.Request) {
+	memory := p.memory.Lease()
+	defer memory.Close()
+	w.Header().Set("Connection", "close") // the rest of the body may never be read
+	var head callHead
+	length, err := p.readHead(r.Body, &head, memory)
+	switch {
+	case errors.Is(err, budgeter.ErrExhausted):
+		p.reply(w, resultHead{Outcome: NotRun.String(), Reason: ReasonFull}, nil)
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if r.ContentLength >= 0 {
+		length = r.ContentLength - length
+	} else {
+		length = -1
+	}
+	p.serve(w, r, &head, nil, exchanger.NewStream(nil, r.Body, length, interrupter(w)), memory)
+	limitRest(w)
+}
+
+// readHead reads the head of an envelope and returns its length.
+func (p *PeerHandler) readHead(r io.Reader, head *callHead, memory *budgeter.Lease) (int64, error) {
+	envelope := make([]byte, enveloper.PrefixBytes)
+	if _, err := io.ReadFull(r, envelope); err != nil {
+		return 0, err
+	}
+	n, err := enveloper.HeadLength(envelope)
+	if err != nil {
+		return 0, err
+	}
+	rest, err := memory.ReadAll(io.LimitReader(r, n-enveloper.PrefixBytes), n, n-enveloper.PrefixBytes)
+	if err != nil {
+		return 0, err
+	}
+	_, err = p.enveloper.Open(append(envelope, rest...), head)
+	return n, err
+}
+
+// serve serves a call at the local backend server.
+func (p *PeerHandler) serve(w http.ResponseWriter, r *http.Request, head *callHead, body []byte, stream *exchanger.Stream, memory *budgeter.Lease) {
 	if err := memory.Take(int64(headerFieldBytes * len(head.Header))); err != nil {
 		p.reply(w, resultHead{Outcome: NotRun.String(), Reason: ReasonFull}, nil)
 		return
@@ -292,7 +348,7 @@
 	ctx, span, trace := p.tracer.Start(r.Context(), "serve for a node", head.Trace, trace.SpanKindServer)
 	defer span.End()
 	c := &Call{
-		ID: head.ID, Method: head.Method, URI: head.URI, Host: head.Host, Header: head.Header, Body: body,
+		ID: head.ID, Method: head.Method, URI: head.URI, Host: head.Host, Header: head.Header, Body: body, Stream: stream,
 		Route: head.Route, Service: head.Service, Divided: head.Divided, Key: head.Key, Idempotent: head.Idempotent,
 		Priority: head.Priority, CustomerPriority: head.CustomerPriority, Customer: head.Customer, ConfigurationVersion: head.Version, Objective: time.Duration(head.Objective) * time.Millisecond, Caller: head.Caller,
 		Deadline: p.clock.Now().Add(time.Duration(head.Left) * time.Millisecond), NoQueue: head.NoQueue,
@@ -315,20 +371,21 @@
 
 // reply responds with the result of a call and the response's body.
 func (p *PeerHandler) reply(w http.ResponseWriter, result resultHead, body []byte) {
-	packed, err := p.enveloper.Pack(result, body)
+	packed, err := p.enveloper.PackHead(result)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	WriteEnvelope(w, packed)
+	WriteEnvelope(w, packed, body)
 }
 
 // WriteEnvelope responds to a peer with an envelope and with as few headers as possible.
-func WriteEnvelope(w http.ResponseWriter, packed []byte) {
+func WriteEnvelope(w http.ResponseWriter, packed, body []byte) {
 	h := w.Header()
 	h["Date"], h["Content-Type"] = nil, nil
-	h.Set("Content-Length", strconv.Itoa(len(packed)))
+	h.Set("Content-Length", strconv.Itoa(len(packed)+len(body)))
 	_, _ = w.Write(packed) // the peer may have disconnected
+	_, _ = w.Write(body)
 }
 
 // writeResponse writes a whole response with its length.
--- a/papayapass/internal/dispatcher/respond.go
+++ b/papayapass/internal/dispatcher/respond.go
@@ -23,7 +23,8 @@
 	d.counter.ObserveRequest(route.Name, NotRun.String(), string(e.reason), e.status, d.clock.Now().Sub(arrived))
 }
 
-func (d *Dispatcher) rejectBody(w http.ResponseWriter, err error) {
+// rejectBody responds to a request whose body could not be read; left is the time that it had.
+func (d *Dispatcher) rejectBody(w http.ResponseWriter, err error, left time.Duration) {
 	var large *http.MaxBytesError
 	w.Header().Set("Connection", "close") // the rest of the body is not read
 	switch {
@@ -31,7 +32,10 @@
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 	case errors.Is(err, budgeter.ErrExhausted):
 		d.logger.Warn().Err(err).Msg("request rejected, its body does not fit into the memory for bodies")
-		writeUnavailable(w, http.StatusServiceUnavailable, absentServerRetryAfter)
+		writeUnavailable(w, http.StatusServiceUnavailable, min(absentServerRetryAfter, left/retryAfterDivisor))
+	case errors.Is(err, errStreams):
+		d.logger.Warn().Err(err).Msg("request rejected, its body cannot be kept in memory")
+		writeUnavailable(w, http.StatusServiceUnavailable, min(streamRetryAfter, left/retryAfterDivisor))
 	case errors.Is(err, os.ErrDeadlineExceeded): // the connection was cut while the body was read
 		w.WriteHeader(http.StatusRequestTimeout)
 	default:
@@ -55,10 +59,7 @@
 		retry := min(max(res.Retry, minRetryDelay(res.Reason)), max(left, minRetryAfter)/retryAfterDivisor)
 		writeUnavailable(w, status, retry)
 	default:
-		status = http.StatusBadGateway
-		if left <= 0 {
-			status = http.StatusGatewayTimeout
-		}
+		status = unknownStatus(c, left)
 		w.WriteHeader(status)
 	}
 	d.counter.ObserveRequest(c.Route, res.Outcome.String(), string(res.Reason), status, now.Sub(arrived))
@@ -77,6 +78,19 @@
 	}
 }
 
+// unknownStatus returns the status of a call whose outcome is unknown.
+func unknownStatus(c *Call, left time.Duration) int {
+	var large *http.MaxBytesError
+	switch {
+	case c.Stream != nil && errors.As(c.Stream.Err(), &large):
+		return http.StatusRequestEntityTooLarge
+	case left <= 0:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
 // minRetryDelay returns the shortest Retry-After for a reason. Most customers retry only
 // once, so it must not be too short.
 func minRetryDelay(r Reason) time.Duration {
--- a/papayapass/internal/drainer/conn.go
+++ b/papayapass/internal/drainer/conn.go
@@ -63,6 +63,8 @@
 	guard *Guard // nil without limits
 	own   *budgeter.Lease
 	watch shedder.Watch // used by Sweep only
+	// raised is the memory of a larger receive buffer.
+	raised *budgeter.Lease
 	// unsent accounts for what the kernel holds of the answers.
 	unsent *sendQueue
 	// moved counts the bytes read and written.
@@ -121,12 +123,25 @@
 		}
 		return n, err
 	}
+	if c.raised != nil && c.raised.Taken() == 0 && c.moved.Load()-c.movedBefore > raiseAfter {
+		c.raiseReceiveBuffer()
+	}
 	if len(b) <= readAhead {
 		c.ahead = bytes.Count(b[:n], []byte{'\n'})
 	}
 	return n, err
 }
 
+// raiseReceiveBuffer lets more of a large body be on its way, if there is memory for it. The connection keeps the
+// larger buffer, since what its client may send cannot be lowered.
+func (c *conn) raiseReceiveBuffer() {
+	tcp := tcpConn(c.Conn)
+	if tcp == nil || c.raised.Take(raisedUnread) != nil { // it goes on with less
+		return
+	}
+	_ = tcp.SetReadBuffer(raisedBuffer) // a broken connection fails at its next use
+}
+
 // countHead takes the memory of a part of a head, and returns the refusal if that is not possible.
 // The caller holds c.mu.
 func (c *conn) countHead(b []byte) string {
--- a/papayapass/internal/drainer/guard.go
+++ b/papayapass/internal/drainer/guard.go
@@ -26,6 +26,8 @@
 	Memory *budgeter.Budget
 	// Bodies is the budget that bodies of requests on the connections are taken from.
 	Bodies *budgeter.Budget
+	// Raised is for the receive buffers of large bodies; nil leaves them as they are.
+	Raised *budgeter.Budget
 	// Unsent is what the kernel may take for answers that clients have not read.
 	Unsent *SendBudget
 	// MaxConnections is the largest number of connections.
@@ -45,6 +47,9 @@
 		return true
 	}
 	c.guard = d.guard
+	if d.guard.Raised != nil {
+		c.raised = d.guard.Raised.Lease()
+	}
 	c.own, c.head, c.unsent = d.guard.Memory.Lease(), d.guard.Memory.Lease(), newSendQueue(d.guard.Unsent, c.Conn)
 	if d.open.Add(1) > int64(d.guard.MaxConnections) {
 		d.open.Add(-1)
@@ -71,6 +76,7 @@
 	defer c.mu.Unlock()
 	c.own.Close()
 	c.head.Close()
+	c.raised.Close()
 	c.unsent.close()
 	c.guard.Unsent.signal()
 }
--- a/papayapass/internal/drainer/socket.go
+++ b/papayapass/internal/drainer/socket.go
@@ -16,6 +16,11 @@
 	sendBuffer    = 16 << 10
 	// MaxUnread is the most that the kernel holds of what a connection has received.
 	MaxUnread = receiveBuffer + receiveBuffer/2
+	// raiseAfter is how much of a body is received before its connection gets a larger buffer of raisedBuffer
+	// bytes, with which the kernel holds up to raisedUnread.
+	raiseAfter   = 64 << 10
+	raisedBuffer = 64 << 10
+	raisedUnread = raisedBuffer + raisedBuffer/2
 	// maxUnsent is the most that the kernel holds of what was written to a connection.
 	maxUnsent = 48 << 10
 )
--- a/papayapass/internal/enveloper/enveloper.go
+++ b/papayapass/internal/enveloper/enveloper.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// prefixBytes is the size of the prefix that holds the length of the head.
-	prefixBytes = 4
+	// PrefixBytes is the size of the prefix that holds the length of the head.
+	PrefixBytes = 4
 	// maxHeadBytes is the largest head, compressed or not.
 	maxHeadBytes = 8 << 20
 	// compressionLevel is the fastest; with a dictionary, it compresses heads as well as
@@ -42,13 +42,19 @@
 
 // Pack returns the envelope of a head and a body.
 func (e *Enveloper) Pack(head any, body []byte) ([]byte, error) {
+	packed, err := e.PackHead(head)
+	return append(packed, body...), err
+}
+
+// PackHead returns the envelope of a head, which a body may follow.
+func (e *Enveloper) PackHead(head any) ([]byte, error) {
 	text, err := json.Marshal(head)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode a head")
 	}
 	var b bytes.Buffer
-	b.Grow(prefixBytes + len(text)/2 + len(body))
-	b.Write(make([]byte, prefixBytes))
+	b.Grow(PrefixBytes + len(text)/2)
+	b.Write(make([]byte, PrefixBytes))
 	w, ok := e.writers.Get().(*flate.Writer)
 	if ok {
 		w.Reset(&b) // keeps the dictionary
@@ -62,18 +68,26 @@
 		return nil, errors.Wrap(err, "compress a head")
 	}
 	e.writers.Put(w)
-	binary.BigEndian.PutUint32(b.Bytes(), uint32(b.Len()-prefixBytes))
-	b.Write(body)
+	binary.BigEndian.PutUint32(b.Bytes(), uint32(b.Len()-PrefixBytes))
 	return b.Bytes(), nil
 }
 
+// HeadLength returns the length of an envelope up to its body, from its first PrefixBytes.
+func HeadLength(prefix []byte) (int64, error) {
+	n := binary.BigEndian.Uint32(prefix)
+	if n > maxHeadBytes {
+		return 0, errors.Wrapf(ErrMalformed, "head of %d bytes", n)
+	}
+	return PrefixBytes + int64(n), nil
+}
+
 // Open decodes the head of an envelope and returns its body.
 func (e *Enveloper) Open(envelope []byte, head any) ([]byte, error) {
-	if len(envelope) < prefixBytes {
+	if len(envelope) < PrefixBytes {
 		return nil, errors.Wrap(ErrMalformed, "too short")
 	}
 	n := binary.BigEndian.Uint32(envelope)
-	rest := envelope[prefixBytes:]
+	rest := envelope[PrefixBytes:]
 	if n > maxHeadBytes || int(n) > len(rest) {
 		return nil, errors.Wrapf(ErrMalformed, "head of %d bytes in %d", n, len(rest))
 	}
--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -34,6 +34,8 @@
 	ErrHeadTooLarge = errors.New("response head too large")
 	// ErrDisconnected means that the server closed the connection during the exchange.
 	ErrDisconnected = errors.New("server closed the connection")
+	// ErrBodyCut means that the body of the request ended early, or could not be read.
+	ErrBodyCut = errors.New("body of the request was cut")
 )
 
 const (
@@ -76,6 +78,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Tail follows Body, and Stream, if any, follows both while it arrives.
+	Tail   []byte
+	Stream *Stream
 	// MaxIdle is the longest idle time of a connection that may carry the request. A
 	// server that has already dropped the connection resets it when data arrives.
 	MaxIdle time.Duration
@@ -153,7 +158,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, keep, err := e.roundTrip(c, req)
-	if err != nil && (c.disconnected || errors.IsAny(err, unix.ECONNRESET, unix.EPIPE)) {
+	if err != nil && req.Stream != nil && req.Stream.Err() != nil {
+		err = errors.Mark(errors.CombineErrors(req.Stream.Err(), err), ErrBodyCut)
+	} else if err != nil && (c.disconnected || errors.IsAny(err, unix.ECONNRESET, unix.EPIPE)) {
 		err = errors.Mark(err, ErrDisconnected)
 	}
 	if !stop() || err != nil || !keep || !mayFollow(req, response) || len(c.ids) >= maxIDs {
@@ -237,9 +244,17 @@
 }
 
 func (e *Exchanger) roundTrip(c *conn, req Request) (*Response, bool, error) {
+	if req.Stream != nil {
+		return e.streamTrip(c, req)
+	}
 	if err := writeRequest(c, req); err != nil {
 		return nil, false, errors.Wrap(err, "send")
 	}
+	return e.receive(c, req)
+}
+
+// receive reads responses until one matches the request.
+func (e *Exchanger) receive(c *conn, req Request) (*Response, bool, error) {
 	for skipped := range maxResponsesRead {
 		response, keep, err := e.readResponse(c, req)
 		if err != nil {
@@ -263,14 +278,24 @@
 func writeRequest(c *conn, req Request) error {
 	w := bufio.NewWriterSize(c, bufferBytes)
 	_, _ = w.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
-	if len(req.Body) > 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
-		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	switch length := len(req.Body) + len(req.Tail); {
+	case req.Stream != nil:
+		_, _ = w.WriteString(req.Stream.frame(length))
+	case length > 0 || mayHaveBody(req.Method):
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	if err := req.Header.Write(w); err != nil {
 		return err
 	}
 	_, _ = w.WriteString("\r\n")
+	if req.Stream != nil {
+		if err := req.Stream.writeTo(w, req.Body); err != nil {
+			return err
+		}
+		return w.Flush()
+	}
 	_, _ = w.Write(req.Body)
+	_, _ = w.Write(req.Tail)
 	return w.Flush() // reports the errors of all earlier writes
 }
 
--- a/papayapass/internal/forwarder/forwarder.go
+++ b/papayapass/internal/forwarder/forwarder.go
@@ -53,6 +53,10 @@
 	// grantCheckInterval is the longest time between checks for the grant; it covers the
 	// time that a backend server takes to apply one.
 	grantCheckInterval = 25 * time.Millisecond
+	// streamSlotDivisor sets the part of the slots for requests whose bodies still arrive.
+	streamSlotDivisor = 4
+	// streamRetry is the expected time until such a request ends.
+	streamRetry = time.Second
 	// sharedStopDelay and dividedStopDelay are how long a stopping node accepts requests
 	// for its backend server: in a shared pool until all nodes know of the stop, for keys
 	// as long as an accepted request can still finish.
@@ -113,6 +117,8 @@
 	classifier    *classifier.Classifier
 	// sent counts all requests sent to the backend server.
 	sent atomic.Uint64
+	// streams counts the requests whose bodies are passed on while they arrive.
+	streams atomic.Int64
 	// ends counts the ends of backend servers that cut off requests.
 	ends atomic.Uint64
 }
--- a/papayapass/internal/forwarder/serve.go
+++ b/papayapass/internal/forwarder/serve.go
@@ -31,6 +31,12 @@
 	if r, ok := f.mayServe(c); !ok {
 		return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: r}
 	}
+	if c.Stream != nil {
+		if !f.takeStream() {
+			return dispatcher.Result{Outcome: dispatcher.NotRun, Reason: dispatcher.ReasonFull, Retry: streamRetry}
+		}
+		defer f.streams.Add(-1)
+	}
 	if c.Divided {
 		if res, ok := f.awaitKey(ctx, c); !ok {
 			return res
@@ -54,6 +60,16 @@
 	}
 }
 
+// takeStream reserves a place for a body that is passed on while it arrives, and reports whether there was
+// one. Customers that send slowly must leave most slots to others.
+func (f *Forwarder) takeStream() bool {
+	if f.streams.Add(1) <= int64(max(f.Server().Slots/streamSlotDivisor, 1)) {
+		return true
+	}
+	f.streams.Add(-1)
+	return false
+}
+
 // admit waits for admission. Without it, the result says why.
 func (f *Forwarder) admit(ctx context.Context, c *dispatcher.Call) (*admitter.Ticket, dispatcher.Result, bool) {
 	nested, changed := f.classifier.Observe(c.Route, c.Caller)
@@ -227,7 +243,7 @@
 	}
 	f.countSent()
 	response, err := f.exchanger.Do(ctx, exchanger.Request{
-		ID: c.ID, OwnConnection: c.ID == "", Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body,
+		ID: c.ID, OwnConnection: c.ID == "", Method: c.Method, URI: c.URI, Host: c.Host, Header: h, Body: c.Body, Stream: c.Stream,
 		MaxIdle: maxIdleTime, Memory: c.Memory,
 	})
 	took := f.clock.Now().Sub(sent)
@@ -235,6 +251,9 @@
 	// A request that timed out would have taken at least as long. Without these samples, a
 	// server that has become slow would seem as fast as its few successes.
 	timedOut := float64(took) >= timedOutShare*float64(left)
+	if c.Stream != nil {
+		timedOut = false // the customer may have taken the time
+	}
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
 		if ctx.Err() == nil { // otherwise the customer gave up, which says nothing of the server
@@ -257,7 +276,7 @@
 		}
 		f.readNotice(response, server, sent)
 		res, ran := f.interpret(c, response)
-		return res, ran || timedOut
+		return res, (ran && c.Stream == nil) || timedOut
 	}
 }
 
--- a/papayapass/internal/forwarder/wait_test.go
+++ b/papayapass/internal/forwarder/wait_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"papayapass.dev/papayapass/internal/dispatcher"
+	"papayapass.dev/papayapass/internal/exchanger"
 	"papayapass.dev/papayapass/internal/granter"
 	"papayapass.dev/papayapass/internal/partitioner"
 	"papayapass.dev/shared/descriptor"
@@ -128,3 +129,14 @@
 		require.Equal(t, r.Outcome == dispatcher.Answered, ran[fmt.Sprint(i)])
 	}
 }
+
+// Bodies that arrive slowly must leave slots to other requests.
+func TestLargeBodiesLeaveSlotsToOthers(t *testing.T) {
+	f := newTestForwarder(t, func(http.ResponseWriter, *http.Request) {})
+	require.True(t, f.takeStream())
+	c := &dispatcher.Call{Service: "records", Stream: exchanger.NewStream(nil, http.NoBody, 0, func() {}), Deadline: f.clock.Now().Add(time.Second)}
+	res := f.Serve(context.Background(), c)
+	require.Equal(t, dispatcher.NotRun, res.Outcome)
+	require.Equal(t, dispatcher.ReasonFull, res.Reason)
+	require.Positive(t, res.Retry)
+}
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -208,7 +208,7 @@
 }
 
 // newPeerHandler returns the handler of other nodes' calls.
-func newPeerHandler(p *participant.Participant, calls http.Handler, e *enveloper.Enveloper, memory *budgeter.Budget) http.Handler {
+func newPeerHandler(p *participant.Participant, calls *dispatcher.PeerHandler, e *enveloper.Enveloper, memory *budgeter.Budget) http.Handler {
 	mux := http.NewServeMux()
 	// open reads a control call, or rejects it.
 	open := func(w http.ResponseWriter, r *http.Request, out any) bool {
@@ -226,6 +226,7 @@
 		return true
 	}
 	mux.Handle("POST "+dispatcher.CallPath, calls)
+	mux.HandleFunc("POST "+dispatcher.StreamPath, calls.ServeStream)
 	mux.HandleFunc("POST "+heartbeatPath, func(w http.ResponseWriter, r *http.Request) {
 		var h overseer.Heartbeat
 		if !open(w, r, &h) {
@@ -277,7 +278,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	dispatcher.WriteEnvelope(w, packed)
+	dispatcher.WriteEnvelope(w, packed, nil)
 }
 
 // dictionary returns sample text of the messages between nodes; sample holds headers of
--- a/papayapass/internal/launcher/doors.go
+++ b/papayapass/internal/launcher/doors.go
@@ -34,6 +34,8 @@
 	customerUnreadShare = 0.08
 	peerUnreadShare     = 0.06
 	innerUnreadShare    = 0.01
+	// raisedShare is for the receive buffers of large bodies, of customers and of other nodes each.
+	raisedShare         = 0.015
 	customerUnsentShare = 0.05
 	peerUnsentShare     = 0.02
 	innerUnsentShare    = 0.004
@@ -46,6 +48,8 @@
 	// customerBodyShare is the part of the memory for bodies that customers may take; other nodes'
 	// calls always have the rest.
 	customerBodyShare = 0.9
+	// keptBodyShare is the part of that for a single body; larger ones are passed on while they arrive.
+	keptBodyShare = 0.25
 )
 
 const (
@@ -89,6 +93,9 @@
 			Unsent:         drainer.NewSendBudget(max(int64(s.unsent*memory), minUnsent)),
 			MaxConnections: max(min(int(s.descriptors*float64(descriptors)), int(s.unread*memory)/drainer.MaxUnread), minConnections),
 		}
+		if bodies != nil {
+			d.guard.Raised = budgeter.NewBudget(int64(raisedShare * memory))
+		}
 		label := `{door="` + name + `"}`
 		n.meter.Gauge("papayapass_connection_bytes"+label, func() float64 { return float64(d.guard.Memory.Used()) })
 		n.meter.Gauge("papayapass_unsent_bytes"+label, func() float64 { return float64(d.guard.Unsent.Used()) })
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -224,6 +224,7 @@
 	summaries := summarizer.NewSummarizer(meter.NewRouteMeter(n.meter), n.logger)
 	n.dispatcher = dispatcher.NewDispatcher(n.participant, n.adapter.HeaderCodec, n.timers, n.settings.Node.Service, summaries, n.doors.customers.guard.Bodies, n.tracer, n.logger)
 	n.dispatcher.SetQuota(n.participant)
+	n.dispatcher.SetLargestKeptBody(int64(keptBodyShare * float64(n.doors.customers.guard.Bodies.Limit())))
 	peers := dispatcher.NewPeerHandler(n.forwarder, n.timers, n.enveloper, n.memory, n.tracer)
 	ahead := pipeliner.NewPipeliner(n.dispatcher, n.dispatcher.MayStartEarly, n.doors.customers.early(), n.logger)
 	if err := n.listen(requests, g, n.doors.customers, n.settings.Listen.Customers, ahead, ahead.Listener); err != nil {
