End requests sent ahead when their connection lingers, and close unused connections of control calls

By reading: a connection whose client had not read its answer stayed open to hold its place, and requests that had started early on it went on until then. Connections of control calls to nodes that were replaced stayed open for good.

--- a/papayapass/internal/drainer/conn.go
+++ b/papayapass/internal/drainer/conn.go
@@ -197,6 +197,9 @@
 
 // awaitRoom waits until the kernel may hold n more bytes of answers.
 func (c *conn) awaitRoom(n int64) error {
+	if c.unsent.add(n) {
+		return nil
+	}
 	for {
 		changed := c.guard.Unsent.changed()
 		if c.unsent.add(n) {
@@ -225,10 +228,19 @@
 	c.lingering = !cut && left > freeUnsent
 	lingering := c.lingering
 	c.mu.Unlock()
-	if lingering {
-		return c.unsent.tcp.CloseWrite()
+	if !lingering {
+		return c.drop(left)
+	}
+	if e, ok := c.Conn.(requestEnder); ok {
+		e.EndRequests()
 	}
-	return c.drop(left)
+	return c.unsent.tcp.CloseWrite()
+}
+
+// requestEnder is a connection that runs requests beside the one that the server serves.
+type requestEnder interface {
+	// EndRequests ends them when the server has closed the connection.
+	EndRequests()
 }
 
 // drop closes the connection, and drops what its client has not read of the answers.
--- a/papayapass/internal/drainer/sendqueue_test.go
+++ b/papayapass/internal/drainer/sendqueue_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 	t.Helper()
 	l, err := Listen(context.Background(), "127.0.0.1:0")
 	require.NoError(t, err)
-	d = NewDrainer(&http.Server{Handler: h, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}, l)
+	d = NewDrainer(&http.Server{Handler: h, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}, endingListener{l})
 	d.Limit(&Guard{
 		Memory: budgeter.NewBudget(1 << 20), Unsent: NewSendBudget(room), MaxConnections: 10, Count: func(shedder.Reason) {},
 		Limits: func() shedder.Limits {
@@ -43,6 +44,22 @@
 	}
 }
 
+// endingListener counts connections whose requests were ended.
+type endingListener struct{ net.Listener }
+
+func (l endingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return endingConn{c}, err
+}
+
+// requestsEnded counts the calls of EndRequests.
+var requestsEnded atomic.Int32
+
+type endingConn struct{ net.Conn }
+
+func (c endingConn) NetConn() net.Conn { return c.Conn }
+func (endingConn) EndRequests()        { requestsEnded.Add(1) }
+
 // smallReceiveBuffer makes the kernel of a client hold little of an answer.
 func smallReceiveBuffer(_, _ string, raw syscall.RawConn) error {
 	return control(raw, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
@@ -113,6 +130,7 @@
 				return len(d.lingering) == 1
 			}, time.Minute, time.Millisecond)
 			require.Equal(t, int64(1), d.open.Load())
+			require.Positive(t, requestsEnded.Swap(0), "requests sent ahead must not go on")
 			if reads {
 				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 				require.NoError(t, err)
--- a/papayapass/internal/launcher/calls.go
+++ b/papayapass/internal/launcher/calls.go
@@ -61,6 +61,8 @@
 	// memory limits the replies of other nodes that are read at the same time; nil does not.
 	memory *budgeter.Budget
 	logger zerolog.Logger
+	// connections closes those to nodes that are not called any more; nil does not.
+	connections *exchanger.ConnectionLimit
 }
 
 var _ participant.Client = (*client)(nil)
@@ -76,7 +78,11 @@
 	if p, ok := c.peers.Load(address); ok {
 		return p.(*exchanger.Exchanger)
 	}
-	p, _ := c.peers.LoadOrStore(address, exchanger.NewExchanger(address, controlConnectTimeout, controlMaxIdle, maxControlBytes, nil))
+	e := exchanger.NewExchanger(address, controlConnectTimeout, controlMaxIdle, maxControlBytes, nil)
+	if c.connections != nil {
+		e.Limit(c.connections)
+	}
+	p, _ := c.peers.LoadOrStore(address, e)
 	return p.(*exchanger.Exchanger)
 }
 
--- a/papayapass/internal/launcher/doors.go
+++ b/papayapass/internal/launcher/doors.go
@@ -208,7 +208,7 @@
 			}
 			logged = now
 			n.outgoing.CloseExpired()
-			n.local.CloseExpired()
+			n.inner.CloseExpired()
 			for _, d := range []*door{n.doors.customers, n.doors.ready, n.doors.heartbeats, n.doors.metrics, n.doors.peers} {
 				d.log(n)
 			}
--- a/papayapass/internal/launcher/launcher.go
+++ b/papayapass/internal/launcher/launcher.go
@@ -136,9 +136,9 @@
 	enveloper   *enveloper.Enveloper
 	memory      *budgeter.Budget
 	doors       *doors
-	// outgoing limits the connections of requests to other nodes. Those to the backend server, in local, are
-	// limited by its slots.
-	outgoing, local *exchanger.ConnectionLimit
+	// outgoing limits the connections of requests to other nodes. Those of control calls and to the backend
+	// server, in inner, are limited by the members and the slots.
+	outgoing, inner *exchanger.ConnectionLimit
 	dispatcher      *dispatcher.Dispatcher
 	drainers        []*drainer.Drainer
 	tracer          *tracer.Tracer
@@ -153,7 +153,7 @@
 	store := a.Store(s.Store.Address, newStoreTransport())
 	n.enveloper = enveloper.NewEnveloper(dictionary(a.SampleHeaders))
 	n.memory = budgeter.NewBudget(s.bodyMemory())
-	n.outgoing, n.local = exchanger.NewConnectionLimit(s.outgoingConnections()), exchanger.NewConnectionLimit(math.MaxInt)
+	n.outgoing, n.inner = exchanger.NewConnectionLimit(s.outgoingConnections()), exchanger.NewConnectionLimit(math.MaxInt)
 	newPeer := func(address string) *dispatcher.Peer {
 		return dispatcher.NewPeer(address, n.timers, n.enveloper).Limit(n.outgoing)
 	}
@@ -161,9 +161,9 @@
 	n.participant = participant.NewParticipant(self, incarnation, store, a.StoreLayout, s.bounds(), n.timers, g, newPeer, logger)
 	n.forwarder = forwarder.NewForwarder(s.Node.Server, s.Node.Service, time.Duration(s.Bounds.Heartbeat), a.HeaderCodec, n.timers, g, n.participant, t, logger)
 	c := newClient(a.GrantAPI, s.Node.Server, n.enveloper)
-	c.memory = budgeter.NewBudget(s.controlMemory())
+	c.memory, c.connections = budgeter.NewBudget(s.controlMemory()), n.inner
 	c.monitor, c.logger = exchanger.NewStartMonitor(s.Node.Server, controlConnectTimeout), logger
-	n.forwarder.Limit(n.local)
+	n.forwarder.Limit(n.inner)
 	n.forwarder.SetStartMonitor(c)
 	n.participant.Attach(n.forwarder, c)
 	n.doors = n.newDoors()
@@ -212,7 +212,7 @@
 	n.meter.Gauge("papayapass_pool_report_age_seconds", func() float64 { return n.participant.PoolReportAge().Seconds() })
 	n.meter.Gauge("papayapass_pool_misses", func() float64 { return float64(n.participant.PoolMisses()) })
 	n.meter.Gauge("papayapass_body_bytes", func() float64 { return float64(n.memory.Used()) })
-	n.meter.Gauge("papayapass_outgoing_connections", func() float64 { return float64(n.outgoing.Open() + n.local.Open()) })
+	n.meter.Gauge("papayapass_outgoing_connections", func() float64 { return float64(n.outgoing.Open() + n.inner.Open()) })
 	n.meter.Gauge("papayapass_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 }
 
--- a/papayapass/internal/pipeliner/conn.go
+++ b/papayapass/internal/pipeliner/conn.go
@@ -268,9 +268,14 @@
 
 // Close closes the connection. Requests whose responses are still due are canceled.
 func (c *conn) Close() error {
+	c.EndRequests()
+	return c.Conn.Close()
+}
+
+// EndRequests cancels the requests whose responses are still due, and gives back their memory.
+func (c *conn) EndRequests() {
 	c.cancelStarted()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.memory.Close()
-	c.mu.Unlock()
-	return c.Conn.Close()
 }
