Forget the head of a large body once it cannot be sent again, and close a connection once

By reading: four large bodies in chunks kept 8 MiB each of the 33 MB for customers' bodies until their end; a connection that lingers was reset if the server closed it twice, and went on reading requests sent ahead; large answers raised the receive buffer, which is meant for large bodies.

--- a/papayapass/internal/dispatcher/body.go
+++ b/papayapass/internal/dispatcher/body.go
@@ -98,7 +98,8 @@
 		}
 		b.place = &d.large
 	}
-	b.stream = exchanger.NewStream(head, rest, r.ContentLength, interrupter(w))
+	n := int64(len(head)) // the function must not keep the head itself
+	b.stream = exchanger.NewStream(head, rest, r.ContentLength, interrupter(w), func() { memory.Return(n) })
 	return b, nil
 }
 
--- a/papayapass/internal/dispatcher/peer.go
+++ b/papayapass/internal/dispatcher/peer.go
@@ -325,7 +325,7 @@
 	} else {
 		length = -1
 	}
-	p.serve(w, r, &head, nil, exchanger.NewStream(nil, r.Body, length, interrupter(w)), memory)
+	p.serve(w, r, &head, nil, exchanger.NewStream(nil, r.Body, length, interrupter(w), func() {}), memory)
 	limitRest(w)
 }
 
--- a/papayapass/internal/drainer/conn.go
+++ b/papayapass/internal/drainer/conn.go
@@ -75,9 +75,9 @@
 	ended bool
 	// readCut and writeCut are set if no more is read or written.
 	readCut, writeCut bool
-	// dropped is set if answers that are not read yet may be lost, and lingering if the server has closed the
-	// connection and its client has not read them.
-	dropped, lingering bool
+	// closed is set once the server has closed the connection, and lingering if its client still reads. dropped
+	// is set if answers that are not read yet may be lost.
+	closed, lingering, dropped bool
 	// inRequest is set from the end of a head to the end of the response.
 	inRequest bool
 	// reading is set while the rest of a body is awaited, and writing is what is left to write.
@@ -99,8 +99,13 @@
 func (c *conn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	// The server reads a single byte ahead while a request runs.
-	c.reading = c.inRequest && len(b) > 1
+	inBody := c.inRequest && len(b) > 1
+	c.reading = inBody
+	closed := c.closed
 	c.mu.Unlock()
+	if closed {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,7 +128,7 @@
 		}
 		return n, err
 	}
-	if c.raised != nil && c.raised.Taken() == 0 && c.moved.Load()-c.movedBefore > raiseAfter {
+	if inBody && c.raised != nil && c.raised.Taken() == 0 && c.moved.Load()-c.movedBefore > raiseAfter {
 		c.raiseReceiveBuffer()
 	}
 	if len(b) <= readAhead {
@@ -223,8 +228,12 @@
 	}
 	left := c.unsent.left()
 	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil
+	}
 	cut := c.writeCut || c.dropped
-	c.writeCut, c.readCut = true, true
+	c.closed, c.writeCut, c.readCut = true, true, true
 	c.lingering = !cut && left > freeUnsent
 	lingering := c.lingering
 	c.mu.Unlock()
--- a/papayapass/internal/drainer/drainer.go
+++ b/papayapass/internal/drainer/drainer.go
@@ -29,8 +29,7 @@
 	mu      sync.Mutex
 	closing bool
 	conns   map[*conn]struct{}
-	// lingering are connections that the server has closed, with the bytes that they had moved and the time
-	// since then.
+	// lingering are connections that the server has closed while their clients read.
 	lingering map[*conn]linger
 	allClosed chan struct{}
 }
--- a/papayapass/internal/exchanger/exchanger.go
+++ b/papayapass/internal/exchanger/exchanger.go
@@ -287,6 +287,9 @@
 	return e.receive(c, req)
 }
 
+// mayHaveBody reports whether requests of a method are framed although they have no body.
+func mayHaveBody(method string) bool { return method != http.MethodGet && method != http.MethodHead }
+
 // receive reads responses until one matches the request.
 func (e *Exchanger) receive(c *conn, req Request) (*Response, bool, error) {
 	for skipped := range maxResponsesRead {
--- a/papayapass/internal/exchanger/stream.go
+++ b/papayapass/internal/exchanger/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net/http"
 	"net/http/httputil"
 	"strconv"
 	"sync"
@@ -22,10 +21,13 @@
 // Stream is a body that is passed on while it arrives.
 type Stream struct {
 	// head are the first bytes. Until more is read, the body can be sent again.
-	head      []byte
-	rest      io.Reader
-	length    int64
-	interrupt func()
+	head       []byte
+	headLength int64
+	rest       io.Reader
+	length     int64
+	interrupt  func()
+	// forget is called once the head is not needed any more.
+	forget func()
 
 	mu          sync.Mutex
 	consumed    bool
@@ -35,9 +37,10 @@
 }
 
 // NewStream returns a body that begins with head and goes on with what rest returns. length is that of the
-// whole body, or negative if it is not known; interrupt makes a read of rest return.
-func NewStream(head []byte, rest io.Reader, length int64, interrupt func()) *Stream {
-	return &Stream{head: head, rest: rest, length: length, interrupt: interrupt}
+// whole body, or negative if it is not known; interrupt makes a read of rest return, and forget is called once
+// the head is not needed any more.
+func NewStream(head []byte, rest io.Reader, length int64, interrupt, forget func()) *Stream {
+	return &Stream{head: head, headLength: int64(len(head)), rest: rest, length: length, interrupt: interrupt, forget: forget}
 }
 
 // Consumed reports whether the body cannot be sent again.
@@ -72,7 +75,10 @@
 // Read reads more of the rest.
 func (s *Stream) Read(b []byte) (int, error) {
 	s.mu.Lock()
-	s.consumed = true
+	if !s.consumed {
+		s.consumed, s.head = true, nil
+		s.forget()
+	}
 	stopped := s.interrupted
 	s.mu.Unlock()
 	if stopped {
@@ -127,13 +133,13 @@
 	if err != nil {
 		return err
 	}
-	if s.length >= 0 && n != s.length-int64(len(s.head)) {
+	if s.length >= 0 && n != s.length-s.headLength {
 		return io.ErrUnexpectedEOF
 	}
 	return nil
 }
 
-// setLength sets the framing of the body after a prefix.
+// frame returns the header line that frames the body after a prefix.
 func (s *Stream) frame(prefix int) string {
 	if s.length < 0 {
 		return "Transfer-Encoding: chunked\r\n"
@@ -165,6 +171,3 @@
 	}
 	return response, keep && isWhole, err
 }
-
-// mayHaveBody reports whether requests of a method are framed although they have no body.
-func mayHaveBody(method string) bool { return method != http.MethodGet && method != http.MethodHead }
--- a/papayapass/internal/exchanger/stream_test.go
+++ b/papayapass/internal/exchanger/stream_test.go
@@ -22,7 +22,7 @@
 			_ = w.CloseWithError(err)
 		}
 	}()
-	return NewStream([]byte("head"), r, -1, func() { _ = r.CloseWithError(io.ErrClosedPipe) })
+	return NewStream([]byte("head"), r, -1, func() { _ = r.CloseWithError(io.ErrClosedPipe) }, func() {})
 }
 
 func doStream(address string, s *Stream) (*Exchanger, *Response, error) {
@@ -53,6 +53,7 @@
 	require.Equal(t, http.StatusOK, resp.Status)
 	require.Equal(t, 4+1<<20, <-l.bodies)
 	require.True(t, s.Consumed())
+	require.Nil(t, s.head, "it cannot be sent again")
 	require.False(t, s.Interrupted())
 	require.Len(t, e.idle, 1)
 }
--- a/papayapass/internal/forwarder/wait_test.go
+++ b/papayapass/internal/forwarder/wait_test.go
@@ -134,7 +134,7 @@
 func TestLargeBodiesLeaveSlotsToOthers(t *testing.T) {
 	f := newTestForwarder(t, func(http.ResponseWriter, *http.Request) {})
 	require.True(t, f.takeStream())
-	c := &dispatcher.Call{Service: "records", Stream: exchanger.NewStream(nil, http.NoBody, 0, func() {}), Deadline: f.clock.Now().Add(time.Second)}
+	c := &dispatcher.Call{Service: "records", Stream: exchanger.NewStream(nil, http.NoBody, 0, func() {}, func() {}), Deadline: f.clock.Now().Add(time.Second)}
 	res := f.Serve(context.Background(), c)
 	require.Equal(t, dispatcher.NotRun, res.Outcome)
 	require.Equal(t, dispatcher.ReasonFull, res.Reason)
