Count the requests of a test's server without a race

Cause: its server's goroutines, one for each connection, share a variable without synchronization. Change: an atomic counter in its place; the checks are the same.

--- a/papayapass/internal/executor/backend_test.go
+++ b/papayapass/internal/executor/backend_test.go
@@ -193,10 +193,9 @@
 // time-out. Later requests must get their own responses, not that late one.
 func TestTimedOutConnectionIsNotReused(t *testing.T) {
 	release := make(chan struct{})
-	first := true
+	var n atomic.Int32
 	s := newScriptedServer(t, func(conn net.Conn, _ string) {
-		if first {
-			first = false
+		if n.Add(1) == 1 {
 			<-release
 			writeResponse(conn, "late answer")
 			return
